--- /dev/null
+++ b/beat/topics.go
@@ -0,0 +1,87 @@
+package beat
+
+import (
+	"context"
+	"errors"
+	"slices"
+
+	"go.uber.org/zap"
+
+	"filberttrack.example/track"
+)
+
+// handler returns the handler of a topic, or nil.
+func (x *Exchange) handler(topic track.Topic) track.TopicHandler {
+	i := slices.IndexFunc(x.options.Topics, func(h track.TopicHandler) bool { return h.Topic() == topic })
+	if i < 0 {
+		return nil
+	}
+	return x.options.Topics[i]
+}
+
+// offers collects the payloads for a peer. One that passes the bound is dropped.
+func (x *Exchange) offers(to track.InstanceID) []track.Payload {
+	var payloads []track.Payload
+	for _, h := range x.options.Topics {
+		data := h.Offer(to)
+		switch {
+		case len(data) == 0:
+		case len(data) > track.MaxPayloadBytes:
+			x.counts.oversize.Inc()
+			x.options.Logger.Error("payload dropped for its size",
+				zap.String("topic", string(h.Topic())), zap.Int("bytes", len(data)))
+		case len(payloads) < track.MaxPayloads:
+			payloads = append(payloads, track.Payload{Topic: h.Topic(), Data: data})
+		}
+	}
+	return payloads
+}
+
+// receive hands payloads to their handlers. Unknown topics belong to another
+// version of the program and are passed over.
+func (x *Exchange) receive(from track.InstanceID, payloads []track.Payload) {
+	for _, p := range payloads[:min(len(payloads), track.MaxPayloads)] {
+		h := x.handler(p.Topic)
+		if h == nil || len(p.Data) > track.MaxPayloadBytes {
+			x.counts.ignored.Inc()
+			continue
+		}
+		h.Receive(from, p.Data)
+	}
+}
+
+// Fetch implements track.Peer: it answers a peer that asks a handler for data.
+func (x *Exchange) Fetch(_ context.Context, from track.InstanceID, request track.Payload) ([]byte, error) {
+	const op = "answer fetch"
+	h := x.handler(request.Topic)
+	if h == nil {
+		return nil, track.Fail(op, track.Refused, track.Fail(op, UnknownTopic, errors.New(string(request.Topic))))
+	}
+	data, err := h.Fetch(from, request.Data)
+	if err != nil {
+		return nil, track.Fail(op, track.Refused, err)
+	}
+	if len(data) > track.MaxFetchBytes {
+		return nil, track.Fail(op, track.Refused, track.Fail(op, TooLarge, errors.New(string(request.Topic))))
+	}
+	return data, nil
+}
+
+// Ask asks the peer's handler of a topic for data.
+func (x *Exchange) Ask(ctx context.Context, to track.InstanceID, request track.Payload) ([]byte, error) {
+	const op = "fetch from peer"
+	if len(request.Data) > track.MaxFetchBytes {
+		return nil, track.Fail(op, TooLarge, errors.New(string(request.Topic)))
+	}
+	x.mu.Lock()
+	instance, ok := x.state.Find(to)
+	x.mu.Unlock()
+	if !ok {
+		return nil, track.Fail(op, UnknownPeer, errors.New(string(to)))
+	}
+	peer, err := x.options.Dialer.DialPeer(instance)
+	if err != nil {
+		return nil, err
+	}
+	return peer.Fetch(ctx, x.options.Self.ID, request)
+}
--- a/route.go
+++ b/route.go
@@ -13,6 +13,8 @@
 	// Joined is the time at which the replica was first seen live.
 	Joined time.Time
 	Load   Load
+	// Suspect is set while the agent has not been heard for some intervals.
+	Suspect bool
 }
 
 // Query is what the router is told about an attempt.
