--- a/beat/exchange.go
+++ b/beat/exchange.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -155,10 +154,9 @@
 func (x *Exchange) publish() {
 	x.mu.Lock()
 	events := x.state.TakeEvents()
-	servers := x.state.Servers()
-	// The update stays under the lock, so that a later set is never overtaken.
 	if x.options.Update != nil {
-		x.options.Update(servers)
+		// The update stays under the lock, so that a later set is never overtaken.
+		x.options.Update(x.state.Servers())
 	}
 	x.mu.Unlock()
 	for _, e := range events {
@@ -167,8 +165,7 @@
 			zap.String("instance", string(e.Instance)),
 			zap.Uint64("incarnation", uint64(e.Incarnation)),
 			zap.String("zone", string(e.Zone)),
-			zap.String("reason", e.Reason),
-			zap.Int("servers", len(servers)))
+			zap.String("reason", e.Reason))
 	}
 }
 
@@ -183,6 +180,6 @@
 		Up:          local.Up,
 		Load:        local.Load,
 		Roster:      x.state.Roster(),
-		Marked:      slices.Clone(x.state.Marked()),
+		Marked:      x.state.Marked(),
 	}
 }
--- a/beat/run.go
+++ b/beat/run.go
@@ -183,7 +183,21 @@
 		x.options.Logger.Warn("read instance list; the former one stays in use", zap.Error(err))
 		return
 	}
+	before := len(x.state.Marked())
 	x.state.Listed(x.options.Clock.Now(), instances)
+	if len(x.state.Marked()) > before {
+		x.tellMarks()
+	}
+}
+
+// tellMarks makes heartbeats to the other entries due at once, so that new
+// leaving marks do not wait for the interval. The caller holds mu.
+func (x *Exchange) tellMarks() {
+	for _, e := range x.state.Entries() {
+		if s := x.peers[e.ID]; s != nil {
+			s.last = time.Time{}
+		}
+	}
 }
 
 // Leave tells every entry of the zone at once that this instance takes no new
--- a/member/list.go
+++ b/member/list.go
@@ -15,21 +15,43 @@
 		return
 	}
 	s.lastList = now
-	present := make(map[track.InstanceID]bool, len(instances))
-	shrunk := s.shrunk(now, len(instances))
 	for _, i := range instances {
-		present[i.ID] = true
-		s.book[i.ID] = i
 		if i.State == track.Leaving {
-			s.read[i.ID] = now.Add(s.timing.MarkHold)
-			s.mark(now, i.ID)
+			s.readMark(now, i)
 		}
 	}
-	if shrunk {
-		return
+	kept := s.relevant(instances)
+	shrunk := s.shrunk(now, len(kept))
+	if !shrunk {
+		clear(s.book)
+	}
+	for _, i := range kept {
+		s.book[i.ID] = i
+	}
+	if !shrunk {
+		s.removeUnlisted()
 	}
-	maps.DeleteFunc(s.book, func(id track.InstanceID, _ track.Instance) bool { return !present[id] })
-	s.removeUnlisted(present)
+}
+
+// relevant returns the listed instances that this one may talk to: those of its
+// own zone, and for an entry the entries of all zones.
+func (s *State) relevant(instances []track.Instance) []track.Instance {
+	var kept []track.Instance
+	for _, i := range instances {
+		own := i.Zone == s.self.Zone
+		if own || (i.Role == track.RoleEntry && s.self.Role == track.RoleEntry) {
+			kept = append(kept, i)
+		}
+	}
+	return kept
+}
+
+// readMark notes a leaving mark that this instance read itself.
+func (s *State) readMark(now time.Time, i track.Instance) {
+	if i.Zone == s.self.Zone {
+		s.read[i.ID] = now.Add(s.timing.MarkHold)
+	}
+	s.mark(now, i.ID)
 }
 
 // shrunk reports whether a list of the given length lost so much at once that
@@ -47,12 +69,13 @@
 }
 
 // removeUnlisted removes peers that are silent and no longer listed.
-func (s *State) removeUnlisted(present map[track.InstanceID]bool) {
-	for _, id := range slices.Sorted(maps.Keys(s.members)) {
-		p := s.members[id]
-		if p.suspect && !p.gone && !present[id] {
-			s.remove(p, "silent, and no longer listed")
-		}
+func (s *State) removeUnlisted() {
+	unlisted := func(p *peer) bool {
+		_, listed := s.book[p.instance.ID]
+		return p.suspect && !listed
+	}
+	for _, p := range s.present(unlisted) {
+		s.remove(p, "silent, and no longer listed")
 	}
 }
 
@@ -72,14 +95,7 @@
 // Marked returns the instances of the own zone that this instance itself read
 // to be leaving, sorted.
 func (s *State) Marked() []track.InstanceID {
-	var ids []track.InstanceID
-	for id := range s.read {
-		if s.book[id].Zone == s.self.Zone {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
-	return ids
+	return slices.Sorted(maps.Keys(s.read))
 }
 
 // ListDue reports whether it is this instance's turn to read the list, and
--- a/member/state.go
+++ b/member/state.go
@@ -22,11 +22,12 @@
 
 	// members holds the peers of the own zone that were ever heard.
 	members map[track.InstanceID]*peer
-	// book holds the instances of the last list that was believed.
+	// book holds the relevant instances of the last list that was believed.
 	book map[track.InstanceID]track.Instance
 	// learned holds entries of the own zone that peers named.
 	learned map[track.InstanceID]learnedEntry
-	// read and told hold leaving marks: from own readings of the list, and all.
+	// read holds the leaving marks of the own zone that this instance read
+	// itself, and told all that it knows, with the time until which they hold.
 	read map[track.InstanceID]time.Time
 	told map[track.InstanceID]time.Time
 	// left holds the incarnations in other zones that refused as leaving.
@@ -251,27 +252,33 @@
 	interval := s.Interval()
 	suspectAfter := s.timing.suspectAfter(interval)
 	removeAfter := s.timing.removeAfter(interval)
-	for _, id := range slices.Sorted(maps.Keys(s.members)) {
-		p := s.members[id]
-		if p.gone || p.suspect || now.Sub(p.heard) <= suspectAfter {
-			continue
-		}
+	silent := func(p *peer) bool { return !p.suspect && now.Sub(p.heard) > suspectAfter }
+	for _, p := range s.present(silent) {
 		p.suspect = true
 		s.noteFor(Suspected, p.instance, p.incarnation, "silent for "+suspectAfter.String())
 	}
 	s.weighSilence()
-	for _, id := range slices.Sorted(maps.Keys(s.members)) {
-		p := s.members[id]
-		if p.gone || !p.suspect || now.Sub(p.heard) <= removeAfter {
-			continue
-		}
-		if s.mostSilent && p.instance.Role == track.RoleAgent {
-			continue
-		}
+	lost := func(p *peer) bool {
+		kept := s.mostSilent && p.instance.Role == track.RoleAgent
+		return p.suspect && !kept && now.Sub(p.heard) > removeAfter
+	}
+	for _, p := range s.present(lost) {
 		s.remove(p, "silent for "+removeAfter.String())
 	}
 }
 
+// present returns the peers not removed that match, sorted by ID.
+func (s *State) present(match func(*peer) bool) []*peer {
+	var found []*peer
+	for _, p := range s.members {
+		if !p.gone && match(p) {
+			found = append(found, p)
+		}
+	}
+	slices.SortFunc(found, func(a, b *peer) int { return cmp.Compare(a.instance.ID, b.instance.ID) })
+	return found
+}
+
 // weighSilence finds out whether so many agents are silent that the fault is
 // more likely on this side.
 func (s *State) weighSilence() {
