--- /dev/null
+++ b/drain/errors.go
@@ -0,0 +1,24 @@
+package drain
+
+import (
+	"fmt"
+
+	"filberttrack.example/track"
+)
+
+// Kind classifies the failures of this package.
+type Kind int
+
+// CutOff means that requests were still open at the end.
+const CutOff Kind = iota
+
+// String returns the kind in lower case.
+func (k Kind) String() string {
+	if k == CutOff {
+		return "requests cut off"
+	}
+	return fmt.Sprintf("Kind(%d)", int(k))
+}
+
+// Error is the error of this package.
+type Error = track.OpError[Kind]
