feat: thin path through entry and agent

Cause: no request could be served. Change: entry with a plan of steps, agent, gRPC between them, settings, operators' listener and process assembly. Conclusion: the stand-ins are missing.

--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,130 @@
+// Package agent implements the daemon beside a backend server. It is the only
+// door to that backend server: it runs attempts, refuses what must not run, and
+// reports load.
+package agent
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"sync"
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"filberttrack.example/track"
+)
+
+// Options holds what an agent is made of.
+type Options struct {
+	// Instance describes the agent. Its Serves field names the target.
+	Instance    track.Instance
+	Incarnation track.Incarnation
+	// Backend is the base URL of the backend server on the same machine.
+	Backend *url.URL
+	Client  *http.Client
+	Clock   clockwork.Clock
+	Logger  *zap.Logger
+	Metrics *metrics.Set
+}
+
+// Agent implements track.Agent in front of one backend server.
+type Agent struct {
+	options Options
+	table   *table
+	leaving atomic.Bool
+	up      atomic.Bool
+	running atomic.Int64
+	seq     atomic.Uint64
+
+	loadMu sync.Mutex
+	load   track.Load
+}
+
+// New returns an agent that takes work at once.
+func New(options Options) *Agent {
+	a := &Agent{options: options, table: newTable()}
+	a.up.Store(true)
+	return a
+}
+
+// Run implements track.Agent.
+func (a *Agent) Run(ctx context.Context, d track.Dispatch, send track.FrameFunc) error {
+	out := &output{id: d.ID, send: send}
+	refusal := a.refusal(d)
+	if refusal == "" {
+		refusal = a.table.start(d.ID)
+	}
+	if refusal != "" {
+		a.decide(d, "refused", string(refusal))
+		return out.final(track.Frame{Outcome: track.NotRun, Refusal: refusal})
+	}
+	defer a.table.finish(d.ID)
+	a.decide(d, "started", "")
+	a.running.Add(1)
+	defer a.running.Add(-1)
+	ctx, cancel := context.WithTimeout(ctx, d.Timeout)
+	defer cancel()
+	return a.forward(ctx, d, out)
+}
+
+// refusal returns why the dispatch must not start here, or "".
+func (a *Agent) refusal(d track.Dispatch) track.Refusal {
+	switch {
+	case d.Agent != a.options.Instance.ID || d.Incarnation != a.options.Incarnation:
+		return track.RefusedStale
+	case d.Target != a.options.Instance.Serves:
+		return track.RefusedWrongTarget
+	case a.leaving.Load():
+		return track.RefusedLeaving
+	case d.Timeout <= 0:
+		return track.RefusedExpired
+	}
+	return ""
+}
+
+// Bar implements track.Agent.
+func (a *Agent) Bar(_ context.Context, id track.AttemptID) (track.AttemptState, error) {
+	return a.table.bar(id), nil
+}
+
+// Replay implements track.Agent.
+func (a *Agent) Replay(_ context.Context, id track.AttemptID, send track.FrameFunc) error {
+	out := &output{id: id, send: send}
+	return out.final(track.Frame{Outcome: track.Unknown, Fault: "answer not kept"})
+}
+
+// Report implements track.Agent.
+func (a *Agent) Report(context.Context) (track.Report, error) {
+	a.loadMu.Lock()
+	load := a.load
+	a.loadMu.Unlock()
+	load.Running = int(a.running.Load())
+	return track.Report{
+		Instance:    a.options.Instance,
+		Incarnation: a.options.Incarnation,
+		Seq:         a.seq.Add(1),
+		Leaving:     a.leaving.Load(),
+		Up:          a.up.Load(),
+		Load:        load,
+	}, nil
+}
+
+// Leave makes the agent refuse new work. Work in progress goes on.
+func (a *Agent) Leave() {
+	a.leaving.Store(true)
+}
+
+// Running returns the number of attempts in progress.
+func (a *Agent) Running() int {
+	return int(a.running.Load())
+}
+
+func (a *Agent) decide(d track.Dispatch, decision, reason string) {
+	a.options.Logger.Debug("attempt "+decision,
+		zap.String("RequestID", string(d.ID.Request)),
+		zap.Uint32("Attempt", d.ID.Number),
+		zap.String("Reason", reason))
+}
--- a/call.go
+++ b/call.go
@@ -40,6 +40,8 @@
 	Body   []byte
 	// Stream is set if the caller asked for server-sent events.
 	Stream bool
+	// IncludeUsage is set if the caller asked for token counts in the stream.
+	IncludeUsage bool
 	// NonIdempotent is set if the call must not be repeated.
 	NonIdempotent bool
 	// IdempotencyKey is the caller's name for the work; set if NonIdempotent.
--- /dev/null
+++ b/conf/defaults.go
@@ -0,0 +1,68 @@
+package conf
+
+import "time"
+
+// Defaults of the settings.
+const (
+	defaultListen         = "127.0.0.1:8080"
+	defaultAdmin          = "127.0.0.1:8081"
+	defaultMaxBodyBytes   = 4 << 20
+	defaultMaxHeaderBytes = 32 << 10
+	defaultMaxAnswerBytes = 16 << 20
+	defaultMaxTimeout     = 10 * time.Minute
+	defaultBalancerDelay  = 5 * time.Second
+	defaultStopTimeout    = 2 * time.Minute
+	defaultRetention      = 24 * time.Hour
+	defaultProfileTimeout = 60 * time.Second
+	defaultMaxAttempts    = 3
+	defaultRetryShare     = 0.1
+	defaultRetryFloor     = 1
+	defaultBackoff        = 25 * time.Millisecond
+	defaultWeight         = 1
+	defaultCapacity       = 32
+	defaultCacheBlocks    = 4096
+)
+
+// applyDefaults fills in whatever the file left out.
+func applyDefaults(s *Settings) {
+	setDefault(&s.Entry.Listen, defaultListen)
+	setDefault(&s.Entry.Admin, defaultAdmin)
+	setDefault(&s.Entry.MaxBodyBytes, defaultMaxBodyBytes)
+	setDefault(&s.Entry.MaxHeaderBytes, defaultMaxHeaderBytes)
+	setDefault(&s.Entry.MaxAnswerBytes, defaultMaxAnswerBytes)
+	setDefault(&s.Entry.MaxTimeout, defaultMaxTimeout)
+	setDefault(&s.Entry.BalancerDelay, defaultBalancerDelay)
+	setDefault(&s.Entry.StopTimeout, defaultStopTimeout)
+	setDefault(&s.Agent.StopTimeout, defaultStopTimeout)
+	setDefault(&s.Logging.Level, "info")
+	setDefault(&s.Logging.Format, "json")
+	setDefault(&s.Standin.Retention, defaultRetention)
+	for i := range s.Profile {
+		p := &s.Profile[i]
+		setDefault(&p.Timeout, defaultProfileTimeout)
+		setDefault(&p.Retry.MaxAttempts, defaultMaxAttempts)
+		setDefault(&p.Retry.Share, defaultRetryShare)
+		setDefault(&p.Retry.FloorPerSecond, defaultRetryFloor)
+		setDefault(&p.Retry.Backoff, defaultBackoff)
+	}
+	for i := range s.Account {
+		setDefault(&s.Account[i].Weight, defaultWeight)
+	}
+	for i := range s.Zone {
+		for j := range s.Zone[i].Replicas {
+			setDefault(&s.Zone[i].Replicas[j].Capacity, defaultCapacity)
+			setDefault(&s.Zone[i].Replicas[j].CacheBlocks, defaultCacheBlocks)
+		}
+	}
+	for i := range s.Standin.Servers {
+		setDefault(&s.Standin.Servers[i].Capacity, defaultCapacity)
+		setDefault(&s.Standin.Servers[i].CacheBlocks, defaultCacheBlocks)
+	}
+}
+
+func setDefault[T comparable](value *T, standard T) {
+	var zero T
+	if *value == zero {
+		*value = standard
+	}
+}
--- /dev/null
+++ b/directory.go
@@ -0,0 +1,18 @@
+package track
+
+// Directory answers look-ups in the configuration in force.
+type Directory interface {
+	// Version returns the version of the configuration in force.
+	Version() uint64
+	// Account returns the client account that owns the bearer token with the
+	// given hexadecimal SHA-256.
+	Account(tokenSHA256 string) (ClientAccount, bool)
+	// Profile returns a profile by name.
+	Profile(name string) (Profile, bool)
+	// Model returns a model by name.
+	Model(name string) (Model, bool)
+	// Service returns a plain service by name.
+	Service(name string) (Service, bool)
+	// Models returns all models, sorted by name.
+	Models() []Model
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,155 @@
+// Package entry implements the daemon behind the platform's balancer. It takes
+// callers' requests, runs the steps of its plan on them, and answers.
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/entry/flow"
+	"filberttrack.example/track/entry/parse"
+	"filberttrack.example/track/entry/relay"
+)
+
+// Options holds what an entry is made of.
+type Options struct {
+	Instance  track.Instance
+	Directory track.Directory
+	Router    track.Router
+	Dialer    track.AgentDialer
+	Clock     clockwork.Clock
+	Logger    *zap.Logger
+	Metrics   *metrics.Set
+	// NewID returns a request ID that no other instance returns.
+	NewID func() track.RequestID
+	// Parse and Relay bound what callers send and receive.
+	Parse parse.Limits
+	Relay relay.Limits
+	// LogDecisions turns on a log line for each routing decision.
+	LogDecisions bool
+}
+
+// Entry serves the callers' interface. It implements http.Handler.
+type Entry struct {
+	options  Options
+	mux      *http.ServeMux
+	stopping atomic.Bool
+	open     atomic.Int64
+}
+
+// New returns an entry.
+func New(options Options) *Entry {
+	e := &Entry{options: options, mux: http.NewServeMux()}
+	e.mux.Handle("/v1/chat/completions", e.handle(chatPlan(options), writeModelError, http.MethodPost))
+	e.mux.Handle("/v1/models", e.handle(modelsPlan(options), writeModelError, http.MethodGet))
+	e.mux.Handle("/v1/models/{model}", e.handle(modelsPlan(options), writeModelError, http.MethodGet))
+	e.mux.Handle("/services/{service}/{path...}", e.handle(servicePlan(options), writeServiceError))
+	e.mux.Handle("/", e.handle(notFoundPlan(), writeServiceError))
+	return e
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mux.ServeHTTP(w, r)
+}
+
+// Stop makes the entry refuse new requests. Open requests go on.
+func (e *Entry) Stop() {
+	e.stopping.Store(true)
+}
+
+// Stopping reports whether Stop was called.
+func (e *Entry) Stopping() bool {
+	return e.stopping.Load()
+}
+
+// Open returns the number of requests in progress.
+func (e *Entry) Open() int {
+	return int(e.open.Load())
+}
+
+// handle returns the handler that runs a plan. It takes the given methods only,
+// or any if none is given.
+func (e *Entry) handle(plan []flow.Step, writeError errorWriter, methods ...string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.open.Add(1)
+		defer e.open.Add(-1)
+		x := &flow.Exchange{Writer: w, Request: r}
+		defer x.End()
+		x.Call.ID = e.options.NewID()
+		x.Call.Arrived = e.options.Clock.Now()
+		w.Header().Set(flow.HeaderRequestID, string(x.Call.ID))
+		err := e.run(r.Context(), plan, x, methods)
+		e.finish(x, err, writeError)
+	})
+}
+
+func (e *Entry) run(ctx context.Context, plan []flow.Step, x *flow.Exchange, methods []string) error {
+	if e.stopping.Load() {
+		return &flow.Refusal{
+			Status:     http.StatusServiceUnavailable,
+			Code:       "stopping",
+			Message:    "this instance is stopping; send the request again",
+			Outcome:    track.NotRun,
+			RetryAfter: time.Second,
+		}
+	}
+	err := checkMethod(x.Request, methods)
+	if err != nil {
+		return err
+	}
+	for _, step := range plan {
+		err = step.Run(ctx, x)
+		if err == nil {
+			continue
+		}
+		if track.IsSkip(err) {
+			e.options.Logger.Debug("step skipped",
+				zap.String("RequestID", string(x.Call.ID)),
+				zap.Stringer("Step", step),
+				zap.Error(err))
+			continue
+		}
+		e.options.Logger.Debug("step refused",
+			zap.String("RequestID", string(x.Call.ID)),
+			zap.Stringer("Step", step),
+			zap.Error(err))
+		return err
+	}
+	return nil
+}
+
+// finish writes the answer to a refused request and counts the outcome.
+func (e *Entry) finish(x *flow.Exchange, err error, writeError errorWriter) {
+	outcome := x.Writer.Header().Get(flow.HeaderOutcome)
+	if err != nil {
+		refusal := refusalOf(err)
+		outcome = refusal.Outcome.String()
+		writeError(x.Writer, refusal)
+	}
+	e.options.Metrics.GetOrCreateCounter(`filberttrack_requests_total{outcome="` + outcome + `"}`).Inc()
+	e.options.Metrics.GetOrCreateHistogram(`filberttrack_request_seconds`).
+		Update(e.options.Clock.Since(x.Call.Arrived).Seconds())
+}
+
+// refusalOf returns the refusal that the error is, or stands for.
+func refusalOf(err error) *flow.Refusal {
+	var refusal *flow.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return &flow.Refusal{
+		Status:  http.StatusInternalServerError,
+		Code:    "internal",
+		Message: err.Error(),
+		Outcome: track.Unknown,
+	}
+}
--- /dev/null
+++ b/entry/flow/flow.go
@@ -0,0 +1,76 @@
+// Package flow holds the state of one caller's request on its way through the
+// steps of an entry, and the refusal with which a step ends it.
+package flow
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"filberttrack.example/track"
+)
+
+// Header names of the callers' interface.
+const (
+	HeaderOutcome     = "Filberttrack-Outcome"
+	HeaderRequestID   = "Filberttrack-Request-Id"
+	HeaderTimeout     = "Filberttrack-Timeout"
+	HeaderProfile     = "Filberttrack-Profile"
+	HeaderIdempotency = "Idempotency-Key"
+)
+
+// Exchange is one request of a caller and its answer.
+type Exchange struct {
+	Writer  http.ResponseWriter
+	Request *http.Request
+	Call    track.Call
+
+	releases []func()
+}
+
+// Step is one step in the plan of an entry.
+type Step = track.Step[*Exchange]
+
+// Release registers a function to be called when the exchange has ended, last
+// registered first.
+func (x *Exchange) Release(f func()) {
+	x.releases = append(x.releases, f)
+}
+
+// End calls the registered functions.
+func (x *Exchange) End() {
+	for i := len(x.releases) - 1; i >= 0; i-- {
+		x.releases[i]()
+	}
+	x.releases = nil
+}
+
+// Refusal ends an exchange with an error answer.
+type Refusal struct {
+	// Status is the HTTP status.
+	Status int
+	// Code names the fault for programs, for example "unknown_model".
+	Code    string
+	Message string
+	// Param names the faulty field or header, if any.
+	Param   string
+	Outcome track.Outcome
+	// RetryAfter tells the caller when to come back; 0 says nothing.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%d %s: %s", r.Status, r.Code, r.Message)
+}
+
+// Invalid returns a refusal for input that the caller must correct.
+func Invalid(status int, code, param, format string, args ...any) *Refusal {
+	return &Refusal{
+		Status:  status,
+		Code:    code,
+		Message: fmt.Sprintf(format, args...),
+		Param:   param,
+		Outcome: track.NotRun,
+	}
+}
--- /dev/null
+++ b/entry/parse/chat.go
@@ -0,0 +1,168 @@
+// Package parse provides the steps that check a caller's request and turn it
+// into a track.Call.
+package parse
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/entry/flow"
+)
+
+// enginePath is the path of generations at an engine.
+const enginePath = "/v1/chat/completions"
+
+// prefixBlockBytes is the length of prompt covered by one prefix hash.
+const prefixBlockBytes = 256
+
+// maxPrefixBlocks bounds the prefix hashes of one prompt.
+const maxPrefixBlocks = 64
+
+// bytesPerToken estimates tokens from the length of a text.
+const bytesPerToken = 4
+
+// Chat checks a generation request.
+type Chat struct {
+	directory track.Directory
+	limits    Limits
+}
+
+// NewChat returns the step for generations.
+func NewChat(directory track.Directory, limits Limits) *Chat {
+	return &Chat{directory: directory, limits: limits}
+}
+
+// String returns the name of the step.
+func (*Chat) String() string { return "parse generation" }
+
+// chatRequest lists the fields that an entry looks at. All others pass through.
+type chatRequest struct {
+	Model         string        `json:"model"`
+	Messages      []chatMessage `json:"messages"`
+	Stream        bool          `json:"stream"`
+	StreamOptions struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+	MaxTokens           *int `json:"max_tokens"`
+	MaxCompletionTokens *int `json:"max_completion_tokens"`
+}
+
+// chatMessage is one message of a prompt.
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// Run implements flow.Step.
+func (s *Chat) Run(_ context.Context, x *flow.Exchange) error {
+	body, err := readBody(x, s.limits)
+	if err != nil {
+		return err
+	}
+	request, fields, err := decodeChat(body)
+	if err != nil {
+		return err
+	}
+	model, ok := s.directory.Model(request.Model)
+	if !ok {
+		return flow.Invalid(http.StatusNotFound, "model_not_found", "model",
+			"the model %q does not exist", clip(request.Model))
+	}
+	call := &x.Call
+	call.Kind = track.Generation
+	call.Target = model.Name
+	call.Method = http.MethodPost
+	call.Path = enginePath
+	call.Stream = request.Stream
+	call.IncludeUsage = request.StreamOptions.IncludeUsage
+	call.MaxTokens = request.maxTokens()
+	call.Fingerprint = xxhash.Sum64(body)
+	measure(call, request.Messages)
+	call.Header = http.Header{"Content-Type": {"application/json"}}
+	call.Body, err = engineBody(fields)
+	if err != nil {
+		return err
+	}
+	return chooseProfile(x, s.directory, model.Profile, s.limits)
+}
+
+func decodeChat(body []byte) (chatRequest, map[string]json.RawMessage, error) {
+	var request chatRequest
+	var fields map[string]json.RawMessage
+	err := json.Unmarshal(body, &fields)
+	if err != nil {
+		return request, nil, flow.Invalid(http.StatusBadRequest, "invalid_json", "",
+			"the body is not a JSON object: %s", err)
+	}
+	err = json.Unmarshal(body, &request)
+	if err != nil {
+		return request, nil, flow.Invalid(http.StatusBadRequest, "invalid_request", "",
+			"the body does not fit the API: %s", err)
+	}
+	switch {
+	case request.Model == "":
+		return request, nil, flow.Invalid(http.StatusBadRequest, "missing_field", "model",
+			"the field model is missing")
+	case len(request.Messages) == 0:
+		return request, nil, flow.Invalid(http.StatusBadRequest, "missing_field", "messages",
+			"the field messages must hold at least one message")
+	case request.maxTokens() < 0:
+		return request, nil, flow.Invalid(http.StatusBadRequest, "invalid_value", "max_tokens",
+			"the bound on tokens must not be negative")
+	}
+	return request, fields, nil
+}
+
+func (r chatRequest) maxTokens() int {
+	switch {
+	case r.MaxCompletionTokens != nil:
+		return *r.MaxCompletionTokens
+	case r.MaxTokens != nil:
+		return *r.MaxTokens
+	}
+	return 0
+}
+
+// engineBody returns the request for the engine, which always streams and
+// counts, whatever the caller asked for.
+func engineBody(fields map[string]json.RawMessage) ([]byte, error) {
+	fields["stream"] = json.RawMessage(`true`)
+	fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+	body, err := json.Marshal(fields)
+	if err != nil {
+		return nil, flow.Invalid(http.StatusBadRequest, "invalid_json", "", "the body can't be encoded again: %s", err)
+	}
+	return body, nil
+}
+
+// measure fills in the length of the prompt and the hashes of its prefixes.
+func measure(call *track.Call, messages []chatMessage) {
+	var prompt strings.Builder
+	for _, m := range messages {
+		prompt.WriteString(m.Role)
+		prompt.WriteByte('\n')
+		prompt.Write(m.Content)
+		prompt.WriteByte('\n')
+	}
+	text := prompt.String()
+	call.PromptTokens = (len(text) + bytesPerToken - 1) / bytesPerToken
+	call.Prefixes = prefixes(text)
+}
+
+// prefixes returns a chained hash for each whole block of the text, shortest
+// prefix first.
+func prefixes(text string) []uint64 {
+	var hashes []uint64
+	digest := xxhash.New()
+	for len(text) >= prefixBlockBytes && len(hashes) < maxPrefixBlocks {
+		digest.WriteString(text[:prefixBlockBytes])
+		hashes = append(hashes, digest.Sum64())
+		text = text[prefixBlockBytes:]
+	}
+	return hashes
+}
--- /dev/null
+++ b/entry/send/transfer.go
@@ -0,0 +1,133 @@
+package send
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/entry/relay"
+)
+
+// maxErrorBytes bounds what is kept of an error answer of an engine.
+const maxErrorBytes = 16 << 10
+
+// transfer is the state of one attempt as seen from the entry.
+type transfer struct {
+	answer    relay.Answer
+	clock     clockwork.Clock
+	started   time.Time
+	firstByte time.Duration
+
+	next      uint64
+	status    int
+	errorBody []byte
+	final     *track.Frame
+	err       error
+	// callerErr is set if the caller's connection failed.
+	callerErr error
+	neverSent bool
+}
+
+// run dispatches the attempt and relays its frames.
+func (t *transfer) run(ctx context.Context, r *run, choice track.Choice) {
+	agent, err := r.step.options.Dialer.Dial(track.Instance{
+		ID:      choice.Server.Agent,
+		Zone:    choice.Server.Zone,
+		Address: choice.Server.Address,
+	})
+	if err != nil {
+		t.err = err
+		t.neverSent = true
+		return
+	}
+	t.err = agent.Run(ctx, dispatchOf(r, choice, t.clock.Now()), t.frame)
+	t.neverSent = t.err != nil && track.IsKind(t.err, track.Unavailable)
+}
+
+func dispatchOf(r *run, choice track.Choice, now time.Time) track.Dispatch {
+	call := &r.exchange.Call
+	return track.Dispatch{
+		ID:          track.AttemptID{Request: call.ID, Number: r.number},
+		Agent:       choice.Server.Agent,
+		Incarnation: choice.Server.Incarnation,
+		Kind:        call.Kind,
+		Target:      call.Target,
+		Method:      call.Method,
+		Path:        call.Path,
+		Query:       call.Query,
+		Header:      call.Header,
+		Body:        call.Body,
+		Timeout:     call.Deadline.Sub(now),
+		Priority:    call.Profile.Priority,
+		Fingerprint: call.Fingerprint,
+	}
+}
+
+// frame takes one frame of the attempt. Frames out of sequence are dropped.
+func (t *transfer) frame(f track.Frame) error {
+	if f.Seq != t.next || t.final != nil {
+		return nil
+	}
+	t.next++
+	switch f.Kind {
+	case track.FrameHeader:
+		t.status = f.Status
+		// An error status is judged after the attempt, with its body.
+		_ = t.answer.Header(f.Status, f.Header)
+		return nil
+	case track.FrameData:
+		return t.data(f.Data)
+	case track.FrameFinal:
+		t.final = &f
+	}
+	return nil
+}
+
+func (t *transfer) data(data []byte) error {
+	if t.firstByte == 0 {
+		t.firstByte = t.clock.Since(t.started)
+	}
+	if t.status >= errorStatus {
+		room := max(0, maxErrorBytes-len(t.errorBody))
+		t.errorBody = append(t.errorBody, data[:min(room, len(data))]...)
+	}
+	if t.status >= errorStatus && !t.relaysErrors() {
+		return nil
+	}
+	err := t.answer.Data(data)
+	if err != nil {
+		t.callerErr = err
+	}
+	return err
+}
+
+// whole reports whether the final frame arrived.
+func (t *transfer) whole() bool {
+	return t.final != nil && t.err == nil
+}
+
+// provenNotRun reports whether the attempt certainly never ran and never will.
+func (t *transfer) provenNotRun() bool {
+	return t.neverSent || (t.final != nil && t.final.Outcome == track.NotRun)
+}
+
+func (t *transfer) outcome() track.Outcome {
+	switch {
+	case t.provenNotRun():
+		return track.NotRun
+	case t.whole():
+		return t.final.Outcome
+	}
+	return track.Unknown
+}
+
+// replicaFailed reports whether the replica, not the request, was at fault.
+func (t *transfer) replicaFailed() bool {
+	if t.callerErr != nil {
+		return false
+	}
+	return t.neverSent || t.status >= serverErrorStatus || (t.final != nil && t.final.Crashed) ||
+		(t.final != nil && t.final.Refusal == track.RefusedDown)
+}
--- /dev/null
+++ b/logger/logger.go
@@ -0,0 +1,36 @@
+// Package logger builds the structured logger of a process.
+package logger
+
+import (
+	"fmt"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"filberttrack.example/track/conf"
+)
+
+// New returns a logger that writes to standard error as the settings say.
+func New(s conf.Logging) (*zap.Logger, error) {
+	level, err := zapcore.ParseLevel(s.Level)
+	if err != nil {
+		return nil, fmt.Errorf("parse log level: %w", err)
+	}
+	config := zap.NewProductionConfig()
+	config.Level = zap.NewAtomicLevelAt(level)
+	config.Encoding = s.Format
+	// Sampling would drop decision lines under load.
+	config.Sampling = nil
+	config.DisableStacktrace = true
+	config.EncoderConfig.TimeKey = "Time"
+	config.EncoderConfig.LevelKey = "Level"
+	config.EncoderConfig.MessageKey = "Message"
+	config.EncoderConfig.NameKey = "Name"
+	config.EncoderConfig.CallerKey = zapcore.OmitKey
+	config.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	built, err := config.Build()
+	if err != nil {
+		return nil, fmt.Errorf("build logger: %w", err)
+	}
+	return built, nil
+}
--- /dev/null
+++ b/wire/client.go
@@ -0,0 +1,174 @@
+package wire
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"sync"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/wire/wirepb"
+)
+
+// Dialer opens ports to agents and keeps one connection for each address. It
+// implements track.AgentDialer.
+type Dialer struct {
+	options []grpc.DialOption
+
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+// NewDialer returns a dialer. The options must name the transport credentials.
+func NewDialer(options ...grpc.DialOption) *Dialer {
+	limits := []grpc.DialOption{
+		// An attempt is repeated only by the entry, which knows whether it may.
+		grpc.WithDisableRetry(),
+		grpc.WithDefaultCallOptions(
+			grpc.MaxCallRecvMsgSize(MaxMessageBytes),
+			grpc.MaxCallSendMsgSize(MaxMessageBytes),
+		),
+	}
+	return &Dialer{
+		options: append(limits, options...),
+		conns:   make(map[string]*grpc.ClientConn),
+	}
+}
+
+// Dial implements track.AgentDialer.
+func (d *Dialer) Dial(instance track.Instance) (track.Agent, error) {
+	conn, err := d.Conn(instance.Address)
+	if err != nil {
+		return nil, err
+	}
+	return &agentClient{conn: conn, client: wirepb.NewAgentClient(conn)}, nil
+}
+
+// Conn returns the shared connection to an address.
+func (d *Dialer) Conn(address string) (*grpc.ClientConn, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if conn, ok := d.conns[address]; ok {
+		return conn, nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address, d.options...)
+	if err != nil {
+		return nil, track.Fail("dial "+address, track.Unavailable, err)
+	}
+	d.conns[address] = conn
+	return conn, nil
+}
+
+// Retain closes the connections to all addresses but the given ones.
+func (d *Dialer) Retain(addresses map[string]bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for address, conn := range d.conns {
+		if !addresses[address] {
+			conn.Close()
+			delete(d.conns, address)
+		}
+	}
+}
+
+// Close closes all connections.
+func (d *Dialer) Close() {
+	d.Retain(nil)
+}
+
+// agentClient implements track.Agent over a connection.
+type agentClient struct {
+	conn   *grpc.ClientConn
+	client wirepb.AgentClient
+}
+
+// Run implements track.Agent.
+func (c *agentClient) Run(ctx context.Context, d track.Dispatch, send track.FrameFunc) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := c.conn.NewStream(ctx, &wirepb.Agent_ServiceDesc.Streams[0], wirepb.Agent_Run_FullMethodName)
+	if err != nil {
+		// The message is sent after the stream was made, so it never left.
+		return track.Fail("open stream to agent", track.Unavailable, err)
+	}
+	err = stream.SendMsg(dispatchToWire(d))
+	if err != nil && !errors.Is(err, io.EOF) {
+		return fromStatus("send dispatch", err)
+	}
+	err = stream.CloseSend()
+	if err != nil {
+		return fromStatus("send dispatch", err)
+	}
+	return relayFrames(func() (*wirepb.Frame, error) {
+		f := new(wirepb.Frame)
+		return f, stream.RecvMsg(f)
+	}, send)
+}
+
+// Replay implements track.Agent.
+func (c *agentClient) Replay(ctx context.Context, id track.AttemptID, send track.FrameFunc) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := c.client.Replay(ctx, attemptToWire(id))
+	if err != nil {
+		return fromStatus("replay", err)
+	}
+	return relayFrames(stream.Recv, send)
+}
+
+// Bar implements track.Agent.
+func (c *agentClient) Bar(ctx context.Context, id track.AttemptID) (track.AttemptState, error) {
+	reply, err := c.client.Bar(ctx, attemptToWire(id))
+	if err != nil {
+		return track.AttemptForgotten, fromStatus("bar attempt", err)
+	}
+	return track.AttemptState(reply.GetState()), nil
+}
+
+// Report implements track.Agent.
+func (c *agentClient) Report(ctx context.Context) (track.Report, error) {
+	var report track.Report
+	reply, err := c.client.Report(ctx, &wirepb.ReportRequest{})
+	if err != nil {
+		return report, fromStatus("report", err)
+	}
+	err = json.Unmarshal(reply.GetReport(), &report)
+	if err != nil {
+		return report, track.Fail("decode report", track.Invalid, err)
+	}
+	return report, nil
+}
+
+func relayFrames(recv func() (*wirepb.Frame, error), send track.FrameFunc) error {
+	for {
+		f, err := recv()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return fromStatus("receive frame", err)
+		}
+		err = send(frameFromWire(f))
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func fromStatus(op string, err error) error {
+	kind := track.Ambiguous
+	switch status.Code(err) {
+	case codes.InvalidArgument:
+		kind = track.Invalid
+	case codes.DeadlineExceeded:
+		kind = track.TimedOut
+	case codes.FailedPrecondition:
+		kind = track.Refused
+	}
+	return track.Fail(op, kind, err)
+}
