--- /dev/null
+++ b/stand/roster/roster_test.go
@@ -0,0 +1,69 @@
+package roster_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/stand/roster"
+)
+
+func instance(id track.InstanceID) track.Instance {
+	return track.Instance{ID: id, Role: track.RoleAgent, State: track.Live}
+}
+
+// shown lists the IDs that the roster shows; a leaving one has a minus sign.
+func shown(t *testing.T, r *roster.Roster) string {
+	t.Helper()
+	list, err := r.Instances(t.Context())
+	assert.NilError(t, err)
+	var ids []string
+	for _, i := range list {
+		id := string(i.ID)
+		if i.State == track.Leaving {
+			id = "-" + id
+		}
+		ids = append(ids, id)
+	}
+	return strings.Join(ids, " ")
+}
+
+func TestListLagsBehindChanges(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	r := roster.New(clock, instance("b"), instance("a"))
+	r.SetLag(10 * time.Second)
+	assert.Equal(t, shown(t, r), "a b")
+	r.MarkLeaving("b")
+	clock.Advance(5 * time.Second)
+	r.Put(instance("c"))
+	r.Remove("a")
+	assert.Equal(t, shown(t, r), "a b")
+	clock.Advance(5 * time.Second)
+	assert.Equal(t, shown(t, r), "a -b")
+	clock.Advance(5 * time.Second)
+	assert.Equal(t, shown(t, r), "-b c")
+}
+
+func TestChangesShowAtOnceWithoutLag(t *testing.T) {
+	r := roster.New(clockwork.NewFakeClock(), instance("a"))
+	r.Put(track.Instance{ID: "a", State: track.Leaving})
+	assert.Equal(t, shown(t, r), "-a")
+	r.Remove("a")
+	assert.Equal(t, shown(t, r), "")
+}
+
+func TestAwayAndEmpty(t *testing.T) {
+	r := roster.New(clockwork.NewFakeClock(), instance("a"))
+	r.SetAway(true)
+	_, err := r.Instances(t.Context())
+	assert.Assert(t, track.IsKind(err, track.Unavailable))
+	r.SetAway(false)
+	r.SetEmpty(true)
+	assert.Equal(t, shown(t, r), "")
+	r.SetEmpty(false)
+	assert.Equal(t, shown(t, r), "a")
+}
