--- /dev/null
+++ b/prefix/prefix.go
@@ -0,0 +1,53 @@
+// Package prefix hashes the blocks of a prompt, so that routers and caches can
+// name the prefixes that prompts share.
+package prefix
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// BlockBytes is the length of a block of prompt text in bytes.
+const BlockBytes = 256
+
+// Message is one message of a conversation.
+type Message struct {
+	Role    string
+	Content string
+}
+
+// Text returns the prompt text of a conversation, in which the conversations
+// that continue it start with the same bytes.
+func Text(messages []Message) []byte {
+	size := 0
+	for _, m := range messages {
+		size += len(m.Role) + len(m.Content) + 2
+	}
+	text := make([]byte, 0, size)
+	for _, m := range messages {
+		text = append(text, m.Role...)
+		text = append(text, '\n')
+		text = append(text, m.Content...)
+		text = append(text, '\n')
+	}
+	return text
+}
+
+// Hashes returns a chained hash for each whole block of the text, shortest
+// prefix first, for up to limit blocks.
+func Hashes(text []byte, limit int) []uint64 {
+	n := min(len(text)/BlockBytes, limit)
+	hashes := make([]uint64, 0, n)
+	var previous [8]byte
+	digest := xxhash.New()
+	for i := range n {
+		digest.Reset()
+		_, _ = digest.Write(previous[:])
+		_, _ = digest.Write(text[i*BlockBytes : (i+1)*BlockBytes])
+		hash := digest.Sum64()
+		hashes = append(hashes, hash)
+		binary.LittleEndian.PutUint64(previous[:], hash)
+	}
+	return hashes
+}
