--- a/agent/forward.go
+++ b/agent/forward.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"strconv"
 
 	"go.uber.org/zap"
 
@@ -19,9 +18,6 @@
 // readBufferBytes is the size of the buffer for answers of the backend server.
 const readBufferBytes = 32 << 10
 
-// PriorityHeader carries the priority of an attempt to the backend server.
-const PriorityHeader = "Filberttrack-Priority"
-
 // output numbers the frames of one attempt.
 type output struct {
 	id   track.AttemptID
@@ -72,7 +68,6 @@
 	if d.Header != nil {
 		request.Header = d.Header.Clone()
 	}
-	request.Header.Set(PriorityHeader, strconv.Itoa(int(d.Priority)))
 	// GetBody would let the transport send the request a second time.
 	request.GetBody = nil
 	return request, nil
--- /dev/null
+++ b/cmd/filberttrack/status.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/admin"
+)
+
+// operatorTimeout bounds one call to the operators' listener.
+const operatorTimeout = 30 * time.Second
+
+// adminFlags select the instance that an operator's command talks to and the
+// form of what it prints.
+func adminFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{
+			Name:    "admin",
+			Usage:   "operators' `ADDRESS` of an instance",
+			Value:   "127.0.0.1:8081",
+			Sources: cli.EnvVars("FILBERTTRACK_ADMIN"),
+		},
+		&cli.BoolFlag{Name: "json", Usage: "print JSON"},
+	}
+}
+
+// statusCommand prints the status of an instance.
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "show the status of an instance",
+		Flags: adminFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			status, err := get[track.Status](ctx, c.String("admin"), "/status")
+			if err != nil {
+				return err
+			}
+			if c.Bool("json") {
+				return printJSON(os.Stdout, status)
+			}
+			return printStatus(os.Stdout, status)
+		},
+	}
+}
+
+// get fetches a value from an operators' listener.
+func get[T any](ctx context.Context, address, path string) (T, error) {
+	var value T
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return value, fmt.Errorf("build request: %w", err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return value, fmt.Errorf("ask %s: %w", address, err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return value, answerError(address, response)
+	}
+	err = json.NewDecoder(response.Body).Decode(&value)
+	if err != nil {
+		return value, fmt.Errorf("decode answer of %s: %w", address, err)
+	}
+	return value, nil
+}
+
+// answerError returns the failure that an operators' listener reported.
+func answerError(address string, response *http.Response) error {
+	var failure admin.Failure
+	err := json.NewDecoder(response.Body).Decode(&failure)
+	if err != nil {
+		return fmt.Errorf("%s answered with status %d", address, response.StatusCode)
+	}
+	return fmt.Errorf("%s: %s: %s", address, failure.Code, failure.Message)
+}
+
+func printJSON[T any](w io.Writer, value T) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+func printStatus(w io.Writer, s track.Status) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "Instance\t%s\n", s.Instance.ID)
+	fmt.Fprintf(t, "Role\t%s\n", s.Instance.Role)
+	fmt.Fprintf(t, "Availability zone\t%s\n", s.Instance.Zone)
+	fmt.Fprintf(t, "Started\t%s\n", s.Started.Format(time.RFC3339))
+	fmt.Fprintf(t, "Ready\t%t\n", s.Ready)
+	fmt.Fprintf(t, "Config version\t%d\n", s.ConfigVersion)
+	fmt.Fprintf(t, "Open requests\t%d\n", s.OpenRequests)
+	if len(s.Servers) > 0 {
+		fmt.Fprintln(t, "\nAGENT\tZONE\tTARGET\tRUNNING\tCAPACITY")
+	}
+	for _, b := range s.Servers {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\n", b.Agent, b.Zone, b.Target, b.Load.Running, b.Load.Capacity)
+	}
+	return t.Flush()
+}
--- a/conf/load.go
+++ b/conf/load.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"regexp"
+	"strconv"
 	"strings"
 
 	"github.com/BurntSushi/toml"
@@ -96,7 +98,7 @@
 func Parse(file, text string, use Use) (Settings, error) {
 	s, faults := decode(file, text)
 	applyDefaults(&s)
-	c := &checker{file: file, lines: keyLines(text), reported: keysOf(faults), faults: faults}
+	c := &checker{file: file, lines: newLineIndex(text), reported: keysOf(faults), faults: faults}
 	c.check(&s, use)
 	if len(c.faults) > 0 {
 		return s, track.Fail("check settings", Faulty, c.faults)
@@ -124,31 +126,31 @@
 	}
 }
 
+// typeMessage matches what the decoder says of a value of the wrong type.
+var typeMessage = regexp.MustCompile(`^toml: line (\d+) \(last key "([^"]*)"\): (.*)$`)
+
 func faultOf(file string, err error) Fault {
 	var parse toml.ParseError
-	if !errors.As(err, &parse) {
-		return Fault{File: file, Problem: err.Error()}
+	if errors.As(err, &parse) {
+		return Fault{File: file, Line: parse.Position.Line, Key: parse.LastKey, Problem: parse.Message}
 	}
-	problem := parse.Message
-	if problem == "" {
-		problem = strings.TrimPrefix(parse.Error(), "toml: ")
+	match := typeMessage.FindStringSubmatch(err.Error())
+	if match == nil {
+		return Fault{File: file, Problem: err.Error()}
 	}
-	return Fault{File: file, Line: parse.Position.Line, Key: parse.LastKey, Problem: problem}
+	// The pattern admits digits only.
+	line, _ := strconv.Atoi(match[1])
+	return Fault{File: file, Line: line, Key: match[2], Problem: match[3]}
 }
 
 func unknownKeys(file, text string, meta toml.MetaData) Faults {
 	var faults Faults
-	lines := keyLines(text)
+	lines := newLineIndex(text)
 	seen := make(map[string]int)
 	for _, key := range meta.Undecoded() {
 		name := key.String()
-		places := lines[name]
-		fault := Fault{File: file, Key: name, Problem: "unknown key"}
-		if n := seen[name]; n < len(places) {
-			fault.Line = places[n]
-		}
+		faults = append(faults, Fault{File: file, Line: lines.nth(name, seen[name]), Key: name, Problem: "unknown key"})
 		seen[name]++
-		faults = append(faults, fault)
 	}
 	return faults
 }
@@ -160,27 +162,3 @@
 	}
 	return keys
 }
-
-// keyLines returns the lines on which each dotted key stands, in order.
-func keyLines(text string) map[string][]int {
-	places := make(map[string][]int)
-	table := ""
-	for i, line := range strings.Split(text, "\n") {
-		line = strings.TrimSpace(line)
-		if strings.HasPrefix(line, "[") {
-			table = strings.Trim(strings.SplitN(line, "#", 2)[0], "[] \t")
-			places[table] = append(places[table], i+1)
-			continue
-		}
-		name, _, ok := strings.Cut(line, "=")
-		if !ok || strings.HasPrefix(line, "#") {
-			continue
-		}
-		key := strings.TrimSpace(name)
-		if table != "" {
-			key = table + "." + key
-		}
-		places[key] = append(places[key], i+1)
-	}
-	return places
-}
--- a/entry/parse/chat.go
+++ b/entry/parse/chat.go
@@ -6,20 +6,18 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"strings"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/entry/flow"
+	"filberttrack.example/track/prefix"
 )
 
 // enginePath is the path of generations at an engine.
 const enginePath = "/v1/chat/completions"
 
-// prefixBlockBytes is the length of prompt covered by one prefix hash.
-const prefixBlockBytes = 256
-
 // maxPrefixBlocks bounds the prefix hashes of one prompt.
 const maxPrefixBlocks = 64
 
@@ -84,11 +82,12 @@
 	call.Fingerprint = xxhash.Sum64(body)
 	measure(call, request.Messages)
 	call.Header = http.Header{"Content-Type": {"application/json"}}
-	call.Body, err = engineBody(fields)
+	err = chooseProfile(x, s.directory, model.Profile, s.limits)
 	if err != nil {
 		return err
 	}
-	return chooseProfile(x, s.directory, model.Profile, s.limits)
+	call.Body, err = engineBody(fields, call.Profile.Priority)
+	return err
 }
 
 func decodeChat(body []byte) (chatRequest, map[string]json.RawMessage, error) {
@@ -130,7 +129,8 @@
 
 // engineBody returns the request for the engine, which always streams and
 // counts, whatever the caller asked for.
-func engineBody(fields map[string]json.RawMessage) ([]byte, error) {
+func engineBody(fields map[string]json.RawMessage, priority track.Priority) ([]byte, error) {
+	fields["priority"] = json.RawMessage(strconv.Itoa(int(priority)))
 	fields["stream"] = json.RawMessage(`true`)
 	fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
 	body, err := json.Marshal(fields)
@@ -142,27 +142,21 @@
 
 // measure fills in the length of the prompt and the hashes of its prefixes.
 func measure(call *track.Call, messages []chatMessage) {
-	var prompt strings.Builder
+	prompt := make([]prefix.Message, 0, len(messages))
 	for _, m := range messages {
-		prompt.WriteString(m.Role)
-		prompt.WriteByte('\n')
-		prompt.Write(m.Content)
-		prompt.WriteByte('\n')
+		prompt = append(prompt, prefix.Message{Role: m.Role, Content: m.text()})
 	}
-	text := prompt.String()
+	text := prefix.Text(prompt)
 	call.PromptTokens = (len(text) + bytesPerToken - 1) / bytesPerToken
-	call.Prefixes = prefixes(text)
+	call.Prefixes = prefix.Hashes(text, maxPrefixBlocks)
 }
 
-// prefixes returns a chained hash for each whole block of the text, shortest
-// prefix first.
-func prefixes(text string) []uint64 {
-	var hashes []uint64
-	digest := xxhash.New()
-	for len(text) >= prefixBlockBytes && len(hashes) < maxPrefixBlocks {
-		digest.WriteString(text[:prefixBlockBytes])
-		hashes = append(hashes, digest.Sum64())
-		text = text[prefixBlockBytes:]
+// text returns the content of the message, or its raw JSON if it is no string.
+func (m chatMessage) text() string {
+	var text string
+	err := json.Unmarshal(m.Content, &text)
+	if err != nil {
+		return string(m.Content)
 	}
-	return hashes
+	return text
 }
