--- /dev/null
+++ b/plat/instances.go
@@ -0,0 +1,44 @@
+package plat
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+
+	"filberttrack.example/track"
+)
+
+const opInstances = "list instances"
+
+// InstanceList is a client of the instance list. It implements
+// track.InstanceList.
+type InstanceList struct {
+	client *http.Client
+	base   *url.URL
+}
+
+var _ track.InstanceList = (*InstanceList)(nil)
+
+// NewInstanceList returns a client of the instance list at the base URL.
+func NewInstanceList(client *http.Client, base *url.URL) *InstanceList {
+	return &InstanceList{client: client, base: base}
+}
+
+// Instances implements track.InstanceList.
+func (l *InstanceList) Instances(ctx context.Context) ([]track.Instance, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, l.base.JoinPath("instances").String(), nil)
+	if err != nil {
+		return nil, track.Fail(opInstances, track.Invalid, err)
+	}
+	return exchange[[]track.Instance](ctx, l.client, opInstances, track.Unavailable, req)
+}
+
+// NewInstanceListHandler serves a list to clients made by NewInstanceList.
+func NewInstanceListHandler(list track.InstanceList) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /instances", func(w http.ResponseWriter, r *http.Request) {
+		instances, err := list.Instances(r.Context())
+		answer(w, opInstances, instances, err)
+	})
+	return mux
+}
--- /dev/null
+++ b/plat/plat_test.go
@@ -0,0 +1,122 @@
+package plat_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/plat"
+	"filberttrack.example/track/stand/memlog"
+	"filberttrack.example/track/stand/roster"
+)
+
+func serve(t *testing.T, h http.Handler) (*http.Client, *url.URL) {
+	t.Helper()
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	base, err := url.Parse(server.URL)
+	assert.NilError(t, err)
+	return server.Client(), base
+}
+
+func TestLogOverHTTP(t *testing.T) {
+	log := memlog.New(clockwork.NewFakeClock(), memlog.Settings{})
+	client := plat.NewLog(serve(t, plat.NewLogHandler(log)))
+	for want := range uint64(2) {
+		offset, err := client.Append(t.Context(), "a stream/1", [][]byte{{0, 0xff, byte(want)}})
+		assert.NilError(t, err)
+		assert.Equal(t, offset, want)
+	}
+	page, err := client.Read(t.Context(), "a stream/1", 1, 10)
+	assert.NilError(t, err)
+	want, err := log.Read(t.Context(), "a stream/1", 1, 10)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, page, want)
+	assert.DeepEqual(t, page.Records[0].Data, []byte{0, 0xff, 1})
+
+	log.SetAway(true)
+	_, err = client.Append(t.Context(), "s", [][]byte{{1}})
+	assert.Assert(t, track.IsKind(err, track.Unavailable))
+	_, err = client.Read(t.Context(), "s", 0, 10)
+	assert.Assert(t, track.IsKind(err, track.Unavailable))
+	log.SetAway(false)
+	log.LoseAnswers(1)
+	_, err = client.Append(t.Context(), "s", [][]byte{{1}})
+	assert.Assert(t, track.IsKind(err, track.Ambiguous))
+	_, err = client.Read(t.Context(), "s", 0, 0)
+	assert.Assert(t, track.IsKind(err, track.Invalid))
+	_, err = client.Append(t.Context(), "s", nil)
+	assert.Assert(t, track.IsKind(err, track.Invalid))
+}
+
+// TestAppendFailsWithTheRightKind covers the ways in which no answer arrives.
+func TestAppendFailsWithTheRightKind(t *testing.T) {
+	refusing, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, refusing.Close())
+	_, cut := serve(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	_, bare := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }))
+	_, odd := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("{")) }))
+	_, endless := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(strings.Repeat(" ", plat.MaxResponseBytes+1)))
+	}))
+	tests := []struct {
+		name string
+		base *url.URL
+		kind track.Kind
+	}{
+		{"ConnectionRefused", &url.URL{Scheme: "http", Host: refusing.Addr().String()}, track.Unavailable},
+		{"ConnectionCut", cut, track.Ambiguous},
+		{"UnavailableByStatusAlone", bare, track.Ambiguous},
+		{"BrokenAnswer", odd, track.Ambiguous},
+		{"EndlessAnswer", endless, track.Ambiguous},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := plat.NewLog(http.DefaultClient, tt.base).Append(t.Context(), "s", [][]byte{{1}})
+			assert.Assert(t, track.IsKind(err, tt.kind), "%v", err)
+		})
+	}
+}
+
+func TestAppendGivenUpAfterSendingIsAmbiguous(t *testing.T) {
+	arrived := make(chan struct{})
+	client, base := serve(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		// The server sees the client leave only once the body was read.
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(arrived)
+		<-r.Context().Done()
+	}))
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	_, err := plat.NewLog(client, base).Append(ctx, "s", nil)
+	assert.Assert(t, track.IsKind(err, track.Invalid))
+	_, err = plat.NewLog(client, base).Append(ctx, "s", [][]byte{{1}})
+	assert.Assert(t, track.IsKind(err, track.Ambiguous), "%v", err)
+	_, err = plat.NewLog(client, base).Append(ctx, "s", [][]byte{{1}})
+	assert.Assert(t, track.IsKind(err, track.Unavailable), "%v", err)
+}
+
+func TestInstancesOverHTTP(t *testing.T) {
+	instance := track.Instance{ID: "a", Role: track.RoleAgent, Region: "norte", Zone: "rivera", Address: "127.0.0.1:1", State: track.Live, Serves: "dispatch-llm", Ranks: 64}
+	list := roster.New(clockwork.NewFakeClock(), instance)
+	client := plat.NewInstanceList(serve(t, plat.NewInstanceListHandler(list)))
+	got, err := client.Instances(t.Context())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, []track.Instance{instance})
+	list.SetAway(true)
+	_, err = client.Instances(t.Context())
+	assert.Assert(t, track.IsKind(err, track.Unavailable))
+}
--- a/stand/engine/format.go
+++ b/stand/engine/format.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 )
@@ -113,7 +114,10 @@
 func (e *Engine) decode(w http.ResponseWriter, r *http.Request) (*request, bool) {
 	const invalid = "invalid_request_error"
 	var req request
-	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, e.settings.MaxBodyBytes)).Decode(&req)
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.settings.MaxBodyBytes))
+	if err == nil {
+		err = json.Unmarshal(body, &req)
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
