--- a/boot/dev_test.go
+++ b/boot/dev_test.go
@@ -115,7 +115,8 @@
 func TestModelsAreListed(t *testing.T) {
 	d := startDev(t)
 	defer d.Stop(context.Background())
-	page, err := client(d).Models.List(context.Background())
+	c := client(d)
+	page, err := c.Models.List(context.Background())
 	assert.NilError(t, err)
 	assert.Assert(t, cmp.Len(page.Data, 1))
 	assert.Equal(t, page.Data[0].ID, "dispatch-llm")
--- a/conf/check.go
+++ b/conf/check.go
@@ -27,7 +27,7 @@
 	file     string
 	lines    *lineIndex
 	reported map[string]bool
-	faults   Faults
+	faults   FaultsError
 }
 
 func (c *checker) fault(key, format string, args ...any) {
--- a/conf/conf_test.go
+++ b/conf/conf_test.go
@@ -28,7 +28,7 @@
 	text, err := os.ReadFile(file)
 	assert.NilError(t, err)
 	_, err = conf.Parse("faulty.toml", string(text), conf.UseEntry)
-	var faults conf.Faults
+	var faults conf.FaultsError
 	assert.Assert(t, errors.As(err, &faults), "%v", err)
 	golden.Assert(t, faults.Error()+"\n", "faulty.golden")
 }
--- a/conf/load.go
+++ b/conf/load.go
@@ -60,11 +60,11 @@
 	return b.String()
 }
 
-// Faults lists all faults of a settings file. It is an error.
-type Faults []Fault
+// FaultsError lists all faults of a settings file. It is an error.
+type FaultsError []Fault
 
 // Error implements error.
-func (f Faults) Error() string {
+func (f FaultsError) Error() string {
 	lines := make([]string, 0, len(f))
 	for _, fault := range f {
 		lines = append(lines, fault.String())
@@ -108,8 +108,8 @@
 
 // decode decodes the text. A line with a wrong type is reported, blanked and
 // decoded around, so that all faults are found at once.
-func decode(file, text string) (Settings, Faults) {
-	var faults Faults
+func decode(file, text string) (Settings, FaultsError) {
+	var faults FaultsError
 	lines := strings.Split(text, "\n")
 	for {
 		var s Settings
@@ -143,8 +143,8 @@
 	return Fault{File: file, Line: line, Key: match[2], Problem: match[3]}
 }
 
-func unknownKeys(file, text string, meta toml.MetaData) Faults {
-	var faults Faults
+func unknownKeys(file, text string, meta toml.MetaData) FaultsError {
+	var faults FaultsError
 	lines := newLineIndex(text)
 	seen := make(map[string]int)
 	for _, key := range meta.Undecoded() {
@@ -155,7 +155,7 @@
 	return faults
 }
 
-func keysOf(faults Faults) map[string]bool {
+func keysOf(faults FaultsError) map[string]bool {
 	keys := make(map[string]bool)
 	for _, f := range faults {
 		keys[f.Key] = true
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -94,7 +94,7 @@
 
 func (e *Entry) run(ctx context.Context, plan []flow.Step, x *flow.Exchange, methods []string) error {
 	if e.stopping.Load() {
-		return &flow.Refusal{
+		return &flow.RefusalError{
 			Status:     http.StatusServiceUnavailable,
 			Code:       "stopping",
 			Message:    "this instance is stopping; send the request again",
@@ -141,12 +141,12 @@
 }
 
 // refusalOf returns the refusal that the error is, or stands for.
-func refusalOf(err error) *flow.Refusal {
-	var refusal *flow.Refusal
+func refusalOf(err error) *flow.RefusalError {
+	var refusal *flow.RefusalError
 	if errors.As(err, &refusal) {
 		return refusal
 	}
-	return &flow.Refusal{
+	return &flow.RefusalError{
 		Status:  http.StatusInternalServerError,
 		Code:    "internal",
 		Message: err.Error(),
--- a/entry/errors.go
+++ b/entry/errors.go
@@ -13,7 +13,7 @@
 )
 
 // errorWriter writes the answer to a refused request.
-type errorWriter func(w http.ResponseWriter, r *flow.Refusal)
+type errorWriter func(w http.ResponseWriter, r *flow.RefusalError)
 
 // modelError is the error body of the chat-completions API.
 type modelError struct {
@@ -35,7 +35,7 @@
 	Outcome string
 }
 
-func writeModelError(w http.ResponseWriter, r *flow.Refusal) {
+func writeModelError(w http.ResponseWriter, r *flow.RefusalError) {
 	detail := modelErrorDetail{Message: r.Message, Type: errorType(r.Status), Code: r.Code}
 	if r.Param != "" {
 		detail.Param = &r.Param
@@ -43,7 +43,7 @@
 	writeRefusal(w, r, modelError{Error: detail})
 }
 
-func writeServiceError(w http.ResponseWriter, r *flow.Refusal) {
+func writeServiceError(w http.ResponseWriter, r *flow.RefusalError) {
 	writeRefusal(w, r, serviceError{
 		Code:    r.Code,
 		Message: r.Message,
@@ -52,7 +52,7 @@
 	})
 }
 
-func writeRefusal(w http.ResponseWriter, r *flow.Refusal, body any) {
+func writeRefusal(w http.ResponseWriter, r *flow.RefusalError, body any) {
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set(flow.HeaderOutcome, r.Outcome.String())
--- a/entry/flow/flow.go
+++ b/entry/flow/flow.go
@@ -45,8 +45,8 @@
 	x.releases = nil
 }
 
-// Refusal ends an exchange with an error answer.
-type Refusal struct {
+// RefusalError ends an exchange with an error answer.
+type RefusalError struct {
 	// Status is the HTTP status.
 	Status int
 	// Code names the fault for programs, for example "unknown_model".
@@ -60,13 +60,13 @@
 }
 
 // Error implements error.
-func (r *Refusal) Error() string {
+func (r *RefusalError) Error() string {
 	return fmt.Sprintf("%d %s: %s", r.Status, r.Code, r.Message)
 }
 
 // Invalid returns a refusal for input that the caller must correct.
-func Invalid(status int, code, param, format string, args ...any) *Refusal {
-	return &Refusal{
+func Invalid(status int, code, param, format string, args ...any) *RefusalError {
+	return &RefusalError{
 		Status:  status,
 		Code:    code,
 		Message: fmt.Sprintf(format, args...),
--- a/entry/parse/plain.go
+++ b/entry/parse/plain.go
@@ -109,7 +109,8 @@
 
 func fingerprint(call *track.Call) uint64 {
 	digest := xxhash.New()
-	digest.WriteString(call.Target + "\n" + call.Method + "\n" + call.Path + "\n" + call.Query + "\n")
-	digest.Write(call.Body)
+	// A hash never fails to take bytes.
+	_, _ = digest.WriteString(call.Target + "\n" + call.Method + "\n" + call.Path + "\n" + call.Query + "\n")
+	_, _ = digest.Write(call.Body)
 	return digest.Sum64()
 }
--- a/entry/relay/plain.go
+++ b/entry/relay/plain.go
@@ -60,7 +60,7 @@
 func (*plain) Committed() bool { return false }
 
 // Abort implements Answer.
-func (*plain) Abort(*flow.Refusal) {}
+func (*plain) Abort(*flow.RefusalError) {}
 
 // Reset implements Answer.
 func (p *plain) Reset() {
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -21,7 +21,7 @@
 	// a further attempt can't take back.
 	Committed() bool
 	// Abort ends a committed answer so that the caller can't take it for whole.
-	Abort(r *flow.Refusal)
+	Abort(r *flow.RefusalError)
 	// RelaysErrors reports whether error answers of a backend server reach the
 	// caller as they are.
 	RelaysErrors() bool
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -58,7 +58,7 @@
 }
 
 func (s *stream) appendChunk(c chunk) error {
-	if c.empty() && !(s.usage && c.hasUsage()) {
+	if c.empty() && (!s.usage || !c.hasUsage()) {
 		return nil
 	}
 	s.buffer = append(s.buffer, s.prefix...)
@@ -114,7 +114,7 @@
 
 // Abort implements Answer. The answer ends with an error event and without the
 // final one.
-func (s *stream) Abort(r *flow.Refusal) {
+func (s *stream) Abort(r *flow.RefusalError) {
 	message := strconv.Quote(r.Message)
 	s.buffer = fmt.Appendf(s.buffer[:0], `data: {"error":{"message":%s,"type":"server_error","param":null,"code":%q}}`+"\n\n",
 		message, r.Code)
--- a/entry/relay/whole.go
+++ b/entry/relay/whole.go
@@ -200,7 +200,7 @@
 func (*whole) Committed() bool { return false }
 
 // Abort implements Answer.
-func (*whole) Abort(*flow.Refusal) {}
+func (*whole) Abort(*flow.RefusalError) {}
 
 // Reset implements Answer.
 func (w *whole) Reset() {
--- a/entry/send/judge.go
+++ b/entry/send/judge.go
@@ -23,7 +23,7 @@
 }
 
 // judge decides what an ended attempt means for the call.
-func (r *run) judge(ctx context.Context, choice track.Choice, t *transfer) (*flow.Refusal, bool) {
+func (r *run) judge(ctx context.Context, choice track.Choice, t *transfer) (*flow.RefusalError, bool) {
 	switch {
 	case t.callerErr != nil:
 		return r.refuse(http.StatusBadGateway, "answer_not_relayed", t.callerErr.Error()), false
@@ -58,7 +58,7 @@
 	return false
 }
 
-func (r *run) finish(t *transfer) *flow.Refusal {
+func (r *run) finish(t *transfer) *flow.RefusalError {
 	err := r.answer.Finish(t.final.Outcome)
 	if err != nil {
 		return r.refuse(http.StatusBadGateway, "answer_not_relayed", err.Error())
@@ -67,8 +67,8 @@
 }
 
 // refuse returns a refusal with the outcome that the attempts so far allow.
-func (r *run) refuse(status int, code, message string) *flow.Refusal {
-	refusal := &flow.Refusal{Status: status, Code: code, Message: message, Outcome: track.NotRun}
+func (r *run) refuse(status int, code, message string) *flow.RefusalError {
+	refusal := &flow.RefusalError{Status: status, Code: code, Message: message, Outcome: track.NotRun}
 	if r.tainted {
 		refusal.Outcome = track.Unknown
 	}
@@ -79,7 +79,7 @@
 }
 
 // ended returns the refusal for a call whose context has ended.
-func (r *run) ended(ctx context.Context) *flow.Refusal {
+func (r *run) ended(ctx context.Context) *flow.RefusalError {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return r.refuse(http.StatusGatewayTimeout, "deadline_exceeded", "the deadline of the request has passed")
 	}
@@ -102,7 +102,7 @@
 }
 
 // engineError returns an engine's error answer as a refusal.
-func (r *run) engineError(t *transfer) *flow.Refusal {
+func (r *run) engineError(t *transfer) *flow.RefusalError {
 	refusal := r.refuse(t.status, "engine_error", relay.ErrorMessage(t.errorBody))
 	if t.status < serverErrorStatus {
 		refusal.Outcome = track.Completed
--- a/entry/send/send.go
+++ b/entry/send/send.go
@@ -88,7 +88,7 @@
 
 // attempt runs one attempt. It returns nil if the caller has the whole answer;
 // otherwise the refusal to give and whether another replica may do better.
-func (r *run) attempt(ctx context.Context) (*flow.Refusal, bool) {
+func (r *run) attempt(ctx context.Context) (*flow.RefusalError, bool) {
 	choice, err := r.pick()
 	if err != nil {
 		return r.noServer(err), false
@@ -132,12 +132,12 @@
 	return choice, err
 }
 
-func (r *run) noServer(err error) *flow.Refusal {
+func (r *run) noServer(err error) *flow.RefusalError {
 	outcome := track.NotRun
 	if r.tainted {
 		outcome = track.Unknown
 	}
-	return &flow.Refusal{
+	return &flow.RefusalError{
 		Status:     http.StatusServiceUnavailable,
 		Code:       "no_backend_server",
 		Message:    err.Error(),
