--- a/boot/dev_test.go
+++ b/boot/dev_test.go
@@ -136,7 +136,7 @@
 	for i := range streams {
 		group.Go(func() error { return checkStream(c, fmt.Sprintf("open stream %d", i)) })
 	}
-	for d.Entry.Status().OpenRequests < streams {
+	for attemptsInProgress(d) < streams {
 		runtime.Gosched()
 	}
 	stopped := make(chan error, 1)
@@ -159,6 +159,14 @@
 	assert.NilError(t, <-stopped)
 }
 
+func attemptsInProgress(d *boot.Dev) int {
+	n := 0
+	for _, a := range d.Agents {
+		n += a.Status().OpenRequests
+	}
+	return n
+}
+
 func TestBadInputIsNamed(t *testing.T) {
 	d := startDev(t)
 	defer d.Stop(context.Background())
--- /dev/null
+++ b/boot/entrycore.go
@@ -0,0 +1,99 @@
+package boot
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/admin"
+	"filberttrack.example/track/conf"
+	"filberttrack.example/track/duty"
+	"filberttrack.example/track/entry"
+	"filberttrack.example/track/entry/parse"
+	"filberttrack.example/track/entry/relay"
+	"filberttrack.example/track/lookup"
+	"filberttrack.example/track/pick"
+	"filberttrack.example/track/poll"
+)
+
+// EntryCore is an entry without its listeners: all its parts, joined.
+type EntryCore struct {
+	ports    Ports
+	instance track.Instance
+	started  time.Time
+	metrics  *metrics.Set
+	entry    *entry.Entry
+	admin    *admin.Handler
+	index    *lookup.Index
+	router   track.Router
+	poller   *poll.Poller
+}
+
+// NewEntryCore joins the parts of an entry.
+func NewEntryCore(s conf.Settings, ports Ports) *EntryCore {
+	c := &EntryCore{
+		ports:   ports,
+		started: ports.Clock.Now(),
+		instance: track.Instance{
+			ID: s.Entry.ID, Role: track.RoleEntry, Region: s.Region, Zone: s.Entry.Zone, State: track.Live,
+		},
+		metrics: metrics.NewSet(),
+		index:   lookup.New(s.Config()),
+		router:  pick.New(),
+	}
+	c.poller = poll.New(poll.Options{
+		List: ports.Platform.List, Dialer: ports.Dialer, Router: c.router, Clock: ports.Clock, Logger: ports.Logger,
+	})
+	c.entry = entry.New(entry.Options{
+		Instance:     c.instance,
+		Directory:    c.index,
+		Router:       c.router,
+		Dialer:       ports.Dialer,
+		Clock:        ports.Clock,
+		Logger:       ports.Logger,
+		Metrics:      c.metrics,
+		NewID:        ports.NewID,
+		Parse:        parse.Limits{MaxBodyBytes: s.Entry.MaxBodyBytes, MaxTimeout: s.Entry.MaxTimeout},
+		Relay:        relay.Limits{MaxAnswerBytes: s.Entry.MaxAnswerBytes},
+		LogDecisions: s.Logging.Decisions,
+	})
+	c.admin = admin.New(admin.Options{Status: c.Status, Metrics: c.metrics, Profiling: s.Logging.Profiling})
+	return c
+}
+
+// Start starts the duties of the entry. The entry can route when it returns.
+func (c *EntryCore) Start(ctx context.Context) []*duty.Duty {
+	c.poller.Round(ctx)
+	return []*duty.Duty{
+		duty.Start(ctx, "poll agents", c.poller.Run),
+	}
+}
+
+// Callers returns the handler for callers.
+func (c *EntryCore) Callers() http.Handler { return c.entry }
+
+// Operators returns the handler for operators.
+func (c *EntryCore) Operators() http.Handler { return c.admin }
+
+// Status returns the status of the entry.
+func (c *EntryCore) Status() track.Status {
+	return track.Status{
+		Instance:      c.instance,
+		Started:       c.started,
+		Ready:         !c.entry.Stopping(),
+		Stopping:      c.entry.Stopping(),
+		ConfigVersion: c.index.Version(),
+		OpenRequests:  c.entry.Open(),
+		Servers:       c.poller.Servers(),
+	}
+}
+
+// Drain refuses new requests and waits until the open ones have ended, or the
+// context has.
+func (c *EntryCore) Drain(ctx context.Context) {
+	c.entry.Stop()
+	waitUntil(ctx, c.ports.Clock, func() bool { return c.entry.Open() == 0 })
+}
--- /dev/null
+++ b/boot/ports.go
@@ -0,0 +1,75 @@
+package boot
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"net/http"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/wire"
+)
+
+// Platform holds the ports to the platform's services.
+type Platform struct {
+	Log  track.Log
+	List track.InstanceList
+}
+
+// Ports holds everything outside a process that its parts use, so that a test
+// can run the same parts on a fake clock and without a network.
+type Ports struct {
+	Platform Platform
+	// Dialer opens ports to agents.
+	Dialer track.AgentDialer
+	// Client reaches the backend server of an agent.
+	Client *http.Client
+	Clock  clockwork.Clock
+	Logger *zap.Logger
+	// NewID returns a request ID that no other instance returns.
+	NewID func() track.RequestID
+}
+
+// realPorts returns the ports of a process that runs by itself, and its dialer.
+func realPorts(platform Platform, logger *zap.Logger) (Ports, *wire.Dialer) {
+	dialer := wire.NewDialer(grpc.WithTransportCredentials(insecure.NewCredentials()))
+	return Ports{
+		Platform: platform,
+		Dialer:   dialer,
+		Client:   backendClient(),
+		Clock:    clockwork.NewRealClock(),
+		Logger:   logger,
+		NewID:    newRequestID,
+	}, dialer
+}
+
+// maxBackendConns bounds the idle connections kept to the backend server.
+const maxBackendConns = 256
+
+// backendClient returns the client with which an agent reaches its backend
+// server.
+func backendClient() *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			MaxIdleConns:        maxBackendConns,
+			MaxIdleConnsPerHost: maxBackendConns,
+			DisableCompression:  true,
+		},
+		// A redirect would run a request a second time.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// requestIDBytes is the length of a request ID before encoding.
+const requestIDBytes = 16
+
+func newRequestID() track.RequestID {
+	id := make([]byte, requestIDBytes)
+	// Read never fails; the runtime ends the process instead.
+	_, _ = rand.Read(id)
+	return track.RequestID(hex.EncodeToString(id))
+}
