--- a/entry/send/judge.go
+++ b/entry/send/judge.go
@@ -27,17 +27,15 @@
 	switch {
 	case t.callerErr != nil:
 		return r.refuse(http.StatusBadGateway, "answer_not_relayed", t.callerErr.Error()), false
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || r.expired():
 		return r.ended(ctx), false
 	case t.provenNotRun():
 		r.excluded = append(r.excluded, choice.Server.Agent)
 		return r.refuse(http.StatusServiceUnavailable, "no_backend_server", r.fault(t)), true
-	case !t.whole() || t.final.Crashed:
+	case !t.whole() || t.cutOff():
 		r.excluded = append(r.excluded, choice.Server.Agent)
 		r.answer.Reset()
 		return r.refuse(http.StatusBadGateway, "backend_server_failed", r.fault(t)), true
-	case t.final.Outcome != track.Completed && t.status == 0:
-		return r.refuse(http.StatusBadGateway, "backend_server_failed", r.fault(t)), true
 	case t.status >= errorStatus && !t.relaysErrors():
 		return r.engineError(t), t.status >= serverErrorStatus
 	case retriable(t.status) && r.mayRetry(ctx):
@@ -80,12 +78,18 @@
 
 // ended returns the refusal for a call whose context has ended.
 func (r *run) ended(ctx context.Context) *flow.RefusalError {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if r.expired() || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return r.refuse(http.StatusGatewayTimeout, "deadline_exceeded", "the deadline of the request has passed")
 	}
 	return r.refuse(statusClientClosed, "caller_gone", "the caller closed the request")
 }
 
+// expired reports whether the caller's deadline has passed. The agent may notice
+// it before the entry's context does.
+func (r *run) expired() bool {
+	return !r.step.options.Clock.Now().Before(r.exchange.Call.Deadline)
+}
+
 // statusClientClosed is the customary status for a caller that went away.
 const statusClientClosed = 499
 
--- a/entry/send/transfer.go
+++ b/entry/send/transfer.go
@@ -108,6 +108,12 @@
 	return t.final != nil && t.err == nil
 }
 
+// cutOff reports whether the final frame ends an answer that is not whole. Only
+// an error status leaves the outcome of a whole answer open.
+func (t *transfer) cutOff() bool {
+	return t.final.Crashed || (t.final.Outcome != track.Completed && t.status < serverErrorStatus)
+}
+
 // provenNotRun reports whether the attempt certainly never ran and never will.
 func (t *transfer) provenNotRun() bool {
 	return t.neverSent || (t.final != nil && t.final.Outcome == track.NotRun)
