fix: an agent that stops closes its idle connections

Cause: connections opened but never used held up the stop of backend servers by up to 5 s (net/http waits for them). Change: the agent closes its client's idle connections.

--- a/boot/agent.go
+++ b/boot/agent.go
@@ -76,5 +76,6 @@
 	}
 	a.server.Stop()
 	a.cancel()
+	a.ports.Client.CloseIdleConnections()
 	return duty.Wait(a.logger, a.duties...)
 }
