--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -18,7 +18,7 @@
 	root := &cli.Command{
 		Name:     "capacity",
 		Usage:    "measure filberttrack against the sizes it is designed for",
-		Commands: []*cli.Command{pathCommand()},
+		Commands: []*cli.Command{pathCommand(), controlCommand()},
 	}
 	if err := root.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "capacity:", err)
--- a/cmd/capacity/path.go
+++ b/cmd/capacity/path.go
@@ -11,7 +11,6 @@
 	"os"
 	"runtime/pprof"
 	"strings"
-	"sync/atomic"
 	"text/tabwriter"
 	"time"
 
@@ -73,7 +72,7 @@
 // time of each token of streams at the given pace and as fast as possible.
 func measurePath(ctx context.Context, out io.Writer, o pathOptions) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "measure\tdirect\tthrough\tadded\ttarget")
+	fmt.Fprintln(table, "measure\tway\tdirect\tthrough\tadded\ttarget")
 	if err := measureLatency(ctx, table, o); err != nil {
 		return err
 	}
@@ -97,21 +96,14 @@
 		for _, side := range []struct {
 			urls   []string
 			record *hdrhistogram.Histogram
-		}{{r.engines, direct}, {[]string{"http://" + r.entry.Addr()}, through}} {
+		}{{r.urls(), direct}, {[]string{"http://" + r.entry.Addr()}, through}} {
 			if err := requests(ctx, side.urls, o.requests, side.record); err != nil {
 				return err
 			}
 		}
 	}
-	for _, percentile := range []float64{50, 99} {
-		a := time.Duration(direct.ValueAtPercentile(percentile))
-		b := time.Duration(through.ValueAtPercentile(percentile))
-		target := "-"
-		if percentile == 99 {
-			target = targetAddedP99.String()
-		}
-		fmt.Fprintf(out, "whole request, p%.0f\t%s\t%s\t%s\t%s\n", percentile, a, b, b-a, target)
-	}
+	printPercentiles(out, "whole request", "entry and agent", direct, through, 50, 99)
+	fmt.Fprintf(out, "whole request, target of p99\t\t\t\t\t%s\n", targetAddedP99)
 	return nil
 }
 
@@ -126,7 +118,7 @@
 	// The first requests open the connections.
 	for i := range n + len(urls) {
 		begun := time.Now()
-		if _, err := stream(ctx, client, urls[i%len(urls)], fmt.Sprintf("bale %d", i), nil); err != nil {
+		if _, err := stream(ctx, client, urls[i%len(urls)], fmt.Sprintf("bale %d", i)); err != nil {
 			return err
 		}
 		if i < len(urls) {
@@ -139,11 +131,37 @@
 	return nil
 }
 
-// sample is what one run of streams cost.
+// sample is what runs of streams cost.
 type sample struct {
 	tokens    int64
 	processor time.Duration
-	first     *hdrhistogram.Histogram
+	// first holds the times to the first token, gaps those between tokens.
+	first *hdrhistogram.Histogram
+	gaps  *hdrhistogram.Histogram
+}
+
+func newSample() *sample {
+	return &sample{first: newHistogram(), gaps: newHistogram()}
+}
+
+// arrivals are the times at which the events of a stream arrived, from its
+// start.
+type arrivals []time.Duration
+
+func (s *sample) add(a arrivals) error {
+	for i, at := range a {
+		if i == 0 {
+			if err := s.first.RecordValue(int64(at)); err != nil {
+				return err
+			}
+			continue
+		}
+		if err := s.gaps.RecordValue(int64(at - a[i-1])); err != nil {
+			return err
+		}
+	}
+	s.tokens += int64(len(a))
+	return nil
 }
 
 func (s *sample) perToken() time.Duration {
@@ -159,33 +177,53 @@
 		return err
 	}
 	defer func() { _ = r.stop(ctx) }()
-	direct, through := &sample{first: newHistogram()}, &sample{first: newHistogram()}
+	through := &side{name: "entry and agent", urls: []string{"http://" + r.entry.Addr()}, cost: newSample(), profile: o.profile}
+	direct := &side{name: "direct", urls: r.urls(), cost: newSample()}
+	copied := &side{name: "bare copy", urls: r.copies, cost: newSample()}
 	for range o.rounds {
-		if err := streams(ctx, r.engines, o.streams, direct); err != nil {
-			return err
-		}
-		end, err := startProfile(o.profile)
-		if err != nil {
-			return err
-		}
-		if err := errors.Join(streams(ctx, []string{"http://" + r.entry.Addr()}, o.streams, through), end()); err != nil {
-			return err
+		for _, s := range []*side{direct, copied, through} {
+			if err := s.run(ctx, o.streams); err != nil {
+				return err
+			}
 		}
 	}
-	name := fmt.Sprintf("%d streams, a token in %s", o.streams, step)
-	if step == 0 {
-		name = fmt.Sprintf("%d streams, unpaced", o.streams)
+	pace := "unpaced"
+	if step > 0 {
+		pace = "a token in " + step.String()
 	}
-	a, b := direct.perToken(), through.perToken()
-	fmt.Fprintf(out, "%s: processor time a token\t%s\t%s\t%s\t%s\n", name, a, b, b-a, targetTokenProcessor)
-	for _, percentile := range []float64{50, 99} {
-		a := time.Duration(direct.first.ValueAtPercentile(percentile))
-		b := time.Duration(through.first.ValueAtPercentile(percentile))
-		fmt.Fprintf(out, "%s: first token, p%.0f\t%s\t%s\t%s\t-\n", name, percentile, a, b, b-a)
+	name := fmt.Sprintf("%d streams, %s", o.streams, pace)
+	for _, s := range []*side{copied, through} {
+		a, b := direct.cost.perToken(), s.cost.perToken()
+		fmt.Fprintf(out, "%s: processor time a token\t%s\t%s\t%s\t%s\t%s\n", name, s.name, a, b, b-a, targetTokenProcessor)
+		printPercentiles(out, name+": first token", s.name, direct.cost.first, s.cost.first, 50, 95)
+		printPercentiles(out, name+": gap between tokens", s.name, direct.cost.gaps, s.cost.gaps, 50, 95, 99)
 	}
 	return nil
 }
 
+func printPercentiles(out io.Writer, name, side string, direct, through *hdrhistogram.Histogram, percentiles ...float64) {
+	for _, p := range percentiles {
+		a, b := time.Duration(direct.ValueAtPercentile(p)), time.Duration(through.ValueAtPercentile(p))
+		fmt.Fprintf(out, "%s, p%.0f\t%s\t%s\t%s\t%s\t-\n", name, p, side, a, b, b-a)
+	}
+}
+
+// side is one way to the engines.
+type side struct {
+	name    string
+	urls    []string
+	cost    *sample
+	profile string
+}
+
+func (s *side) run(ctx context.Context, n int) error {
+	end, err := startProfile(s.profile)
+	if err != nil {
+		return err
+	}
+	return errors.Join(streams(ctx, s.urls, n, s.cost), end())
+}
+
 // startProfile starts a processor profile, if a file is named. Each profile
 // replaces the one before it.
 func startProfile(name string) (func() error, error) {
@@ -209,17 +247,15 @@
 func streams(ctx context.Context, urls []string, n int, s *sample) error {
 	client := newClient()
 	defer client.CloseIdleConnections()
-	firsts := make([]time.Duration, n)
-	var tokens atomic.Int64
+	events := make([]arrivals, n)
 	before, err := gauge.ProcessorTime()
 	if err != nil {
 		return err
 	}
 	var group errgroup.Group
 	for i := range n {
-		group.Go(func() error {
-			count, err := stream(ctx, client, urls[i%len(urls)], fmt.Sprintf("bale %d", i), &firsts[i])
-			tokens.Add(int64(count))
+		group.Go(func() (err error) {
+			events[i], err = stream(ctx, client, urls[i%len(urls)], fmt.Sprintf("bale %d", i))
 			return err
 		})
 	}
@@ -231,9 +267,8 @@
 		return err
 	}
 	s.processor += after - before
-	s.tokens += tokens.Load()
-	for _, first := range firsts {
-		if err := s.first.RecordValue(int64(first)); err != nil {
+	for _, a := range events {
+		if err := s.add(a); err != nil {
 			return err
 		}
 	}
@@ -249,27 +284,27 @@
 	doneData   = []byte("[DONE]")
 )
 
-// stream reads one streamed answer. It returns the number of its events, the
-// final one excluded, and sets first, if given, to the time of the first.
-func stream(ctx context.Context, client *http.Client, url, text string, first *time.Duration) (int, error) {
+// stream reads one streamed answer and returns the arrivals of its events, the
+// final one excluded.
+func stream(ctx context.Context, client *http.Client, url, text string) (arrivals, error) {
 	begun := time.Now()
 	body := fmt.Sprintf(`{"model":%q,"stream":true,"messages":[{"role":"user","content":%q}]}`, rigModel, text)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/chat/completions", strings.NewReader(body))
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
 	req.Header.Set("Authorization", "Bearer "+rigToken)
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := client.Do(req)
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return 0, fmt.Errorf("status %s", resp.Status)
+		return nil, fmt.Errorf("status %s", resp.Status)
 	}
 	lines := bufio.NewReader(resp.Body)
-	events := 0
+	var events arrivals
 	for {
 		line, err := lines.ReadSlice('\n')
 		if err != nil {
@@ -283,10 +318,7 @@
 			_, err := io.Copy(io.Discard, lines)
 			return events, err
 		}
-		if events == 0 && first != nil {
-			*first = time.Since(begun)
-		}
-		events++
+		events = append(events, time.Since(begun))
 	}
 }
 
--- a/cmd/capacity/rig.go
+++ b/cmd/capacity/rig.go
@@ -35,8 +35,11 @@
 	entry   *boot.Entry
 	agents  []*boot.Agent
 	servers []*http.Server
-	// engines are the base URLs of the engines.
-	engines []string
+	engines []*engine.Engine
+	// bases are the base URLs of the engines.
+	bases []string
+	// copies are the base URLs of servers that only copy what an engine says.
+	copies []string
 }
 
 // startRig starts the given number of replicas with equal engines.
@@ -70,15 +73,18 @@
 }
 
 func (r *rig) startReplica(ctx context.Context, s conf.Settings, number int, clock clockwork.Clock, list *roster.Roster, settings engine.Settings) error {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", loopback)
+	standin := engine.New(clock, settings)
+	r.engines = append(r.engines, standin)
+	url, err := r.serve(ctx, standin)
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: engine.New(clock, settings)}
-	r.servers = append(r.servers, server)
-	go func() { _ = server.Serve(listener) }()
-	url := "http://" + listener.Addr().String()
-	r.engines = append(r.engines, url)
+	r.bases = append(r.bases, url)
+	copied, err := r.serve(ctx, &copier{client: newClient(), base: url})
+	if err != nil {
+		return err
+	}
+	r.copies = append(r.copies, copied)
 
 	s.Agent.ID = track.InstanceID(fmt.Sprintf("agent-%d", number))
 	s.Agent.Zone = rigZone
@@ -94,6 +100,33 @@
 	return nil
 }
 
+// serve serves the handler on a free port until the rig stops, and returns the
+// base URL.
+func (r *rig) serve(ctx context.Context, handler http.Handler) (string, error) {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", loopback)
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: handler}
+	r.servers = append(r.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	return "http://" + listener.Addr().String(), nil
+}
+
+// urls returns the base URLs of the engines.
+func (r *rig) urls() []string {
+	return r.bases
+}
+
+// running returns the number of requests in the batches of the engines.
+func (r *rig) running() int {
+	n := 0
+	for _, e := range r.engines {
+		n += e.Running()
+	}
+	return n
+}
+
 // stop ends all parts of the rig.
 func (r *rig) stop(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
--- a/stand/engine/engine.go
+++ b/stand/engine/engine.go
@@ -170,6 +170,12 @@
 	}
 }
 
+// Running returns the number of requests in the batch.
+func (e *Engine) Running() int {
+	running, _ := e.batch.sizes()
+	return running
+}
+
 // SetStepTime changes the duration of a step, as a straggling rank would.
 func (e *Engine) SetStepTime(d time.Duration) {
 	e.stepTime.Store(int64(d))
