--- /dev/null
+++ b/change/record.go
@@ -0,0 +1,270 @@
+package change
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"filberttrack.example/track"
+)
+
+// Format is the version of the encoding of records. A new format may be written
+// only once all instances can read it.
+const Format = 1
+
+// recordKind tells the kinds of record apart.
+type recordKind string
+
+const (
+	changeRecord   recordKind = "Change"
+	snapshotRecord recordKind = "Snapshot"
+)
+
+// envelope is the outer form of a record. Sum is the hexadecimal SHA-256 of the
+// body's bytes.
+type envelope struct {
+	Format int
+	Kind   recordKind
+	Sum    string
+	Body   json.RawMessage
+}
+
+// Record is a decoded record: either a change or a snapshot.
+type Record struct {
+	Change   *Change
+	Snapshot *Snapshot
+}
+
+// Snapshot is a whole state as a record of the log.
+type Snapshot struct {
+	// Next is the offset up to which the state has read the log.
+	Next     uint64
+	Seq      uint64
+	Version  uint64
+	Checksum string
+	// Body is the canonical encoding of the state.
+	Body json.RawMessage
+}
+
+// EncodeChange returns the record of a change.
+func EncodeChange(c Change) ([]byte, error) {
+	if err := checkShape(c); err != nil {
+		return nil, track.Fail("encode change", Invalid, err)
+	}
+	return seal(changeRecord, c)
+}
+
+// EncodeSnapshot returns the record of a snapshot.
+func EncodeSnapshot(s Snapshot) ([]byte, error) {
+	return seal(snapshotRecord, s)
+}
+
+func seal(kind recordKind, content any) ([]byte, error) {
+	body, err := json.Marshal(content)
+	if err != nil {
+		return nil, track.Fail("encode record", Invalid, err)
+	}
+	data, err := json.Marshal(envelope{Format: Format, Kind: kind, Sum: Sum(body), Body: body})
+	if err != nil {
+		return nil, track.Fail("encode record", Invalid, err)
+	}
+	return data, nil
+}
+
+// Sum returns the hexadecimal SHA-256 of data.
+func Sum(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+// Decode decodes a record of the log. It refuses whatever is damaged, cut short
+// or of an unknown format, with an error of kind Corrupt.
+func Decode(data []byte) (Record, error) {
+	record, err := decode(data)
+	if err != nil {
+		return Record{}, track.Fail("decode record", Corrupt, err)
+	}
+	return record, nil
+}
+
+func decode(data []byte) (Record, error) {
+	env, err := decodeStrict[envelope](data)
+	if err != nil {
+		return Record{}, err
+	}
+	if env.Format != Format {
+		return Record{}, fmt.Errorf("format %d, want %d", env.Format, Format)
+	}
+	if env.Sum != Sum(env.Body) {
+		return Record{}, errors.New("the checksum does not match")
+	}
+	switch env.Kind {
+	case changeRecord:
+		return decodeChange(env.Body)
+	case snapshotRecord:
+		return decodeSnapshot(env.Body)
+	default:
+		return Record{}, fmt.Errorf("unknown kind %q", env.Kind)
+	}
+}
+
+func decodeChange(body []byte) (Record, error) {
+	c, err := decodeStrict[Change](body)
+	if err != nil {
+		return Record{}, err
+	}
+	if err := checkShape(c); err != nil {
+		return Record{}, err
+	}
+	c.Time = c.Time.UTC()
+	for i := range c.Edits {
+		if c.Edits[i].Value, err = compact(c.Edits[i].Value); err != nil {
+			return Record{}, err
+		}
+	}
+	return Record{Change: &c}, nil
+}
+
+func decodeSnapshot(body []byte) (Record, error) {
+	s, err := decodeStrict[Snapshot](body)
+	if err != nil {
+		return Record{}, err
+	}
+	if s.Checksum != Sum(s.Body) {
+		return Record{}, errors.New("the checksum of the state does not match")
+	}
+	return Record{Snapshot: &s}, nil
+}
+
+// compact returns JSON as json.Marshal writes it inside other values, so that a
+// state has the same bytes before and after its encoding.
+func compact(value json.RawMessage) (json.RawMessage, error) {
+	if isNull(value) {
+		return json.RawMessage("null"), nil
+	}
+	return json.Marshal(value)
+}
+
+// checkShape checks what must hold before a change can be judged at all.
+func checkShape(c Change) error {
+	if c.ID == "" || len(c.ID) > maxNameLength {
+		return fmt.Errorf("a change ID has 1 to %d characters", maxNameLength)
+	}
+	if len(c.Operator) > maxNameLength {
+		return fmt.Errorf("an operator's name has at most %d characters", maxNameLength)
+	}
+	if len(c.Edits) == 0 || len(c.Edits) > MaxEdits {
+		return fmt.Errorf("a change holds 1 to %d edits, not %d", MaxEdits, len(c.Edits))
+	}
+	if year := c.Time.UTC().Year(); year < 1 || year > 9999 {
+		return fmt.Errorf("the time has the year %d, which RFC 3339 can't express", year)
+	}
+	for _, e := range c.Edits {
+		if len(e.Name) > maxNameLength || len(e.Kind) > maxNameLength || len(e.Value) > MaxValueBytes {
+			return errors.New("an edit is too long")
+		}
+	}
+	return nil
+}
+
+// body is the canonical form of a state.
+type body struct {
+	Version uint64
+	Seq     uint64
+	Floor   uint64
+	Items   []Item
+	History []Decided
+}
+
+// Marshal returns the canonical encoding of the state: equal states have equal
+// bytes.
+func (s *State) Marshal() ([]byte, error) {
+	data, err := json.Marshal(body{
+		Version: s.version, Seq: s.seq, Floor: s.floor,
+		Items: s.Items(), History: s.history,
+	})
+	if err != nil {
+		return nil, track.Fail("encode state", Invalid, err)
+	}
+	return data, nil
+}
+
+// Unmarshal decodes a state and checks it whole: its order, its objects, what
+// refers to what, and that its bytes are canonical.
+func Unmarshal(data []byte) (*State, error) {
+	s, err := unmarshal(data)
+	if err != nil {
+		return nil, track.Fail("decode state", Corrupt, err)
+	}
+	return s, nil
+}
+
+func unmarshal(data []byte) (*State, error) {
+	b, err := decodeStrict[body](data)
+	if err != nil {
+		return nil, err
+	}
+	s := New()
+	s.version, s.seq, s.floor, s.history = b.Version, b.Seq, b.Floor, b.History
+	if err := s.checkHistory(); err != nil {
+		return nil, err
+	}
+	if err := s.loadItems(b.Items); err != nil {
+		return nil, err
+	}
+	again, err := s.Marshal()
+	if err != nil {
+		return nil, err
+	}
+	if !bytes.Equal(again, data) {
+		return nil, errors.New("the encoding is not canonical")
+	}
+	return s, nil
+}
+
+func (s *State) checkHistory() error {
+	if s.version > s.seq || s.seq-s.floor != uint64(len(s.history)) {
+		return errors.New("the numbers of version, decisions and history do not fit")
+	}
+	for i, d := range s.history {
+		if d.Seq != s.floor+uint64(i)+1 {
+			return fmt.Errorf("decision %d stands in place of %d", d.Seq, s.floor+uint64(i)+1)
+		}
+		if err := checkShape(d.Change); err != nil {
+			return err
+		}
+		if d.Verdict.Accepted && len(d.Before) != len(d.Change.Edits) {
+			return fmt.Errorf("decision %d lacks what it replaced", d.Seq)
+		}
+		s.edits += len(d.Change.Edits)
+	}
+	return nil
+}
+
+func (s *State) loadItems(items []Item) error {
+	s.config.Version = s.version
+	for i, item := range items {
+		if i > 0 && items[i-1].Compare(item.Key) >= 0 {
+			return fmt.Errorf("%s is out of order", item.Key)
+		}
+		if item.Version == 0 || item.Version > s.version {
+			return fmt.Errorf("%s has version %d", item.Key, item.Version)
+		}
+		kind, ok := collections[item.Kind]
+		if !ok {
+			return fmt.Errorf("%s: unknown kind of object", item.Key)
+		}
+		canonical, err := kind.canonical(item.Name, item.Value)
+		if err != nil {
+			return fmt.Errorf("%s: %w", item.Key, err)
+		}
+		if err := kind.put(s.config, canonical); err != nil {
+			return err
+		}
+		s.items[item.Key] = item
+	}
+	return errors.Join(checkTokens(s.config.Accounts), checkWhole(s.config))
+}
--- a/config.go
+++ b/config.go
@@ -71,14 +71,25 @@
 
 // Model is a model served by rank groups.
 type Model struct {
-	Name    string
-	Profile string
+	Name     string
+	Profile  string
+	Replicas ReplicaSettings
 }
 
 // Service is a plain service beside the model engines.
 type Service struct {
-	Name    string
-	Profile string
+	Name     string
+	Profile  string
+	Replicas ReplicaSettings
+}
+
+// ReplicaSettings applies to each replica of a model or service.
+type ReplicaSettings struct {
+	// MaxRunning bounds the attempts that a replica runs at once; 0 leaves it to
+	// the backend server.
+	MaxRunning int
+	// MaxQueued bounds the attempts that wait inside a replica; 0 sets no bound.
+	MaxQueued int
 }
 
 // ClientAccount is a customer whose requests share limits.
--- /dev/null
+++ b/tail/doc.go
@@ -0,0 +1,35 @@
+// Package tail reads and appends to the streams of the platform's log: Reader
+// follows a stream by offset, Appender batches and rate-limits appends.
+package tail
+
+import (
+	"fmt"
+
+	"filberttrack.example/track"
+)
+
+// Kind classifies the failures of this package.
+type Kind int
+
+// The kinds of failure.
+const (
+	// Unavailable means that the records were certainly not appended.
+	Unavailable Kind = iota
+	// Ambiguous means that the records may have been appended.
+	Ambiguous
+	// Full means that too many appends wait; nothing was appended.
+	Full
+)
+
+var kindNames = [...]string{Unavailable: "unavailable", Ambiguous: "ambiguous", Full: "full"}
+
+// String returns the kind in lower case.
+func (k Kind) String() string {
+	if k < 0 || int(k) >= len(kindNames) {
+		return fmt.Sprintf("Kind(%d)", int(k))
+	}
+	return kindNames[k]
+}
+
+// Error is the error type of this package.
+type Error = track.OpError[Kind]
