--- a/config/follower.go
+++ b/config/follower.go
@@ -74,6 +74,7 @@
 
 func (s *Store) startSearch(oldest uint64) {
 	s.searching, s.scan, s.searchingSince = true, oldest, s.o.Clock.Now()
+	s.answered = make(map[track.InstanceID]bool)
 }
 
 // noteSnapshot keeps the time of the newest snapshot in the log.
--- a/config/peers.go
+++ b/config/peers.go
@@ -36,12 +36,14 @@
 	return context.Cause(ctx)
 }
 
-// unknownHurry shortens the interval while nothing is known.
-const unknownHurry = 8
+// hurry shortens the interval while nothing is known or records are lacking.
+const hurry = 8
 
 func (s *Store) peerWait() time.Duration {
-	if s.Live() == nil {
-		return s.o.PeerInterval / unknownHurry
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state == nil || s.searching {
+		return s.o.PeerInterval / hurry
 	}
 	return s.o.PeerInterval
 }
@@ -56,8 +58,11 @@
 	local := slices.DeleteFunc(slices.Clone(entries), func(c track.ConfigContact) bool {
 		return c.Instance.Zone != s.o.Self.Zone
 	})
+	unanswered := s.unanswered(entries)
 	candidates := contacts
 	switch {
+	case len(unanswered) > 0:
+		candidates = unanswered
 	case s.Live() == nil || len(entries) == 0:
 	case len(local) > 0 && rng.Float64() < localShare:
 		candidates = local
@@ -70,6 +75,17 @@
 	return candidates[rng.IntN(len(candidates))], true
 }
 
+// unanswered returns the entries that are still to be asked for records that
+// have expired.
+func (s *Store) unanswered(entries []track.ConfigContact) []track.ConfigContact {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state == nil || !s.searching {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(entries), func(c track.ConfigContact) bool { return s.answered[c.Instance.ID] })
+}
+
 // entries returns the number of live entries, this one included.
 func (s *Store) entries() int {
 	n := 1
@@ -99,6 +115,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.searching {
+		s.answered[contact.Instance.ID] = true
+	}
 	if news.Position.Known && news.Position.Age >= 0 && news.Position.Seq >= s.seq() {
 		s.confirm(asked.Add(-news.Position.Age))
 	}
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"filberttrack.example/track"
 	"filberttrack.example/track/change"
 )
 
@@ -17,9 +18,8 @@
 	snapshotOverdue = 2
 )
 
-// recoveryIntervals is the number of peer intervals after which an instance that
-// can find neither the expired records nor a snapshot takes it that no peer
-// knows more.
+// recoveryIntervals is the number of peer intervals for which an instance looks
+// for expired records before it takes them for lost.
 const recoveryIntervals = 15
 
 // keepSnapshots appends a snapshot whenever the newest one grows old. Any number
@@ -61,16 +61,22 @@
 }
 
 // recoveryWanted reports whether records have expired that this instance never
-// read, the log holds no snapshot, and no peer has known more for a while. That
-// is so after an outage longer than the retention. The records that expired were
-// never decided by anyone, so the state is still the newest; a snapshot that
-// starts at the end of the log lets all instances go on from it.
+// read, the log holds no snapshot, and all entries have answered and know no
+// more. That is so after an outage longer than the retention. The records that
+// expired were never decided by anyone, so the state is still the newest; a
+// snapshot that starts at the end of the log lets all instances go on from it.
 func (s *Store) recoveryWanted() bool {
+	contacts := s.o.Peers.Contacts()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.state == nil || !s.searching || !s.caughtUp {
 		return false
 	}
+	for _, c := range contacts {
+		if c.Instance.Role == track.RoleEntry && !s.answered[c.Instance.ID] {
+			return false
+		}
+	}
 	return s.o.Clock.Since(s.searchingSince) >= recoveryIntervals*s.o.PeerInterval
 }
 
--- a/config/store.go
+++ b/config/store.go
@@ -67,6 +67,8 @@
 	searching bool
 	// searchingSince is the time at which the search began.
 	searchingSince time.Time
+	// answered holds the peers that have answered since then.
+	answered map[track.InstanceID]bool
 	// checksum is that of the state at checksumSeq, kept until the state moves.
 	checksum    string
 	checksumSeq uint64
--- a/tail/reader.go
+++ b/tail/reader.go
@@ -140,8 +140,7 @@
 // Run follows the stream until the context ends. It is run as a duty.
 func (r *Reader[T]) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		more := r.step(ctx)
-		if more {
+		if r.Poll(ctx) {
 			continue
 		}
 		select {
@@ -153,8 +152,9 @@
 	return context.Cause(ctx)
 }
 
-// step reads once and reports whether the stream holds more.
-func (r *Reader[T]) step(ctx context.Context) (more bool) {
+// Poll reads once and reports whether the stream holds more. Run calls it; it is
+// not safe for concurrent use.
+func (r *Reader[T]) Poll(ctx context.Context) (more bool) {
 	asked := r.o.Clock.Now()
 	from := r.o.Follower.Position()
 	page, err := r.read(ctx, from)
