--- a/config/follower.go
+++ b/config/follower.go
@@ -3,6 +3,7 @@
 import (
 	"go.uber.org/zap"
 
+	"filberttrack.example/track"
 	"filberttrack.example/track/change"
 	"filberttrack.example/track/tail"
 )
--- a/config/peers.go
+++ b/config/peers.go
@@ -61,7 +61,7 @@
 	unanswered := s.unanswered(entries)
 	candidates := contacts
 	switch {
-	case len(unanswered) > 0:
+	case len(unanswered) > 0 && rng.Float64() < unansweredShare:
 		candidates = unanswered
 	case s.Live() == nil || len(entries) == 0:
 	case len(local) > 0 && rng.Float64() < localShare:
@@ -75,6 +75,10 @@
 	return candidates[rng.IntN(len(candidates))], true
 }
 
+// unansweredShare is the probability that an entry is asked that has not been
+// asked yet for records that have expired.
+const unansweredShare = 0.5
+
 // unanswered returns the entries that are still to be asked for records that
 // have expired.
 func (s *Store) unanswered(entries []track.ConfigContact) []track.ConfigContact {
