--- a/agent.go
+++ b/agent.go
@@ -28,6 +28,9 @@
 	Claim *Claim
 	// Fingerprint identifies the content of the request apart from its ID.
 	Fingerprint uint64
+	// Isolated is set for a suspect of a crash. An agent runs one isolated
+	// attempt at a time and refuses others as RefusedFull.
+	Isolated bool
 }
 
 // Claim is the record by which an attempt at a non-idempotent call was allowed.
--- a/route.go
+++ b/route.go
@@ -10,6 +10,9 @@
 	Zone        AvailabilityZone
 	Target      string
 	Address     string
+	// Group names the rank group that the replica belongs to, if any. The
+	// replicas of a group advance in lock-step.
+	Group string
 	// Joined is the time at which the replica was first seen live.
 	Joined time.Time
 	Load   Load
@@ -24,7 +27,8 @@
 	Prefixes []uint64
 	// Excluded lists the agents that already failed this request.
 	Excluded []InstanceID
-	// Isolated is set if the attempt must not share a replica with others.
+	// Isolated is set if the attempt must not share a replica with another
+	// isolated one, and should share it with none at all.
 	Isolated bool
 }
 
@@ -35,6 +39,8 @@
 	Reason string
 	// Candidates is the number of replicas weighed.
 	Candidates int
+	// Isolated is set if no other isolated attempt shares the replica.
+	Isolated bool
 	// Tokens is the estimate charged to the replica until Done.
 	Tokens int
 }
@@ -44,6 +50,8 @@
 	Outcome Outcome
 	// Failed is set if the replica, not the request, was at fault.
 	Failed bool
+	// Overloaded is set if the replica declined or missed the deadline for load.
+	Overloaded bool
 	// FirstByte is the time to the first byte; 0 if there was none.
 	FirstByte time.Duration
 	Duration  time.Duration
@@ -58,3 +66,9 @@
 	// Update replaces the set of replicas.
 	Update(servers []BackendServer)
 }
+
+// Reachability tells which availability zones are cut off from this one.
+type Reachability interface {
+	// CutOff reports whether the zone is known to be out of reach.
+	CutOff(zone AvailabilityZone) bool
+}
