--- /dev/null
+++ b/retry/budget.go
@@ -0,0 +1,76 @@
+package retry
+
+import (
+	"time"
+
+	"filberttrack.example/track"
+)
+
+const (
+	// maxBalance is the number of retries that a budget saves up.
+	maxBalance = 5.0
+	// maxDebt is the number of retries that the floor lends.
+	maxDebt = 3.0
+	// healthWeight is the weight of one attempt in the moving share of successes.
+	healthWeight = 0.05
+	// healthyShare is the share of successes below which the floor is shut and
+	// deposits are halved.
+	healthyShare = 0.5
+)
+
+// budget holds the retries that one target is allowed.
+type budget struct {
+	policy  track.RetryPolicy
+	balance float64
+	// floor is the number of retries that may be lent at the moment.
+	floor     float64
+	refilled  time.Time
+	succeeded float64
+}
+
+func newBudget(policy track.RetryPolicy, now time.Time) *budget {
+	return &budget{policy: policy, floor: maxDebt, refilled: now, succeeded: 1}
+}
+
+func (b *budget) healthy() bool {
+	return b.succeeded >= healthyShare
+}
+
+func (b *budget) observe(succeeded bool) {
+	target := 0.0
+	if succeeded {
+		target = 1
+	}
+	b.succeeded += healthWeight * (target - b.succeeded)
+}
+
+func (b *budget) deposit() {
+	share := b.policy.Share
+	if !b.healthy() {
+		share /= 2
+	}
+	b.balance = min(b.balance+share, maxBalance)
+}
+
+// withdraw pays for one retry from the balance or, while the target is healthy,
+// with a loan from the floor.
+func (b *budget) withdraw(now time.Time) bool {
+	b.refill(now)
+	if b.balance >= 1 {
+		b.balance--
+		return true
+	}
+	if !b.healthy() || b.floor < 1 || b.balance-1 < -maxDebt {
+		return false
+	}
+	b.floor--
+	b.balance--
+	return true
+}
+
+func (b *budget) refill(now time.Time) {
+	if passed := now.Sub(b.refilled).Seconds(); passed > 0 {
+		b.floor = min(b.floor+passed*b.policy.FloorPerSecond, maxDebt)
+	}
+	b.refilled = now
+}
