--- /dev/null
+++ b/limit/errors.go
@@ -0,0 +1,17 @@
+package limit
+
+import "filberttrack.example/track"
+
+// Kind classifies the failures of this package.
+type Kind int
+
+// Malformed means that a digest of another entry could not be read.
+const Malformed Kind = iota
+
+// String returns the kind in lower case.
+func (k Kind) String() string {
+	return "malformed"
+}
+
+// Error is the error of this package.
+type Error = track.OpError[Kind]
