feat: router

Cause: late load signals, lock-step groups and prompt caches need more than least connections. Change: power of two choices over own and aged reported tokens, group maximum, latency and slow start; bounded prefix affinity; zones; ejection; isolated picks.

--- a/admit/window.go
+++ b/admit/window.go
@@ -73,7 +73,7 @@
 	slow := w.learn(s.FirstByte.Seconds(), now)
 	switch {
 	case s.Overloaded || slow:
-		w.shrink(now)
+		w.Shrink(now)
 	case 2*s.InFlight >= w.Limit():
 		w.limit = min(w.limit+max(1/w.limit, minIncrease), w.most)
 	}
@@ -96,8 +96,9 @@
 	return w.recent > congested*min(w.best, w.older)
 }
 
-// shrink cuts the window, at most once in the time of an answer.
-func (w *Window) shrink(now time.Time) {
+// Shrink cuts the window, at most once in the time of an answer. It is called
+// when the replica itself reports that work queues up.
+func (w *Window) Shrink(now time.Time) {
 	if now.Sub(w.cut).Seconds() < w.recent {
 		return
 	}
--- a/route.go
+++ b/route.go
@@ -16,6 +16,8 @@
 	// Joined is the time at which the replica was first seen live.
 	Joined time.Time
 	Load   Load
+	// Reported is the time at which Load arrived here; zero if none did.
+	Reported time.Time
 }
 
 // Query is what the router is told about an attempt.
--- /dev/null
+++ b/router/policy.go
@@ -0,0 +1,70 @@
+package router
+
+import "time"
+
+// Reasons for a choice, as logged.
+const (
+	ReasonCached   = "CachedPrefix"
+	ReasonHome     = "PrefixHome"
+	ReasonChoices  = "TwoChoices"
+	ReasonScan     = "LeastLoaded"
+	ReasonSpill    = "SpillToZone"
+	ReasonIsolated = "Isolated"
+	ReasonCrowded  = "IsolatedCrowded"
+)
+
+const (
+	// reportHalfLife is the age at which a reported load counts half, against the
+	// mean of the zone.
+	reportHalfLife = 2 * time.Second
+	// affinityBound is the multiple of the mean load up to which a replica is
+	// taken for its cached prefix.
+	affinityBound = 1.25
+	// homeDepth is the number of prompt blocks whose hash names a prompt's home.
+	homeDepth = 4
+	// maxLookups and maxRecorded bound the prefixes of one request.
+	maxLookups  = 32
+	maxRecorded = 16
+	// maxPrefixes bounds the prefixes remembered.
+	maxPrefixes = 65536
+	// ringPoints is the number of points of a replica on the ring of homes.
+	ringPoints = 8
+
+	// spillAt is the use of the local zone's windows above which others are weighed.
+	spillAt = 0.9
+	// spillGain is how much less used another zone must be.
+	spillGain = 0.1
+
+	// slowStart is the time over which a fresh replica takes up its full load, and
+	// startShare the share that it begins with.
+	slowStart  = 30 * time.Second
+	startShare = 0.1
+
+	// maxFailures is the number of failures in a row that eject a replica.
+	maxFailures = 5
+	// failureWeight is the weight of one attempt in the share of failures, and
+	// maxFailureShare the share that ejects a replica after minAttempts.
+	failureWeight   = 0.1
+	maxFailureShare = 0.5
+	minAttempts     = 10
+	// minEjection doubles with each ejection up to maxEjection.
+	minEjection = 5 * time.Second
+	maxEjection = time.Minute
+	// maxEjectedShare bounds the part of a pool that may be ejected.
+	maxEjectedShare = 0.5
+
+	// latencyWeight is the weight of one first byte in the average.
+	latencyWeight = 0.1
+	// minLatency and maxLatency bound the factor of a replica's latency.
+	minLatency = 0.5
+	maxLatency = 4.0
+
+	// ownShare is the weight of a replica's own load beside its group's greatest.
+	ownShare = 0.5
+	// queuedShare is the ratio of queued to running attempts that a replica
+	// reports above which its window is cut.
+	queuedShare = 0.25
+
+	// slotsAge is how long the sum of windows is used before it is taken anew.
+	slotsAge = 100 * time.Millisecond
+)
--- /dev/null
+++ b/router/search.go
@@ -0,0 +1,309 @@
+package router
+
+import (
+	"time"
+
+	"filberttrack.example/track"
+)
+
+// samples bounds the draws for the two choices before all replicas are scanned.
+const samples = 6
+
+// search is one routing decision.
+type search struct {
+	router  *Router
+	query   *track.Query
+	now     time.Time
+	weighed int
+}
+
+// found is the result of a search; its replica is nil if there is none.
+type found struct {
+	replica  *replica
+	reason   string
+	isolated bool
+}
+
+func (s *search) tokens() int {
+	return max(s.query.Tokens, 1)
+}
+
+// take charges the attempt to the replica that was found.
+func (s *search) take(f found) (track.Choice, error) {
+	if f.replica == nil {
+		return track.Choice{}, s.none()
+	}
+	f.replica.charge(s.tokens())
+	if f.isolated {
+		f.replica.suspect = true
+	}
+	s.router.prefixes.record(s.query, f.replica)
+	return track.Choice{
+		Server: f.replica.server, Reason: f.reason, Candidates: s.weighed, Tokens: s.tokens(), Isolated: f.isolated,
+	}, nil
+}
+
+// none returns why no replica was found.
+func (s *search) none() error {
+	for _, a := range s.router.pools[s.query.Target].areas {
+		if len(a.replicas) > 0 && s.reachable(a) {
+			return errFull
+		}
+	}
+	return errNoReplica
+}
+
+// usable reports whether a replica may take the attempt.
+func (s *search) usable(r *replica) bool {
+	return r != nil && !r.gone && !r.suspect && !r.ejected(s.now) && !r.full(s.now) && !s.excluded(r)
+}
+
+func (s *search) excluded(r *replica) bool {
+	for _, id := range s.query.Excluded {
+		if id == r.server.Agent {
+			return true
+		}
+	}
+	return false
+}
+
+// usableArea reports whether the area has a replica that is in.
+func (s *search) usableArea(a *area) bool {
+	for _, r := range a.replicas {
+		if !r.ejected(s.now) && !s.excluded(r) {
+			return true
+		}
+	}
+	return false
+}
+
+// nearlyIdle reports whether the area certainly needs no help: less than half
+// used as reported, and less than one attempt a replica from here.
+func (a *area) nearlyIdle() bool {
+	return a.reported < spillAt/2 && a.inFlight < len(a.replicas)
+}
+
+// nearest chooses a replica of the local zone; of another one if the local zone
+// is short; of any within reach that has room if both are full.
+func (s *search) nearest(p *pool) found {
+	local := p.area(s.router.zone)
+	chosen := local
+	if local == nil || !local.nearlyIdle() || !s.usableArea(local) {
+		if away := s.spill(p, local); away != nil {
+			chosen = away
+		}
+	}
+	var f found
+	if chosen != nil {
+		f = s.within(chosen)
+	}
+	for _, a := range p.areas {
+		if f.replica != nil {
+			break
+		}
+		if a != chosen && s.reachable(a) {
+			f = s.within(a)
+		}
+	}
+	if f.replica != nil && f.replica.area != local {
+		f.reason = ReasonSpill
+	}
+	return f
+}
+
+func (s *search) reachable(a *area) bool {
+	return a.zone == s.router.zone || !s.router.reach.CutOff(a.zone)
+}
+
+// spill returns the least used zone within reach if the local one is short.
+func (s *search) spill(p *pool, local *area) *area {
+	use := 1 + spillGain
+	if local != nil && s.usableArea(local) {
+		use = local.use(s.now)
+	}
+	if use < spillAt {
+		return nil
+	}
+	var best *area
+	for _, a := range p.areas {
+		if a == local || !s.usableArea(a) || !s.reachable(a) {
+			continue
+		}
+		if u := a.use(s.now); u <= use-spillGain {
+			best, use = a, u+spillGain
+		}
+	}
+	return best
+}
+
+// within chooses a replica of one zone.
+func (s *search) within(a *area) found {
+	if f := s.affine(a); f.replica != nil {
+		return f
+	}
+	if r := s.twoChoices(a); r != nil {
+		return found{replica: r, reason: ReasonChoices}
+	}
+	return found{replica: s.scan(a), reason: ReasonScan}
+}
+
+// affine chooses a replica for its prompt cache, unless it is too busy.
+func (s *search) affine(a *area) found {
+	n := len(s.query.Prefixes)
+	if n == 0 || len(a.ring) == 0 {
+		return found{}
+	}
+	held, covered := s.router.prefixes.find(s.query)
+	saved := covered * float64(s.tokens())
+	if r := s.lighter(a, held[0], held[1], saved); r != nil {
+		return found{replica: r, reason: ReasonCached}
+	}
+	hash := mix(s.query.Prefixes[min(n, homeDepth)-1])
+	if r := s.lighter(a, a.home(hash), a.home(mix(hash)), 0); r != nil {
+		return found{replica: r, reason: ReasonHome}
+	}
+	return found{}
+}
+
+// lighter returns the less loaded of two replicas, if its load is within the
+// bound for affinity.
+func (s *search) lighter(a *area, x, y *replica, saved float64) *replica {
+	bound := affinityBound*a.meanLoad() + saved
+	var best *replica
+	for _, r := range [...]*replica{x, y} {
+		if !s.usable(r) || r.area != a {
+			continue
+		}
+		s.weighed++
+		if load := r.load(s.now) * r.latency() / r.ramp(s.now); load <= bound {
+			best, bound = r, load
+		}
+	}
+	return best
+}
+
+// twoChoices draws two groups and returns the better one's least loaded replica.
+func (s *search) twoChoices(a *area) *replica {
+	if len(a.groups) == 0 {
+		return nil
+	}
+	var best *replica
+	var bestScore float64
+	drawn := 0
+	for range samples {
+		g := a.groups[s.router.rng.IntN(len(a.groups))]
+		r, score := s.score(g)
+		if r == nil || r == best {
+			continue
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = r, score
+		}
+		if drawn++; drawn == 2 {
+			break
+		}
+	}
+	return best
+}
+
+// score returns a group's least loaded usable replica, and the cost of placing
+// the attempt there: the load of the slowest member, at whose pace all advance,
+// and a share of the replica's own.
+func (s *search) score(g *group) (*replica, float64) {
+	var best *replica
+	var least, greatest float64
+	for _, r := range g.members {
+		load := r.load(s.now)
+		greatest = max(greatest, load)
+		if !s.usable(r) {
+			continue
+		}
+		s.weighed++
+		if weighted := load / r.ramp(s.now); best == nil || weighted < least {
+			best, least = r, weighted
+		}
+	}
+	if best == nil {
+		return nil, 0
+	}
+	after := best.load(s.now) + float64(s.tokens())
+	return best, (max(greatest, after) + ownShare*after) * best.latency() / best.ramp(s.now)
+}
+
+// scan returns the least loaded replica that has room, when sampling found none.
+// A replica that already failed the request, or one with a suspect, is better
+// than none.
+func (s *search) scan(a *area) *replica {
+	var best *replica
+	var least float64
+	for _, r := range a.replicas {
+		s.weighed++
+		if r.full(s.now) {
+			continue
+		}
+		load := r.load(s.now) + s.penalty(r, a)
+		if best == nil || load < least {
+			best, least = r, load
+		}
+	}
+	return best
+}
+
+// penalty ranks the replicas that are not usable behind all that are.
+func (s *search) penalty(r *replica, a *area) float64 {
+	worst := 1 + 2*(a.own+a.foreign)
+	penalty := 0.0
+	if s.excluded(r) {
+		penalty += worst
+	}
+	if r.suspect {
+		penalty += 2 * worst
+	}
+	if r.ejected(s.now) {
+		penalty += 4 * worst
+	}
+	return penalty
+}
+
+// isolated chooses a replica without a suspect, as idle as there is, in the
+// local zone if possible. With none left, the suspect shares one.
+func (s *search) isolated(p *pool) found {
+	var best, crowded *replica
+	for _, a := range p.areas {
+		if !s.reachable(a) {
+			continue
+		}
+		for _, r := range a.replicas {
+			if r.ejected(s.now) || s.excluded(r) {
+				continue
+			}
+			s.weighed++
+			if crowded == nil || s.idler(r, crowded) {
+				crowded = r
+			}
+			if !r.suspect && (best == nil || s.idler(r, best)) {
+				best = r
+			}
+		}
+	}
+	if best != nil {
+		return found{replica: best, reason: ReasonIsolated, isolated: true}
+	}
+	return found{replica: crowded, reason: ReasonCrowded}
+}
+
+// idler reports whether x suits an isolated attempt better than y.
+func (s *search) idler(x, y *replica) bool {
+	if near, other := x.area.zone == s.router.zone, y.area.zone == s.router.zone; near != other {
+		return near
+	}
+	if a, b := x.busy(), y.busy(); a != b {
+		return a < b
+	}
+	return x.load(s.now) < y.load(s.now)
+}
+
+// busy returns the attempts in flight, from here or as reported.
+func (r *replica) busy() int {
+	return max(r.inFlight, r.server.Load.Running)
+}
