--- a/wire/client.go
+++ b/wire/client.go
@@ -23,8 +23,8 @@
 	keepaliveInterval = 10 * time.Second
 	keepaliveTimeout  = 3 * time.Second
 	connectTimeout    = 2 * time.Second
-	reconnectMin      = 100 * time.Millisecond
-	reconnectMax      = 2 * time.Second
+	reconnectBase     = 100 * time.Millisecond
+	reconnectCeiling  = 2 * time.Second
 	reconnectFactor   = 1.6
 	reconnectJitter   = 0.2
 )
@@ -50,7 +50,7 @@
 		}),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff: backoff.Config{
-				BaseDelay: reconnectMin, Multiplier: reconnectFactor, Jitter: reconnectJitter, MaxDelay: reconnectMax,
+				BaseDelay: reconnectBase, Multiplier: reconnectFactor, Jitter: reconnectJitter, MaxDelay: reconnectCeiling,
 			},
 			MinConnectTimeout: connectTimeout,
 		}),
