fix: faults of a settings file in the order of their lines

Cause: the decoder meets keys in random order, so that the golden file failed in about one run of three. Change: faults are sorted by line. Conclusion: the same file gives the same report.

--- a/conf/load.go
+++ b/conf/load.go
@@ -1,10 +1,12 @@
 package conf
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"os"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -63,6 +65,14 @@
 // FaultsError lists all faults of a settings file. It is an error.
 type FaultsError []Fault
 
+// sort orders the faults by line, those without a line last. The decoder meets
+// the keys of a table in no fixed order.
+func (f FaultsError) sort() {
+	slices.SortStableFunc(f, func(a, b Fault) int {
+		return cmp.Compare(uint(a.Line-1), uint(b.Line-1))
+	})
+}
+
 // Error implements error.
 func (f FaultsError) Error() string {
 	lines := make([]string, 0, len(f))
@@ -101,6 +111,7 @@
 	c := &checker{file: file, lines: newLineIndex(text), reported: keysOf(faults), faults: faults}
 	c.check(&s, use)
 	if len(c.faults) > 0 {
+		c.faults.sort()
 		return s, track.Fail("check settings", Faulty, c.faults)
 	}
 	return s, nil
