--- a/agent/events.go
+++ b/agent/events.go
@@ -16,6 +16,12 @@
 	doneEvent = []byte("[DONE]")
 )
 
+// maxEventBytes bounds one event of a generation.
+const maxEventBytes = 4 << 20
+
+// errLongEvent means that an event was longer than maxEventBytes.
+var errLongEvent = errors.New("event of a generation is too long")
+
 // errNoDone means that a generation ended without its final event.
 var errNoDone = errors.New("generation ended without its final event")
 
@@ -25,7 +31,7 @@
 	reader := bufio.NewReaderSize(body, readBufferBytes)
 	var pending []byte
 	for {
-		line, err := reader.ReadSlice('\n')
+		line, err := readLine(reader)
 		payload, ok := eventPayload(line)
 		done := ok && bytes.Equal(payload, doneEvent)
 		if ok && !done {
@@ -50,6 +56,23 @@
 	}
 }
 
+// readLine returns the next line. The line is valid until the next read.
+func readLine(reader *bufio.Reader) ([]byte, error) {
+	line, err := reader.ReadSlice('\n')
+	if !errors.Is(err, bufio.ErrBufferFull) {
+		return line, err
+	}
+	var long []byte
+	for errors.Is(err, bufio.ErrBufferFull) {
+		long = append(long, line...)
+		if len(long) > maxEventBytes {
+			return nil, errLongEvent
+		}
+		line, err = reader.ReadSlice('\n')
+	}
+	return append(long, line...), err
+}
+
 // lineBuffered reports whether a whole line can be read without waiting.
 func lineBuffered(reader *bufio.Reader) bool {
 	waiting, err := reader.Peek(reader.Buffered())
--- a/cmd/filberttrack/process_test.go
+++ b/cmd/filberttrack/process_test.go
@@ -111,38 +111,61 @@
 	return response.StatusCode, string(text)
 }
 
-func TestSeparateProcesses(t *testing.T) {
-	const agents = 3
-	address := freeAddresses(t, 1+2*agents)
-	targets := []string{"dispatch-llm", "dispatch-llm", "pickup-desk"}
-	standin := fmt.Sprintf("[Standin]\nListen = %q\n", address[0])
+// deployment is an entry, agents and stand-ins as separate processes.
+type deployment struct {
+	entry   *process
+	standin *process
+	agents  []*process
+	base    string
+	// servers holds the addresses of the backend servers.
+	servers []string
+}
+
+// deploy starts an agent for each target, and the rest.
+func deploy(t *testing.T, stepTime string, targets ...string) *deployment {
+	t.Helper()
+	n := len(targets)
+	address := freeAddresses(t, 1+2*n)
+	servers, agents := address[1:1+n], address[1+n:]
+	section := fmt.Sprintf("[Standin]\nListen = %q\n", address[0])
 	for i, target := range targets {
-		standin += fmt.Sprintf("[[Standin.Servers]]\nListen = %q\nTarget = %q\nAgent = \"agent-%d\"\nAgentAddress = %q\nZone = \"rivera\"\n",
-			address[1+i], target, i, address[1+agents+i])
+		section += fmt.Sprintf("[[Standin.Servers]]\nListen = %q\nTarget = %q\nStepTime = %q\n"+
+			"Agent = \"agent-%d\"\nAgentAddress = %q\nZone = \"rivera\"\n", servers[i], target, stepTime, i, agents[i])
 	}
+	d := &deployment{servers: servers}
+	d.standin = start(t, "standin", "--settings", writeSettings(t, "standin", section))
 	platform := fmt.Sprintf("[Platform]\nLogURL = \"http://%s\"\nListURL = \"http://%s\"\n", address[0], address[0])
-	processes := []*process{start(t, "standin", "--settings", writeSettings(t, "standin", standin))}
 	for i, target := range targets {
-		section := fmt.Sprintf("[Agent]\nID = \"agent-%d\"\nZone = \"rivera\"\nListen = %q\nBackendURL = \"http://%s\"\nServes = %q\n",
-			i, address[1+agents+i], address[1+i], target)
-		processes = append(processes, start(t, "agent", "--settings", writeSettings(t, "agent", platform+section)))
+		section = fmt.Sprintf("[Agent]\nID = \"agent-%d\"\nZone = \"rivera\"\nListen = %q\nBackendURL = \"http://%s\"\nServes = %q\n",
+			i, agents[i], servers[i], target)
+		d.agents = append(d.agents, start(t, "agent", "--settings", writeSettings(t, "agent", platform+section)))
 	}
-	entry := start(t, "entry", "--settings", writeSettings(t, "entry", platform+
+	d.entry = start(t, "entry", "--settings", writeSettings(t, "entry", platform+
 		"[Entry]\nID = \"entry-1\"\nZone = \"rivera\"\nListen = \"127.0.0.1:0\"\nAdmin = \"127.0.0.1:0\"\nBalancerDelay = \"1ms\"\n"))
-	base := "http://" + entry.field("listen")
+	d.base = "http://" + d.entry.field("listen")
+	return d
+}
 
-	status, body := post(t, base+"/v1/chat/completions",
+// stop ends all processes that still run, the entry first.
+func (d *deployment) stop(t *testing.T) {
+	t.Helper()
+	for _, p := range append(append([]*process{d.entry}, d.agents...), d.standin) {
+		if p.cmd.ProcessState == nil {
+			p.stop(t)
+		}
+	}
+}
+
+func TestSeparateProcesses(t *testing.T) {
+	d := deploy(t, "0s", "dispatch-llm", "dispatch-llm", "pickup-desk")
+	defer d.stop(t)
+	status, body := post(t, d.base+"/v1/chat/completions",
 		`{"model":"dispatch-llm","messages":[{"role":"user","content":"late bales at mill nine"}]}`)
 	assert.Equal(t, status, http.StatusOK, body)
 	assert.Assert(t, cmp.Contains(body, "late bales at mill nine"))
-	status, body = post(t, base+"/services/pickup-desk/bookings", `{"Mill":"nine"}`, "Idempotency-Key", "key-1")
+	status, body = post(t, d.base+"/services/pickup-desk/bookings", `{"Mill":"nine"}`, "Idempotency-Key", "key-1")
 	assert.Equal(t, status, http.StatusCreated, body)
 	assert.Assert(t, cmp.Contains(body, "BookingID"))
-
-	entry.stop(t)
-	for _, p := range processes {
-		p.stop(t)
-	}
 }
 
 func TestDevPrintsItsAddresses(t *testing.T) {
--- /dev/null
+++ b/entry/parse/parse_test.go
@@ -0,0 +1,94 @@
+package parse_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/entry/flow"
+	"filberttrack.example/track/entry/parse"
+	"filberttrack.example/track/lookup"
+)
+
+var limits = parse.Limits{MaxBodyBytes: 1 << 16, MaxTimeout: time.Minute}
+
+func directory() track.Directory {
+	return lookup.New(track.Config{
+		Profiles: []track.Profile{{
+			Name: "pickups", Timeout: time.Second,
+			NonIdempotent: []track.CallPattern{{Method: "POST", Path: "/bookings"}, {Method: "PUT", Path: "/bookings/*"}},
+		}},
+		Models:   []track.Model{{Name: "dispatch-llm", Profile: "pickups"}},
+		Services: []track.Service{{Name: "pickup-desk", Profile: "pickups"}},
+	})
+}
+
+func exchange(method, path, body string, header ...string) *flow.Exchange {
+	request := httptest.NewRequest(method, "/services/pickup-desk", strings.NewReader(body))
+	request.SetPathValue("service", "pickup-desk")
+	request.SetPathValue("path", path)
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	return &flow.Exchange{Writer: httptest.NewRecorder(), Request: request}
+}
+
+func TestNonIdempotentCallsAreFoundByMethodAndCleanPath(t *testing.T) {
+	step := parse.NewPlain(directory(), limits)
+	for _, tc := range []struct {
+		method, path string
+		want         bool
+	}{
+		{"POST", "bookings", true},
+		{"POST", "bookings/", true},
+		{"POST", "./x/../bookings", true},
+		{"POST", "//bookings", true},
+		{"PUT", "bookings/7", true},
+		{"PUT", "bookings", false},
+		{"GET", "bookings", false},
+		{"POST", "status", false},
+	} {
+		x := exchange(tc.method, tc.path, "{}", flow.HeaderIdempotency, "key")
+		assert.NilError(t, step.Run(context.Background(), x))
+		assert.Equal(t, x.Call.NonIdempotent, tc.want, "%s %s", tc.method, tc.path)
+	}
+}
+
+func TestBearerTokenDoesNotReachTheService(t *testing.T) {
+	x := exchange("GET", "bookings", "", "Authorization", "Bearer secret", "Accept", "text/plain")
+	assert.NilError(t, parse.NewPlain(directory(), limits).Run(context.Background(), x))
+	assert.DeepEqual(t, x.Call.Header, http.Header{"Accept": {"text/plain"}})
+}
+
+func TestEngineAlwaysStreamsAndGetsThePriority(t *testing.T) {
+	x := exchange("POST", "", `{"model":"dispatch-llm","seed":7,"messages":[{"role":"user","content":"x"}]}`)
+	assert.NilError(t, parse.NewChat(directory(), limits).Run(context.Background(), x))
+	assert.Equal(t, string(x.Call.Body), `{"messages":[{"role":"user","content":"x"}],"model":"dispatch-llm",`+
+		`"priority":0,"seed":7,"stream":true,"stream_options":{"include_usage":true}}`)
+}
+
+// FuzzChat checks that any body is either refused with a client error or
+// understood.
+func FuzzChat(f *testing.F) {
+	f.Add(`{"model":"dispatch-llm","messages":[{"role":"user","content":"x"}]}`, "1s")
+	f.Add(`{"model":"dispatch-llm","messages":[{"role":"user","content":[{"type":"text"}]}],"max_tokens":1e9}`, "")
+	f.Add(`[]`, "-1h")
+	f.Fuzz(func(t *testing.T, body, timeout string) {
+		x := exchange("POST", "", body)
+		x.Request.Header[flow.HeaderTimeout] = []string{timeout}
+		err := parse.NewChat(directory(), limits).Run(context.Background(), x)
+		if err == nil {
+			return
+		}
+		var refusal *flow.RefusalError
+		assert.Assert(t, errors.As(err, &refusal), "%v", err)
+		assert.Assert(t, refusal.Status >= 400 && refusal.Status < 500 && refusal.Outcome == track.NotRun)
+	})
+}
--- /dev/null
+++ b/wire/wire_test.go
@@ -0,0 +1,73 @@
+package wire_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"gotest.tools/v3/assert"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/wire"
+)
+
+// echo is an agent that notes the dispatch and answers with given frames.
+type echo struct {
+	track.Agent
+	dispatch track.Dispatch
+	frames   []track.Frame
+}
+
+// Run implements track.Agent.
+func (e *echo) Run(_ context.Context, d track.Dispatch, send track.FrameFunc) error {
+	e.dispatch = d
+	for _, f := range e.frames {
+		err := send(f)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func TestDispatchAndFramesArriveAsSent(t *testing.T) {
+	id := track.AttemptID{Request: "request-1", Number: 2}
+	agent := &echo{frames: []track.Frame{
+		{ID: id, Kind: track.FrameHeader, Status: 201, Header: http.Header{"X": {"a", "b"}}},
+		{ID: id, Seq: 1, Kind: track.FrameData, Data: []byte("body")},
+		{ID: id, Seq: 2, Kind: track.FrameFinal, Outcome: track.NotRun, Refusal: track.RefusedLeaving, Crashed: true, Fault: "f"},
+	}}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := wire.NewServer()
+	wire.RegisterAgent(server, agent)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	dialer := wire.NewDialer(grpc.WithTransportCredentials(insecure.NewCredentials()))
+	port, err := dialer.Dial(track.Instance{Address: listener.Addr().String()})
+	assert.NilError(t, err)
+
+	sent := track.Dispatch{
+		ID: id, Agent: "agent-1", Incarnation: 7, Kind: track.Plain, Target: "pickup-desk", Method: "POST",
+		Path: "/bookings", Query: "a=b", Header: http.Header{"Accept": {"text/plain"}}, Body: []byte("{}"),
+		Timeout: 3 * time.Second, Priority: track.PriorityInteractive, Fingerprint: 9,
+	}
+	var received []track.Frame
+	err = port.Run(context.Background(), sent, func(f track.Frame) error {
+		received = append(received, f)
+		return nil
+	})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, agent.dispatch, sent)
+	assert.DeepEqual(t, received, agent.frames)
+
+	server.Stop()
+	assert.NilError(t, <-served)
+	err = port.Run(context.Background(), sent, func(track.Frame) error { return nil })
+	assert.Assert(t, track.IsKind(err, track.Unavailable), "%v", err)
+	dialer.Close()
+}
