--- a/wire/client.go
+++ b/wire/client.go
@@ -29,6 +29,8 @@
 	limits := []grpc.DialOption{
 		// An attempt is repeated only by the entry, which knows whether it may.
 		grpc.WithDisableRetry(),
+		grpc.WithStaticStreamWindowSize(streamWindowBytes),
+		grpc.WithStaticConnWindowSize(connWindowBytes),
 		grpc.WithDefaultCallOptions(
 			grpc.MaxCallRecvMsgSize(MaxMessageBytes),
 			grpc.MaxCallSendMsgSize(MaxMessageBytes),
--- a/wire/server.go
+++ b/wire/server.go
@@ -16,6 +16,13 @@
 // MaxMessageBytes bounds one message between own processes.
 const MaxMessageBytes = 32 << 20
 
+// Flow-control windows. Fixed ones save the pings by which gRPC estimates the
+// bandwidth, which would accompany most tokens.
+const (
+	streamWindowBytes = 256 << 10
+	connWindowBytes   = 16 << 20
+)
+
 // agentServer exposes a track.Agent over gRPC.
 type agentServer struct {
 	wirepb.UnimplementedAgentServer
@@ -31,6 +38,8 @@
 func NewServer(options ...grpc.ServerOption) *grpc.Server {
 	limits := []grpc.ServerOption{
 		grpc.MaxRecvMsgSize(MaxMessageBytes),
+		grpc.StaticStreamWindowSize(streamWindowBytes),
+		grpc.StaticConnWindowSize(connWindowBytes),
 		grpc.MaxSendMsgSize(MaxMessageBytes),
 	}
 	return grpc.NewServer(append(limits, options...)...)
