--- /dev/null
+++ b/gossip.go
@@ -0,0 +1,27 @@
+package track
+
+// The topics of notices between entries.
+const (
+	// TopicUsage carries the demand of client accounts.
+	TopicUsage Topic = "Usage"
+	// TopicQuarantine carries the standing of crashing requests.
+	TopicQuarantine Topic = "Quarantine"
+)
+
+// Notice is a small piece of state that an entry shares with other entries.
+type Notice struct {
+	Topic Topic
+	// From is the entry that published the notice.
+	From InstanceID
+	Data []byte
+}
+
+// Gossip carries notices between the entries of a zone. Delivery is best
+// effort: a notice may be late, lost, doubled or overtaken by a later one.
+type Gossip interface {
+	// Publish sends a notice to the other entries. It does not wait.
+	Publish(n Notice)
+	// Subscribe has handle called for each notice of the topic that another
+	// entry published. Handle must not wait.
+	Subscribe(topic Topic, handle func(Notice))
+}
--- a/wire/server.go
+++ b/wire/server.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
 	"filberttrack.example/track"
@@ -41,6 +42,9 @@
 		grpc.StaticStreamWindowSize(streamWindowBytes),
 		grpc.StaticConnWindowSize(connWindowBytes),
 		grpc.MaxSendMsgSize(MaxMessageBytes),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
+			MinTime: keepaliveInterval / 2, PermitWithoutStream: true,
+		}),
 	}
 	return grpc.NewServer(append(limits, options...)...)
 }
