--- /dev/null
+++ b/expert.go
@@ -0,0 +1,164 @@
+package track
+
+import (
+	"cmp"
+	"context"
+)
+
+// Ballot numbers the proposals to change the expert map of a group. Ballots are
+// unique and ordered; a member of the group refuses orders with a ballot below
+// the one that it promised.
+type Ballot struct {
+	Number uint64
+	// Driver and Incarnation name the process that makes the proposal.
+	Driver      InstanceID
+	Incarnation Incarnation
+}
+
+// Compare orders ballots by number, then by driver and incarnation.
+func (b Ballot) Compare(other Ballot) int {
+	return cmp.Or(
+		cmp.Compare(b.Number, other.Number),
+		cmp.Compare(b.Driver, other.Driver),
+		cmp.Compare(b.Incarnation, other.Incarnation),
+	)
+}
+
+// ExpertMap says which expert each slot of each rank holds.
+type ExpertMap struct {
+	// Version is the ballot of the proposal that brought the map.
+	Version Ballot
+	Experts int
+	// Slots is the number of expert copies that a rank holds in each layer.
+	Slots int
+	// Layers holds for each layer the expert in each slot, rank by rank.
+	Layers [][]int32
+}
+
+// MapSwitch orders that a prepared map replaces the map in use from a step on.
+type MapSwitch struct {
+	Version Ballot
+	// Step is the first step that uses the new map.
+	Step uint64
+}
+
+// RankState is the state of a rank as its engine reports it.
+type RankState struct {
+	// Boot identifies the start of the rank; a rank that restarts has another.
+	Boot uint64
+	// Blank is set while a rank that was started has no map. It can't step.
+	Blank bool
+	// Step is the next step that the rank will enter.
+	Step uint64
+	// Map is the map in use.
+	Map ExpertMap
+	// Prepared is the map whose weights were fetched beside the map in use.
+	Prepared *ExpertMap
+	// Armed is the switch that the rank must not pass without a decision.
+	Armed *MapSwitch
+	// Arming is the ID that Commit, Disarm and Restore must name.
+	Arming uint64
+	// Decided is set once the armed switch was committed.
+	Decided bool
+	// Fence is the highest fencing number seen by an engine that checks them.
+	Fence uint64
+}
+
+// RankEngine is the port by which an agent orders the ranks behind it.
+//
+// A fencing number accompanies each order; an engine may refuse an order whose
+// number is below the highest that it has seen, or ignore the number.
+type RankEngine interface {
+	// State returns the state of the rank.
+	State(ctx context.Context) (RankState, error)
+	// Prepare fetches the weights that the map needs, at the weight store's rate,
+	// while the rank goes on with the map in use. It returns once the fetch has
+	// begun; State tells when the map is prepared.
+	Prepare(ctx context.Context, fence uint64, m ExpertMap) error
+	// Arm makes the rank hold before the step of the switch until Commit or
+	// Disarm names this arming. It is refused once the rank has entered that step
+	// and while the map isn't prepared.
+	Arm(ctx context.Context, fence uint64, s MapSwitch, arming uint64) error
+	// Claim replaces the ID of the arming of an armed rank, or gives a blank rank
+	// one, so that orders sent under another ID find nothing to act on.
+	Claim(ctx context.Context, fence, arming uint64) error
+	// Commit lets the rank use the new map from the step of the switch on.
+	Commit(ctx context.Context, fence, arming uint64) error
+	// Disarm lets the rank go on with the map in use.
+	Disarm(ctx context.Context, fence, arming uint64) error
+	// Restore loads a blank rank with the map and the switch of the state given.
+	// It is refused unless boot and arming of that state are the rank's own.
+	Restore(ctx context.Context, fence uint64, s RankState) error
+}
+
+// MapOrderKind says what a MapOrder asks for.
+type MapOrderKind string
+
+// The orders of a change of the expert map, in their usual sequence.
+const (
+	// OrderPromise asks the member to refuse lower ballots from now on and to
+	// report the state of its rank.
+	OrderPromise MapOrderKind = "Promise"
+	OrderPrepare MapOrderKind = "Prepare"
+	OrderArm     MapOrderKind = "Arm"
+	OrderCommit  MapOrderKind = "Commit"
+	OrderDisarm  MapOrderKind = "Disarm"
+	OrderRestore MapOrderKind = "Restore"
+)
+
+// MapOrder is an order from the driver of a change to a member of the group.
+type MapOrder struct {
+	Kind   MapOrderKind
+	Ballot Ballot
+	To     InstanceID
+	// Incarnation is that of the member when it promised; a later one refuses the
+	// order. It is not set on a Promise.
+	Incarnation Incarnation
+	// Switch is set on Arm, Commit and Disarm.
+	Switch MapSwitch
+	// Maps is set on a Promise whose reply is to hold the layers of the maps;
+	// other replies leave them out.
+	Maps bool
+	// Map is set on Prepare.
+	Map *ExpertMap
+	// State is set on Restore.
+	State *RankState
+}
+
+// MapRefusal says why a member declined an order.
+type MapRefusal string
+
+// The reasons for a refusal. An accepted order has none.
+const (
+	// RefusedBallot means that the member promised another ballot.
+	RefusedBallot MapRefusal = "Ballot"
+	// RefusedIncarnation means that the member restarted since its promise.
+	RefusedIncarnation MapRefusal = "Incarnation"
+	// RefusedClosed means that the member disarmed under this ballot already.
+	RefusedClosed MapRefusal = "Closed"
+	// RefusedRank means that the rank's state doesn't allow the order.
+	RefusedRank MapRefusal = "Rank"
+)
+
+// MapReply is a member's answer to an order.
+type MapReply struct {
+	Kind   MapOrderKind
+	Ballot Ballot
+	From   InstanceID
+	// Incarnation is that of the member.
+	Incarnation Incarnation
+	Refusal     MapRefusal
+	// Fault describes a refusal, for logs.
+	Fault string
+	// Promised is the ballot that the member has promised.
+	Promised Ballot
+	// State is the state of the rank after the order.
+	State RankState
+}
+
+// MapMember is the port to a member of a rank group.
+type MapMember interface {
+	// Order carries out an order or refuses it. After an error of kind Ambiguous
+	// the order may have been carried out, or may still be.
+	Order(ctx context.Context, o MapOrder) (MapReply, error)
+}
--- /dev/null
+++ b/expert/layer.go
@@ -0,0 +1,287 @@
+package expert
+
+import "slices"
+
+// change is a group of moves in one layer that only make sense together.
+type change struct {
+	moves [2]Move
+	n     int
+	// peak is the load of the slowest rank after the change.
+	peak float64
+}
+
+// layerState is one layer while the planner tries changes on it. Loads are
+// relative to the mean of the ranks.
+type layerState struct {
+	Shape
+	layer int
+	slots []int32
+	// load is the load of each expert, share the load of each of its copies.
+	load   []float64
+	share  []float64
+	copies []int
+	// holders lists the ranks with a copy of the expert.
+	holders [][]int32
+	// holds is set for each rank and expert if the rank has a copy.
+	holds []bool
+	ranks []float64
+	// penalty is the penalty of each rank's load.
+	penalty []float64
+	// order lists the ranks by load, least first.
+	order []int
+}
+
+func newLayerState(s Shape) *layerState {
+	st := &layerState{
+		Shape:   s,
+		slots:   make([]int32, s.Ranks*s.Slots),
+		load:    make([]float64, s.Experts),
+		share:   make([]float64, s.Experts),
+		copies:  make([]int, s.Experts),
+		holders: make([][]int32, s.Experts),
+		holds:   make([]bool, s.Ranks*s.Experts),
+		ranks:   make([]float64, s.Ranks),
+		penalty: make([]float64, s.Ranks),
+		order:   make([]int, s.Ranks),
+	}
+	for e := range st.holders {
+		st.holders[e] = make([]int32, 0, s.Ranks)
+	}
+	return st
+}
+
+// reset loads the slots and tokens of a layer. It returns false for a layer
+// without tokens.
+func (st *layerState) reset(layer int, slots []int32, tokens []float64) bool {
+	total := 0.0
+	for _, t := range tokens {
+		total += t
+	}
+	if total <= 0 {
+		return false
+	}
+	st.layer = layer
+	copy(st.slots, slots)
+	clear(st.holds)
+	for e, t := range tokens {
+		st.load[e] = t * float64(st.Ranks) / total
+		st.holders[e] = st.holders[e][:0]
+	}
+	for i, e := range st.slots {
+		rank := i / st.Slots
+		st.holders[e] = append(st.holders[e], int32(rank))
+		st.holds[rank*st.Experts+int(e)] = true
+	}
+	for e := range st.copies {
+		st.copies[e] = len(st.holders[e])
+		st.share[e] = st.load[e] / float64(st.copies[e])
+	}
+	clear(st.ranks)
+	for i, e := range st.slots {
+		st.ranks[i/st.Slots] += st.share[e]
+	}
+	for r, x := range st.ranks {
+		st.penalty[r] = penalty(x)
+		st.order[r] = r
+	}
+	return true
+}
+
+// penalty weighs the load of a rank such that the slowest ranks count most.
+func penalty(x float64) float64 {
+	x *= x
+	x *= x
+	return x * x
+}
+
+func (st *layerState) peak() float64 {
+	return slices.Max(st.ranks)
+}
+
+// sortRanks orders the ranks by load; equal loads keep the order of the ranks.
+// Few ranks change between calls, so that an insertion sort moves little.
+func (st *layerState) sortRanks() {
+	for i := 1; i < len(st.order); i++ {
+		rank := st.order[i]
+		j := i
+		for ; j > 0 && st.after(st.order[j-1], rank); j-- {
+			st.order[j] = st.order[j-1]
+		}
+		st.order[j] = rank
+	}
+}
+
+func (st *layerState) after(a, b int) bool {
+	return st.ranks[a] > st.ranks[b] || st.ranks[a] == st.ranks[b] && a > b
+}
+
+// replaceGain returns how much the penalty falls if the slot takes expert b in
+// place of its redundant copy of a.
+func (st *layerState) replaceGain(slot int, b int32) float64 {
+	rank := int32(slot / st.Slots)
+	a := st.slots[slot]
+	newA := st.load[a] / float64(st.copies[a]-1)
+	newB := st.load[b] / float64(st.copies[b]+1)
+	riseA, fallB := newA-st.share[a], st.share[b]-newB
+	gain := 0.0
+	for _, r := range st.holders[a] {
+		if r == rank {
+			continue
+		}
+		x := st.ranks[r] + riseA
+		if st.holds[int(r)*st.Experts+int(b)] {
+			x -= fallB
+		}
+		gain += st.penalty[r] - penalty(x)
+	}
+	for _, r := range st.holders[b] {
+		if !st.holds[int(r)*st.Experts+int(a)] {
+			gain += st.penalty[r] - penalty(st.ranks[r]-fallB)
+		}
+	}
+	return gain + st.penalty[rank] - penalty(st.ranks[rank]-st.share[a]+newB)
+}
+
+// swapGain returns how much the penalty falls if two slots exchange experts.
+func (st *layerState) swapGain(slotA, slotB int) float64 {
+	ra, rb := slotA/st.Slots, slotB/st.Slots
+	d := st.share[st.slots[slotA]] - st.share[st.slots[slotB]]
+	return st.penalty[ra] + st.penalty[rb] - penalty(st.ranks[ra]-d) - penalty(st.ranks[rb]+d)
+}
+
+// put replaces the expert of a slot and updates the loads.
+func (st *layerState) put(slot int, b int32) Move {
+	rank := slot / st.Slots
+	a := st.slots[slot]
+	st.shift(a, -1)
+	st.shift(b, 1)
+	i := slices.Index(st.holders[a], int32(rank))
+	st.holders[a] = slices.Delete(st.holders[a], i, i+1)
+	st.ranks[rank] += st.share[b] - st.share[a]
+	st.holders[b] = append(st.holders[b], int32(rank))
+	st.holds[rank*st.Experts+int(a)] = false
+	st.holds[rank*st.Experts+int(b)] = true
+	st.slots[slot] = b
+	st.penalty[rank] = penalty(st.ranks[rank])
+	return Move{Layer: st.layer, Rank: rank, Slot: slot % st.Slots, From: int(a), To: int(b)}
+}
+
+// shift changes the number of copies of an expert and the load of its holders.
+func (st *layerState) shift(e int32, by int) {
+	st.copies[e] += by
+	share := 0.0
+	if st.copies[e] > 0 {
+		share = st.load[e] / float64(st.copies[e])
+	}
+	for _, r := range st.holders[e] {
+		st.ranks[r] += share - st.share[e]
+		st.penalty[r] = penalty(st.ranks[r])
+	}
+	st.share[e] = share
+}
+
+// candidate is a change that was weighed. A swap has a second slot.
+type candidate struct {
+	slot   int
+	expert int32
+	other  int
+	gain   float64
+}
+
+// step applies the change with the most gain for each move that involves the
+// slowest rank. It returns false if no change has any.
+func (st *layerState) step(cool int) (change, bool) {
+	st.sortRanks()
+	hot := st.order[st.Ranks-1]
+	best := candidate{other: -1, gain: minPenaltyGain}
+	st.tryCopies(hot, cool, &best)
+	st.tryRelief(hot, &best)
+	st.trySwaps(hot, cool, &best)
+	if best.gain == minPenaltyGain {
+		return change{}, false
+	}
+	var c change
+	if best.other < 0 {
+		c.moves[0] = st.put(best.slot, best.expert)
+		c.n = 1
+	} else {
+		a, b := st.slots[best.slot], st.slots[best.other]
+		c.moves[0] = st.put(best.slot, b)
+		c.moves[1] = st.put(best.other, a)
+		c.n = 2
+	}
+	c.peak = st.peak()
+	return c, true
+}
+
+// tryCopies weighs further copies of the hot rank's experts on cool ranks.
+func (st *layerState) tryCopies(hot, cool int, best *candidate) {
+	for _, b := range st.slots[hot*st.Slots : (hot+1)*st.Slots] {
+		relief := st.relief(b)
+		for _, rank := range st.order[:min(cool, st.Ranks-1)] {
+			st.tryRank(rank, b, relief, best)
+		}
+	}
+}
+
+// tryRelief weighs experts of other hot ranks in place of the hot rank's
+// redundant copies.
+func (st *layerState) tryRelief(hot int, best *candidate) {
+	for _, rank := range st.order[max(0, st.Ranks-hotRanks) : st.Ranks-1] {
+		for _, b := range st.slots[rank*st.Slots : (rank+1)*st.Slots] {
+			st.tryRank(hot, b, st.relief(b), best)
+		}
+	}
+}
+
+// relief returns how much the penalty of the holders of an expert falls if there
+// is another copy.
+func (st *layerState) relief(b int32) float64 {
+	fall := st.share[b] - st.load[b]/float64(st.copies[b]+1)
+	gain := 0.0
+	for _, r := range st.holders[b] {
+		gain += st.penalty[r] - penalty(st.ranks[r]-fall)
+	}
+	return gain
+}
+
+// tryRank weighs a further copy of expert b in each slot of a rank that has a
+// redundant copy. The relief bounds the gain from above, together with the
+// change of the rank itself.
+func (st *layerState) tryRank(rank int, b int32, relief float64, best *candidate) {
+	if st.holds[rank*st.Experts+int(b)] {
+		return
+	}
+	newB := st.load[b] / float64(st.copies[b]+1)
+	for slot := rank * st.Slots; slot < (rank+1)*st.Slots; slot++ {
+		a := st.slots[slot]
+		if st.copies[a] < 2 {
+			continue
+		}
+		if relief+st.penalty[rank]-penalty(st.ranks[rank]-st.share[a]+newB) <= best.gain {
+			continue
+		}
+		if gain := st.replaceGain(slot, b); gain > best.gain {
+			*best = candidate{slot: slot, expert: b, other: -1, gain: gain}
+		}
+	}
+}
+
+// trySwaps weighs exchanges between the hot rank and cool ranks.
+func (st *layerState) trySwaps(hot, cool int, best *candidate) {
+	for _, rank := range st.order[:min(cool, st.Ranks-1)] {
+		for a := hot * st.Slots; a < (hot+1)*st.Slots; a++ {
+			if st.holds[rank*st.Experts+int(st.slots[a])] {
+				continue
+			}
+			for b := rank * st.Slots; b < (rank+1)*st.Slots; b++ {
+				if st.holds[hot*st.Experts+int(st.slots[b])] {
+					continue
+				}
+				if gain := st.swapGain(a, b) / 2; gain > best.gain {
+					*best = candidate{slot: a, other: b, gain: gain}
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/swap/driver.go
@@ -0,0 +1,273 @@
+package swap
+
+import (
+	"fmt"
+	"slices"
+
+	"filberttrack.example/track"
+)
+
+// Outcome says how a driver's attempt ended.
+type Outcome string
+
+// The outcomes of an attempt.
+const (
+	// Switched means that every member committed the new map.
+	Switched Outcome = "Switched"
+	// Settled means that a change left half done, or a blank rank, was settled.
+	Settled Outcome = "Settled"
+	// Idle means that there was nothing to settle and no map to change to.
+	Idle Outcome = "Idle"
+	// Undone means that a member could not be armed; the old map stays.
+	Undone Outcome = "Undone"
+	// Outbid means that a member has promised a higher ballot.
+	Outbid Outcome = "Outbid"
+	// Stuck means that members did not answer; another attempt has to settle
+	// what this one left behind.
+	Stuck Outcome = "Stuck"
+)
+
+// Result is the end of an attempt.
+type Result struct {
+	Outcome Outcome
+	// Reason names the member and the fault that decided, if any.
+	Reason string
+	// Switch is the switch that was committed or undone, if any.
+	Switch track.MapSwitch
+	// Highest is the highest ballot number met.
+	Highest uint64
+}
+
+// phase is what a driver waits for.
+type phase int
+
+const (
+	promising phase = iota
+	settling
+	preparing
+	arming
+	committing
+	undoing
+	ended
+)
+
+// armAhead is the number of steps between the furthest rank and the step of a
+// switch; orders have that long to arrive before a rank holds.
+const armAhead = 4
+
+// Plan is what a driver is to do once the group is settled.
+type Plan struct {
+	// Map is the map to change to; nil to settle only. Its version is set by the
+	// driver.
+	Map *track.ExpertMap
+	// Base is the version that the map was planned from; the change is not begun
+	// if the group uses another.
+	Base track.Ballot
+	// Default is the map for a group whose ranks are all blank.
+	Default track.ExpertMap
+}
+
+// Driver is one attempt under one ballot. It is not safe for concurrent use.
+type Driver struct {
+	ballot  track.Ballot
+	members []track.InstanceID
+	plan    Plan
+
+	phase phase
+	// replies holds the accepted reply of each member in this phase.
+	replies map[track.InstanceID]track.MapReply
+	// orders holds the orders of this phase, for repeats.
+	orders map[track.InstanceID]track.MapOrder
+	// promises holds the incarnations under which the members promised.
+	promises map[track.InstanceID]track.Incarnation
+	maps     bool
+	result   Result
+}
+
+// NewDriver returns a driver for the members of a group and its first orders.
+func NewDriver(ballot track.Ballot, members []track.InstanceID, plan Plan) (*Driver, []track.MapOrder) {
+	d := &Driver{ballot: ballot, members: slices.Sorted(slices.Values(members)), plan: plan}
+	d.promises = make(map[track.InstanceID]track.Incarnation, len(members))
+	d.result.Highest = ballot.Number
+	return d, d.enter(promising, d.promiseOrder)
+}
+
+// Result returns the end of the attempt, or false while it goes on.
+func (d *Driver) Result() (Result, bool) {
+	return d.result, d.phase == ended
+}
+
+func (d *Driver) promiseOrder(track.InstanceID) (track.MapOrder, bool) {
+	return track.MapOrder{Kind: track.OrderPromise, Maps: d.maps}, true
+}
+
+// enter begins a phase with an order for each member that needs one.
+func (d *Driver) enter(p phase, order func(track.InstanceID) (track.MapOrder, bool)) []track.MapOrder {
+	d.phase = p
+	d.replies = make(map[track.InstanceID]track.MapReply, len(d.members))
+	d.orders = make(map[track.InstanceID]track.MapOrder, len(d.members))
+	var out []track.MapOrder
+	for _, member := range d.members {
+		o, ok := order(member)
+		if !ok {
+			continue
+		}
+		o.Ballot, o.To, o.Incarnation = d.ballot, member, d.promises[member]
+		d.orders[member] = o
+		out = append(out, o)
+	}
+	return out
+}
+
+// everyone returns the same order for each member.
+func everyone(o track.MapOrder) func(track.InstanceID) (track.MapOrder, bool) {
+	return func(track.InstanceID) (track.MapOrder, bool) { return o, true }
+}
+
+// Handle takes a reply and returns the orders that follow. Replies to another
+// ballot, to an earlier phase or repeated ones change nothing.
+func (d *Driver) Handle(r track.MapReply) []track.MapOrder {
+	o, asked := d.orders[r.From]
+	if d.phase == ended || !asked || r.Ballot != d.ballot || r.Kind != o.Kind {
+		return nil
+	}
+	if _, answered := d.replies[r.From]; answered || o.Maps && !r.State.Blank && r.State.Map.Layers == nil {
+		return nil
+	}
+	d.result.Highest = max(d.result.Highest, r.Promised.Number, r.State.Fence)
+	if r.Refusal != "" {
+		return d.refused(r)
+	}
+	if d.phase == preparing && (r.State.Prepared == nil || r.State.Prepared.Version != d.ballot) {
+		return nil
+	}
+	d.replies[r.From] = r
+	if len(d.replies) < len(d.orders) {
+		return nil
+	}
+	return d.next()
+}
+
+// Repeat returns the orders of this phase that have no reply yet.
+func (d *Driver) Repeat() []track.MapOrder {
+	var out []track.MapOrder
+	for _, member := range d.members {
+		o, asked := d.orders[member]
+		if _, answered := d.replies[member]; asked && !answered && d.phase != ended {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// GiveUp ends the wait for members that don't answer. A change that isn't armed
+// everywhere is undone.
+func (d *Driver) GiveUp() []track.MapOrder {
+	reason := fmt.Sprintf("no answer from %v", d.missing())
+	switch d.phase {
+	case ended:
+		return nil
+	case preparing, arming:
+		return d.undo(reason)
+	}
+	return d.end(Stuck, reason)
+}
+
+func (d *Driver) missing() []track.InstanceID {
+	var out []track.InstanceID
+	for _, o := range d.Repeat() {
+		out = append(out, o.To)
+	}
+	return out
+}
+
+// refused ends the attempt or undoes the change, according to the phase.
+func (d *Driver) refused(r track.MapReply) []track.MapOrder {
+	reason := fmt.Sprintf("%s refused %s: %s %s", r.From, r.Kind, r.Refusal, r.Fault)
+	switch {
+	case r.Refusal == track.RefusedBallot:
+		return d.end(Outbid, reason)
+	case d.phase == preparing, d.phase == arming:
+		return d.undo(reason)
+	}
+	return d.end(Stuck, reason)
+}
+
+func (d *Driver) end(o Outcome, reason string) []track.MapOrder {
+	d.phase = ended
+	d.result.Outcome = o
+	if d.result.Reason == "" {
+		d.result.Reason = reason
+	}
+	return nil
+}
+
+// undo takes back the driver's own change. It has never sent a commit.
+func (d *Driver) undo(reason string) []track.MapOrder {
+	d.result.Reason = reason
+	return d.enter(undoing, everyone(track.MapOrder{Kind: track.OrderDisarm, Switch: d.result.Switch}))
+}
+
+// next follows a phase that every member has answered.
+func (d *Driver) next() []track.MapOrder {
+	switch d.phase {
+	case promising:
+		return d.promised()
+	case settling:
+		return d.end(Settled, "")
+	case preparing:
+		return d.arm()
+	case arming:
+		return d.enter(committing, everyone(track.MapOrder{Kind: track.OrderCommit, Switch: d.result.Switch}))
+	case committing:
+		return d.end(Switched, "")
+	}
+	return d.end(Undone, "")
+}
+
+// promised follows the promises of all members: no order of an older ballot can
+// take effect from now on.
+func (d *Driver) promised() []track.MapOrder {
+	states := make(map[track.InstanceID]track.RankState, len(d.replies))
+	blank := false
+	for member, r := range d.replies {
+		d.promises[member] = r.Incarnation
+		states[member] = r.State
+		blank = blank || r.State.Blank
+	}
+	if blank && !d.maps {
+		d.maps = true
+		return d.enter(promising, d.promiseOrder)
+	}
+	if s := newSettlement(d.members, states, d.plan.Default, d.ballot); s.needed() {
+		d.result.Switch = s.switches()
+		return d.enter(settling, s.order)
+	}
+	return d.prepare(states)
+}
+
+func (d *Driver) prepare(states map[track.InstanceID]track.RankState) []track.MapOrder {
+	if d.plan.Map == nil {
+		return d.end(Idle, "")
+	}
+	if base := states[d.members[0]].Map.Version; base != d.plan.Base {
+		return d.end(Idle, fmt.Sprintf("planned from map %v, in use is %v", d.plan.Base, base))
+	}
+	for _, member := range d.members {
+		if states[member].Armed != nil {
+			return d.end(Idle, "a committed switch waits for its step")
+		}
+	}
+	d.plan.Map.Version = d.ballot
+	return d.enter(preparing, everyone(track.MapOrder{Kind: track.OrderPrepare, Map: d.plan.Map}))
+}
+
+// arm names a step that no rank has entered yet.
+func (d *Driver) arm() []track.MapOrder {
+	furthest := uint64(0)
+	for _, r := range d.replies {
+		furthest = max(furthest, r.State.Step)
+	}
+	d.result.Switch = track.MapSwitch{Version: d.ballot, Step: furthest + armAhead}
+	return d.enter(arming, everyone(track.MapOrder{Kind: track.OrderArm, Switch: d.result.Switch}))
+}
