--- a/expert/plan.go
+++ b/expert/plan.go
@@ -99,9 +99,8 @@
 	return p.estimate.Loads()
 }
 
-// Plan proposes moves for the placement. The planner assumes that the moves are
-// carried out; if they are not, it proposes them again once their gain has
-// grown by the hysteresis.
+// Plan proposes moves for the placement in use. Moves that are not carried out
+// are proposed again.
 func (p *Planner) Plan(now Placement, budget Budget) (Plan, error) {
 	if now.Shape != p.shape {
 		return Plan{}, track.Fail("plan", Invalid, fmt.Errorf("placement %+v, group %+v", now.Shape, p.shape))
@@ -238,7 +237,7 @@
 	if p.policy.SkewWeight <= 0 {
 		return maxHysteresis
 	}
-	h := max(minHysteresis, p.policy.MoveWeight/p.policy.SkewWeight*hysteresisMoves, p.estimate.Noise())
+	h := max(minHysteresis, p.policy.MoveWeight/p.policy.SkewWeight*hysteresisMoves, noiseHysteresis*p.estimate.Noise())
 	return min(maxHysteresis, h)
 }
 
--- a/swap/settle.go
+++ b/swap/settle.go
@@ -44,8 +44,9 @@
 }
 
 // mustFinish decides about a switch that some member is armed for. A decision to
-// commit is only ever taken after all members were armed; so a member that is
-// not armed shows that there was none.
+// commit is only ever taken after all members were armed, and never taken back;
+// so a member that is neither armed nor past the switch shows that there was
+// none.
 func (s *settlement) mustFinish(open track.MapSwitch) bool {
 	all := true
 	for _, state := range s.states {
@@ -55,8 +56,6 @@
 			return true
 		case state.Armed == nil || *state.Armed != open:
 			all = false
-		case state.Decided:
-			return true
 		}
 	}
 	return all
