--- /dev/null
+++ b/entry/parse/chat.go
@@ -0,0 +1,162 @@
+// Package parse provides the steps that check a caller's request and turn it
+// into a track.Call.
+package parse
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/entry/flow"
+	"filberttrack.example/track/prefix"
+)
+
+// enginePath is the path of generations at an engine.
+const enginePath = "/v1/chat/completions"
+
+// maxPrefixBlocks bounds the prefix hashes of one prompt.
+const maxPrefixBlocks = 64
+
+// bytesPerToken estimates tokens from the length of a text.
+const bytesPerToken = 4
+
+// Chat checks a generation request.
+type Chat struct {
+	directory track.Directory
+	limits    Limits
+}
+
+// NewChat returns the step for generations.
+func NewChat(directory track.Directory, limits Limits) *Chat {
+	return &Chat{directory: directory, limits: limits}
+}
+
+// String returns the name of the step.
+func (*Chat) String() string { return "parse generation" }
+
+// chatRequest lists the fields that an entry looks at. All others pass through.
+type chatRequest struct {
+	Model         string        `json:"model"`
+	Messages      []chatMessage `json:"messages"`
+	Stream        bool          `json:"stream"`
+	StreamOptions struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+	MaxTokens           *int `json:"max_tokens"`
+	MaxCompletionTokens *int `json:"max_completion_tokens"`
+}
+
+// chatMessage is one message of a prompt.
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// Run implements flow.Step.
+func (s *Chat) Run(_ context.Context, x *flow.Exchange) error {
+	body, err := readBody(x, s.limits)
+	if err != nil {
+		return err
+	}
+	request, fields, err := decodeChat(body)
+	if err != nil {
+		return err
+	}
+	model, ok := s.directory.Model(request.Model)
+	if !ok {
+		return flow.Invalid(http.StatusNotFound, "model_not_found", "model",
+			"the model %q does not exist", clip(request.Model))
+	}
+	call := &x.Call
+	call.Kind = track.Generation
+	call.Target = model.Name
+	call.Method = http.MethodPost
+	call.Path = enginePath
+	call.Stream = request.Stream
+	call.IncludeUsage = request.StreamOptions.IncludeUsage
+	call.MaxTokens = request.maxTokens()
+	call.Fingerprint = xxhash.Sum64(body)
+	measure(call, request.Messages)
+	call.Header = http.Header{"Content-Type": {"application/json"}}
+	err = chooseProfile(x, s.directory, model.Profile, s.limits)
+	if err != nil {
+		return err
+	}
+	call.Body, err = engineBody(fields, call.Profile.Priority)
+	return err
+}
+
+func decodeChat(body []byte) (chatRequest, map[string]json.RawMessage, error) {
+	var request chatRequest
+	var fields map[string]json.RawMessage
+	err := json.Unmarshal(body, &fields)
+	if err != nil {
+		return request, nil, flow.Invalid(http.StatusBadRequest, "invalid_json", "",
+			"the body is not a JSON object: %s", err)
+	}
+	err = json.Unmarshal(body, &request)
+	if err != nil {
+		return request, nil, flow.Invalid(http.StatusBadRequest, "invalid_request", "",
+			"the body does not fit the API: %s", err)
+	}
+	switch {
+	case request.Model == "":
+		return request, nil, flow.Invalid(http.StatusBadRequest, "missing_field", "model",
+			"the field model is missing")
+	case len(request.Messages) == 0:
+		return request, nil, flow.Invalid(http.StatusBadRequest, "missing_field", "messages",
+			"the field messages must hold at least one message")
+	case request.maxTokens() < 0:
+		return request, nil, flow.Invalid(http.StatusBadRequest, "invalid_value", "max_tokens",
+			"the bound on tokens must not be negative")
+	}
+	return request, fields, nil
+}
+
+func (r chatRequest) maxTokens() int {
+	switch {
+	case r.MaxCompletionTokens != nil:
+		return *r.MaxCompletionTokens
+	case r.MaxTokens != nil:
+		return *r.MaxTokens
+	}
+	return 0
+}
+
+// engineBody returns the request for the engine, which always streams and
+// counts, whatever the caller asked for.
+func engineBody(fields map[string]json.RawMessage, priority track.Priority) ([]byte, error) {
+	fields["priority"] = json.RawMessage(strconv.Itoa(int(priority)))
+	fields["stream"] = json.RawMessage(`true`)
+	fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+	body, err := json.Marshal(fields)
+	if err != nil {
+		return nil, flow.Invalid(http.StatusBadRequest, "invalid_json", "", "the body can't be encoded again: %s", err)
+	}
+	return body, nil
+}
+
+// measure fills in the length of the prompt and the hashes of its prefixes.
+func measure(call *track.Call, messages []chatMessage) {
+	prompt := make([]prefix.Message, 0, len(messages))
+	for _, m := range messages {
+		prompt = append(prompt, prefix.Message{Role: m.Role, Content: m.text()})
+	}
+	text := prefix.Text(prompt)
+	call.PromptTokens = (len(text) + bytesPerToken - 1) / bytesPerToken
+	call.Prefixes = prefix.Hashes(text, maxPrefixBlocks)
+}
+
+// text returns the content of the message, or its raw JSON if it is no string.
+func (m chatMessage) text() string {
+	var text string
+	err := json.Unmarshal(m.Content, &text)
+	if err != nil {
+		return string(m.Content)
+	}
+	return text
+}
