--- a/expert/plan_test.go
+++ b/expert/plan_test.go
@@ -62,7 +62,7 @@
 			assert.NilError(t, now.Check())
 			planner, err := expert.New(shape, policy)
 			assert.NilError(t, err)
-			budget := expert.Budget{Moves: 40, MovesPerRank: 4}
+			budget := expert.Budget{Moves: 40, MovesPerRank: 2}
 			for i := range 20 {
 				observe(t, planner, at(float64(i)*0.3), 1)
 				plan, err := planner.Plan(now, budget)
