--- /dev/null
+++ b/change/change_test.go
@@ -0,0 +1,250 @@
+package change_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/change"
+)
+
+var made = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+
+func profile(name string, timeout time.Duration, replaces uint64) change.Edit {
+	raw, err := change.Encode(track.Profile{Name: name, Timeout: timeout})
+	if err != nil {
+		panic(err)
+	}
+	return change.Edit{Key: change.Key{Kind: change.ProfileKind, Name: name}, Replaces: replaces, Value: raw}
+}
+
+func account(name, token string, replaces uint64) change.Edit {
+	raw, _ := change.Encode(track.ClientAccount{Name: name, TokenSHA256: change.Sum([]byte(token))})
+	return change.Edit{Key: change.Key{Kind: change.AccountKind, Name: name}, Replaces: replaces, Value: raw}
+}
+
+func model(name, profile string) change.Edit {
+	raw, _ := change.Encode(track.Model{Name: name, Profile: profile})
+	return change.Edit{Key: change.Key{Kind: change.ModelKind, Name: name}, Value: raw}
+}
+
+func by(operator, id string, edits ...change.Edit) change.Change {
+	return change.Change{ID: id, Operator: operator, Time: made, Edits: edits}
+}
+
+func deletion(e change.Edit, replaces uint64) change.Edit {
+	e.Value, e.Replaces = nil, replaces
+	return e
+}
+
+func bytesOf(t *testing.T, s *change.State) []byte {
+	t.Helper()
+	data, err := s.Marshal()
+	assert.NilError(t, err)
+	return data
+}
+
+func TestApplyVerdicts(t *testing.T) {
+	lunch := profile("lunch", time.Second, 0)
+	tests := []struct {
+		name   string
+		edits  []change.Edit
+		reason change.Reason
+		detail string
+	}{
+		{"create", []change.Edit{profile("night", time.Second, 0)}, "", ""},
+		{"replace the present version", []change.Edit{profile("lunch", time.Minute, 1)}, "", ""},
+		{"create what exists", []change.Edit{profile("lunch", time.Minute, 0)}, change.Conflict, "maria changed it at version 1 by change c1"},
+		{"replace what never was", []change.Edit{profile("night", time.Second, 7)}, change.Conflict, "does not exist"},
+		{"atomic", []change.Edit{profile("night", time.Second, 0), profile("lunch", 0, 1)}, change.NotValid, "Timeout"},
+		{"two edits of one object", []change.Edit{profile("lunch", time.Second, 1), profile("lunch", time.Minute, 1)}, change.NotValid, "edited twice"},
+		{"profile without a model", []change.Edit{model("llm", "dinner")}, change.NotValid, `profile "dinner", which does not exist`},
+		{"deletion of a profile in use", []change.Edit{deletion(lunch, 1), model("llm", "lunch")}, change.NotValid, "does not exist"},
+		{"one token twice", []change.Edit{account("mill", "s3cret", 0), account("farm", "s3cret", 0)}, change.NotValid, "same token"},
+		{"bad name", []change.Edit{profile("a b", time.Second, 0)}, change.NotValid, "letters, digits"},
+		{"unknown kind", []change.Edit{{Key: change.Key{Kind: "Planet", Name: "x"}}}, change.NotValid, "unknown kind"},
+		{"unknown field", []change.Edit{{Key: change.Key{Kind: change.ProfileKind, Name: "x"}, Value: json.RawMessage(`{"Name":"x","Tiemout":1}`)}}, change.NotValid, "Tiemout"},
+		{"another name", []change.Edit{{Key: change.Key{Kind: change.ProfileKind, Name: "x"}, Value: json.RawMessage(`{"Name":"y","Timeout":1000000}`)}}, change.NotValid, `named "y"`},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := change.New()
+			assert.Assert(t, s.Apply(by("maria", "c1", lunch)).Verdict.Accepted)
+			d := s.Apply(by("jose", "c2", test.edits...))
+			assert.Equal(t, d.Verdict.Reason, test.reason)
+			assert.Equal(t, d.Verdict.Accepted, test.reason == "")
+			assert.Assert(t, strings.Contains(d.Verdict.Detail, test.detail), d.Verdict.Detail)
+			assert.Assert(t, !strings.Contains(d.Verdict.Detail, "s3cret"))
+			if !d.Verdict.Accepted {
+				assert.Equal(t, s.Version(), uint64(1))
+				assert.Equal(t, len(s.Config().Profiles), 1)
+			}
+		})
+	}
+}
+
+func TestLoserIsToldWinner(t *testing.T) {
+	s := change.New()
+	s.Apply(by("maria", "c1", profile("lunch", time.Second, 0)))
+	s.Apply(by("jose", "c2", profile("lunch", 2*time.Second, 1)))
+	lost := s.Apply(by("ana", "c3", profile("lunch", 3*time.Second, 1)))
+	assert.DeepEqual(t, lost.Verdict.Winner, &change.Author{Version: 2, ChangeID: "c2", Operator: "jose", Time: made})
+	s.Apply(by("jose", "c4", deletion(profile("lunch", 0, 0), 2)))
+	lost = s.Apply(by("ana", "c5", profile("lunch", 3*time.Second, 2)))
+	assert.Equal(t, lost.Verdict.Winner.ChangeID, "c4")
+	assert.Assert(t, strings.Contains(lost.Verdict.Detail, "jose deleted it"), lost.Verdict.Detail)
+}
+
+func TestDuplicateCountsOnce(t *testing.T) {
+	s := change.New()
+	create := by("maria", "c1", profile("lunch", time.Second, 0))
+	first := s.Apply(create)
+	refused := by("jose", "c2", profile("lunch", time.Minute, 0))
+	s.Apply(refused)
+	s.Apply(by("maria", "c3", deletion(profile("lunch", 0, 0), 1)))
+	before := bytesOf(t, s)
+	assert.DeepEqual(t, s.Apply(create), first)
+	assert.Equal(t, s.Apply(refused).Verdict.Reason, change.Conflict)
+	assert.DeepEqual(t, bytesOf(t, s), before)
+}
+
+// A copy that arrives after its ID was forgotten must not run again.
+func TestForgottenDuplicateIsStale(t *testing.T) {
+	s := change.New()
+	create := by("maria", "c1", profile("lunch", time.Second, 0))
+	s.Apply(create)
+	s.Apply(by("maria", "c2", deletion(profile("lunch", 0, 0), 1)))
+	for i := range change.HistoryEdits {
+		c := by("jose", fmt.Sprint("n", i), profile("night", time.Second, 0))
+		c.Seen = s.Seq()
+		s.Apply(c)
+	}
+	_, remembered := s.Find("c1")
+	assert.Assert(t, !remembered)
+	d := s.Apply(create)
+	assert.Equal(t, d.Verdict.Reason, change.Stale)
+	_, exists := s.Item(change.Key{Kind: change.ProfileKind, Name: "lunch"})
+	assert.Assert(t, !exists)
+	_, err := s.Rollback(0)
+	assert.Assert(t, track.IsKind(err, change.Forgotten), "%v", err)
+}
+
+func TestRollbackIsNewChange(t *testing.T) {
+	s := change.New()
+	s.Apply(by("maria", "c1", profile("lunch", time.Second, 0), profile("night", time.Second, 0)))
+	s.Apply(by("maria", "c2", profile("lunch", time.Minute, 1), deletion(profile("night", 0, 0), 1), profile("dawn", time.Second, 0)))
+	differences, err := s.Diff(1, 2)
+	assert.NilError(t, err)
+	assert.Equal(t, len(differences), 3)
+	edits, err := s.Rollback(1)
+	assert.NilError(t, err)
+	d := s.Apply(by("maria", "c3", edits...))
+	assert.Assert(t, d.Verdict.Accepted, d.Verdict.Detail)
+	assert.Equal(t, s.Version(), uint64(3))
+	differences, err = s.Diff(1, 3)
+	assert.NilError(t, err)
+	assert.Equal(t, len(differences), 0)
+}
+
+func TestStateSurvivesEncoding(t *testing.T) {
+	s := change.New()
+	s.Apply(by("maria & <co>", "c1", profile("lunch", time.Second, 0), account("mill", "t1", 0), account("farm", "t2", 0)))
+	s.Apply(by("jose", "c2", profile("lunch", time.Second, 0)))
+	data := bytesOf(t, s)
+	again, err := change.Unmarshal(data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again.Config(), s.Config())
+	next := by("ana", "c3", profile("night", time.Second, 0))
+	assert.DeepEqual(t, again.Apply(next), s.Apply(next))
+	assert.DeepEqual(t, bytesOf(t, again), bytesOf(t, s))
+
+	for name, broken := range map[string][]byte{
+		"cut":        data[:len(data)-1],
+		"order":      bytes.Replace(bytes.Replace(data, []byte(`"Name":"farm"`), []byte(`"Name":"zarm"`), 1), []byte(`"Name":"farm"`), []byte(`"Name":"zarm"`), 1),
+		"version":    bytes.Replace(data, []byte(`{"Version":1`), []byte(`{"Version":9`), 1),
+		"seq":        bytes.Replace(data, []byte(`"Seq":2`), []byte(`"Seq":3`), 1),
+		"whitespace": append([]byte(" "), data...),
+		"value":      bytes.Replace(data, []byte(`"Timeout":1000000000`), []byte(`"Timeout":-1`), 1),
+	} {
+		_, err := change.Unmarshal(broken)
+		assert.Assert(t, track.IsKind(err, change.Corrupt), "%s: %v", name, err)
+	}
+}
+
+// Every single flipped bit and every cut must be noticed.
+func TestDecodeRefusesDamage(t *testing.T) {
+	data, err := change.EncodeChange(by("maria", "c1", profile("lunch", time.Second, 0)))
+	assert.NilError(t, err)
+	want, err := change.Decode(data)
+	assert.NilError(t, err)
+	for i := range data {
+		_, err := change.Decode(data[:i])
+		assert.Assert(t, track.IsKind(err, change.Corrupt), "cut at %d", i)
+		for bit := range 8 {
+			broken := bytes.Clone(data)
+			broken[i] ^= 1 << bit
+			got, err := change.Decode(broken)
+			if err == nil {
+				// encoding/json matches field names regardless of case.
+				assert.DeepEqual(t, got, want)
+			}
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	good, _ := change.EncodeChange(by("maria", "c1", profile("lunch", time.Second, 0)))
+	f.Add(good, false)
+	f.Add([]byte(`{"ID":"c","Operator":"o","Time":"2026-03-01T12:00:00+02:00","Seen":0,"Edits":[{"Kind":"Profile","Name":"x","Replaces":0,"Value":{"Name":"x","Timeout":1e6}}]}`), true)
+	f.Add([]byte(`{"ID":"c","Time":"0000-01-01T00:00:00+23:00","Edits":[{"Kind":"Profile","Name":"<x>","Value":null}]}`), true)
+	f.Add([]byte("{\"ID\":\"c\",\"Operator\":\"\\ud800\xff\",\"Edits\":[{\"Kind\":\"\xff\",\"Name\":\"x\",\"Value\":{ \"a\" :\"\xff<\"}}]}"), true)
+	f.Fuzz(func(t *testing.T, data []byte, wrap bool) {
+		if wrap && json.Valid(data) {
+			data, _ = json.Marshal(map[string]any{"Format": change.Format, "Kind": "Change", "Sum": sumCompact(data), "Body": json.RawMessage(data)})
+		}
+		record, err := change.Decode(data)
+		if err != nil || record.Change == nil {
+			return
+		}
+		s := change.New()
+		s.Apply(*record.Change)
+		encoded, err := s.Marshal()
+		assert.NilError(t, err)
+		again, err := change.Unmarshal(encoded)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, bytesOf(t, again), encoded)
+		repeated, err := change.EncodeChange(*record.Change)
+		assert.NilError(t, err)
+		peer, err := change.Decode(repeated)
+		assert.NilError(t, err)
+		replayed := change.New()
+		replayed.Apply(*peer.Change)
+		assert.DeepEqual(t, bytesOf(t, replayed), encoded)
+	})
+}
+
+func sumCompact(data []byte) string {
+	compacted, _ := json.Marshal(json.RawMessage(data))
+	return change.Sum(compacted)
+}
+
+func ExampleState_Apply() {
+	state := change.New()
+	lunch := change.Key{Kind: change.ProfileKind, Name: "lunch"}
+	value, _ := change.Encode(track.Profile{Name: "lunch", Timeout: 20 * time.Second})
+	first := state.Apply(change.Change{ID: "1", Operator: "maria", Edits: []change.Edit{{Key: lunch, Value: value}}})
+	second := state.Apply(change.Change{ID: "2", Operator: "jose", Edits: []change.Edit{{Key: lunch, Value: value}}})
+	fmt.Println(first.Verdict.Accepted, first.Verdict.Version)
+	fmt.Println(second.Verdict.Accepted, second.Verdict.Reason)
+	fmt.Println(second.Verdict.Detail)
+	// Output:
+	// true 1
+	// false Conflict
+	// Profile "lunch": the change replaces version 0, but maria changed it at version 1 by change 1
+}
--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,358 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/change"
+	"filberttrack.example/track/tail"
+)
+
+// The target for a change to be in force everywhere, at the size of these tests.
+const inForceTarget = 5 * time.Second
+
+// withFleet runs a test with running instances on a fake clock.
+func withFleet(t *testing.T, entries, agents int, test func(t *testing.T, ctx context.Context, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFleet(clockwork.NewRealClock(), 1)
+		for range entries {
+			f.start(ctx, f.add(track.RoleEntry))
+		}
+		for range agents {
+			f.start(ctx, f.add(track.RoleAgent))
+		}
+		time.Sleep(10 * time.Second)
+		test(t, ctx, f)
+		cancel()
+		for _, n := range f.live() {
+			f.remove(n)
+		}
+	})
+}
+
+// untilAll returns the time until the condition holds on all instances, up to a
+// limit.
+func untilAll(f *fleet, limit time.Duration, holds func(*node) bool) time.Duration {
+	start := time.Now()
+	for time.Since(start) < limit {
+		synctest.Wait()
+		all := true
+		for _, n := range f.live() {
+			all = all && holds(n)
+		}
+		if all {
+			break
+		}
+		time.Sleep(25 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+func publish(t *testing.T, ctx context.Context, n *node, c change.Change) change.Decided {
+	t.Helper()
+	d, err := n.Publish(ctx, c)
+	assert.NilError(t, err)
+	return d
+}
+
+func TestChangeInForceEverywhere(t *testing.T) {
+	withFleet(t, 9, 12, func(t *testing.T, ctx context.Context, f *fleet) {
+		entry := f.live()[0]
+		worst := time.Duration(0)
+		for i := range 40 {
+			replaces := uint64(i)
+			started := time.Now()
+			d := publish(t, ctx, entry, draft(fmt.Sprint("c", i), editProfile("lunch", time.Duration(i+1)*time.Second, replaces)))
+			assert.Assert(t, d.Verdict.Accepted, d.Verdict.Detail)
+			untilAll(f, time.Minute, func(n *node) bool { return n.timeout("lunch") == time.Duration(i+1)*time.Second })
+			worst = max(worst, time.Since(started))
+			time.Sleep(time.Duration(i) * 37 * time.Millisecond)
+		}
+		t.Logf("seed 1: longest time until a change was in force on all: %s", worst)
+		assert.Assert(t, worst <= inForceTarget)
+	})
+}
+
+func TestLogAwayDuringPublish(t *testing.T) {
+	withFleet(t, 9, 12, func(t *testing.T, ctx context.Context, f *fleet) {
+		f.log.SetAway(true)
+		result := make(chan change.Decided, 1)
+		go func() {
+			d, err := f.live()[0].Publish(ctx, draft("c1", editProfile("lunch", time.Second, 0)))
+			assert.Check(t, err)
+			result <- d
+		}()
+		time.Sleep(testRetention / 2)
+		status := f.live()[1].Status()
+		assert.Assert(t, status.LogFault != "" && status.Age > testRetention/2-5*time.Second, "%+v", status)
+		assert.Equal(t, len(result), 0)
+		f.log.SetAway(false)
+		took := untilAll(f, time.Minute, func(n *node) bool { return n.timeout("lunch") == time.Second })
+		t.Logf("seed 1: in force on all %s after the log's return", took)
+		assert.Assert(t, took <= inForceTarget)
+		assert.Assert(t, (<-result).Verdict.Accepted)
+		assert.Equal(t, f.live()[1].Status().LogFault, "")
+	})
+}
+
+func TestPublishGivesUpWithoutClaimingRefusal(t *testing.T) {
+	withFleet(t, 1, 0, func(t *testing.T, ctx context.Context, f *fleet) {
+		f.log.Hold(100)
+		impatient, cancel := context.WithTimeout(ctx, 20*time.Second)
+		defer cancel()
+		_, err := f.live()[0].Publish(impatient, draft("c1", editProfile("lunch", time.Second, 0)))
+		assert.Assert(t, track.IsKind(err, Unknown), "%v", err)
+		f.log.Release()
+		d := publish(t, ctx, f.live()[0], draft("c1", editProfile("lunch", time.Second, 0)))
+		assert.Assert(t, d.Verdict.Accepted)
+		assert.Equal(t, f.live()[0].Status().Seq, uint64(1))
+	})
+}
+
+func TestAnswerLostCountsOnce(t *testing.T) {
+	for name, fault := range map[string]func(*fleet){
+		"answers lost":  func(f *fleet) { f.log.LoseAnswers(2) },
+		"requests lost": func(f *fleet) { f.log.LoseRequests(2) },
+		"answers late":  func(f *fleet) { f.log.SetDelay(1900 * time.Millisecond) },
+		"reads lag":     func(f *fleet) { f.log.SetReadLag(3 * time.Second) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, 2, 1, func(t *testing.T, ctx context.Context, f *fleet) {
+				fault(f)
+				n := f.live()[0]
+				d := publish(t, ctx, n, draft("c1", editProfile("lunch", time.Second, 0)))
+				assert.Assert(t, d.Verdict.Accepted)
+				again := publish(t, ctx, f.live()[1], draft("c1", editProfile("lunch", time.Second, 0)))
+				assert.DeepEqual(t, again, d)
+				time.Sleep(time.Minute)
+				for _, n := range f.live() {
+					assert.Equal(t, n.Status().Seq, uint64(1))
+				}
+			})
+		})
+	}
+}
+
+func TestRacingOperators(t *testing.T) {
+	withFleet(t, 2, 0, func(t *testing.T, ctx context.Context, f *fleet) {
+		verdicts := make(chan change.Decided, 2)
+		for i, operator := range []string{"maria", "jose"} {
+			go func() {
+				c := draft(operator+"-1", editProfile("lunch", time.Duration(i+1)*time.Second, 0))
+				c.Operator = operator
+				d, err := f.live()[i].Publish(ctx, c)
+				assert.Check(t, err)
+				verdicts <- d
+			}()
+		}
+		won, lost := <-verdicts, <-verdicts
+		if lost.Verdict.Accepted {
+			won, lost = lost, won
+		}
+		assert.Assert(t, won.Verdict.Accepted && !lost.Verdict.Accepted)
+		assert.Equal(t, lost.Verdict.Reason, change.Conflict)
+		assert.Equal(t, lost.Verdict.Winner.Operator, won.Change.Operator)
+		assert.Equal(t, lost.Verdict.Winner.ChangeID, won.Change.ID)
+	})
+}
+
+func TestPausedReaderRecovers(t *testing.T) {
+	withFleet(t, 3, 0, func(t *testing.T, ctx context.Context, f *fleet) {
+		// The paused entry can't be reached by peers either, so that the
+		// snapshot in the log is all that it has.
+		paused := f.add(track.RoleEntry)
+		f.lonely.Store(paused)
+		paused.reader.Poll(ctx)
+		for i := range 40 {
+			publish(t, ctx, f.live()[0], draft(fmt.Sprint("c", i), editProfile("lunch", time.Duration(i+1)*time.Second, uint64(i))))
+			time.Sleep(testRetention / 20)
+		}
+		f.start(ctx, paused)
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, paused.timeout("lunch"), 40*time.Second)
+		assert.Equal(t, paused.stateBytes(), f.live()[0].stateBytes())
+		// The snapshots themselves are few, although all entries may write them.
+		appends := f.log.Counts().Appends - 40
+		assert.Assert(t, appends >= 4 && appends <= 40, "%d snapshots in two retentions", appends)
+	})
+}
+
+func TestStartWithLogAway(t *testing.T) {
+	withFleet(t, 3, 0, func(t *testing.T, ctx context.Context, f *fleet) {
+		publish(t, ctx, f.live()[0], draft("c1", editProfile("lunch", time.Second, 0)))
+		time.Sleep(10 * time.Second)
+		f.log.SetAway(true)
+		time.Sleep(testRetention)
+		fresh := f.add(track.RoleEntry)
+		assert.Assert(t, !fresh.Ready() && fresh.Live() == nil)
+		f.start(ctx, fresh)
+		time.Sleep(inForceTarget)
+		assert.Assert(t, fresh.Ready())
+		assert.Equal(t, fresh.timeout("lunch"), time.Second)
+		age := fresh.Status().Age
+		assert.Assert(t, age >= testRetention && age < testRetention+time.Minute, "age %s", age)
+	})
+}
+
+func TestLonelyStartWithLogAwayKnowsNothing(t *testing.T) {
+	withFleet(t, 0, 0, func(t *testing.T, ctx context.Context, f *fleet) {
+		f.log.SetAway(true)
+		n := f.start(ctx, f.add(track.RoleEntry))
+		time.Sleep(time.Hour)
+		assert.Assert(t, !n.Ready() && n.Live() == nil && !n.Status().Known)
+		assert.Equal(t, n.Status().Age, time.Duration(-1))
+	})
+}
+
+// All entries are replaced one by one, and the log returns only after all its
+// records have expired.
+func TestReplacedDuringLongOutage(t *testing.T) {
+	withFleet(t, 9, 12, func(t *testing.T, ctx context.Context, f *fleet) {
+		publish(t, ctx, f.live()[0], draft("c1", editProfile("lunch", time.Second, 0)))
+		time.Sleep(10 * time.Second)
+		f.log.SetAway(true)
+		for _, n := range f.live() {
+			if n.self.Role == track.RoleEntry {
+				f.remove(n)
+				f.start(ctx, f.add(track.RoleEntry))
+				time.Sleep(10 * time.Second)
+			}
+		}
+		time.Sleep(testRetention)
+		for _, n := range f.live() {
+			assert.Equal(t, n.timeout("lunch"), time.Second)
+		}
+		f.log.SetAway(false)
+		// Records that nobody has read expire too.
+		_, err := f.log.Append(ctx, track.StreamConfig, [][]byte{{}, {}, {}})
+		assert.NilError(t, err)
+		f.log.Expire(track.StreamConfig, 4)
+		var entry *node
+		for _, n := range f.live() {
+			if n.self.Role == track.RoleEntry {
+				entry = n
+			}
+		}
+		started := time.Now()
+		d := publish(t, ctx, entry, draft("c2", editProfile("lunch", time.Minute, 1)))
+		assert.Assert(t, d.Verdict.Accepted, d.Verdict.Detail)
+		untilAll(f, time.Minute, func(n *node) bool { return n.timeout("lunch") == time.Minute })
+		t.Logf("seed 1: publishing again %s after an outage longer than the retention", time.Since(started))
+		for _, n := range f.live() {
+			assert.Equal(t, n.stateBytes(), entry.stateBytes())
+		}
+	})
+}
+
+func TestCorruptRecordsAreSkipped(t *testing.T) {
+	withFleet(t, 2, 1, func(t *testing.T, ctx context.Context, f *fleet) {
+		good, err := change.EncodeChange(draft("half", editProfile("lunch", time.Second, 0)))
+		assert.NilError(t, err)
+		for _, data := range [][]byte{nil, good[:len(good)/2], []byte("{}"), append([]byte{' ', 'x'}, good...)} {
+			_, err := f.log.Append(ctx, track.StreamConfig, [][]byte{data})
+			assert.NilError(t, err)
+		}
+		d := publish(t, ctx, f.live()[0], draft("c1", editProfile("lunch", time.Minute, 0)))
+		assert.Assert(t, d.Verdict.Accepted)
+		took := untilAll(f, time.Minute, func(n *node) bool { return n.timeout("lunch") == time.Minute })
+		assert.Assert(t, took <= inForceTarget)
+	})
+}
+
+// A peer that hands on damaged or wrong configuration is not believed.
+func TestPeerIsChecked(t *testing.T) {
+	f := newFleet(clockwork.NewFakeClock(), 1)
+	source, target := f.add(track.RoleEntry), f.add(track.RoleAgent)
+	data, err := change.EncodeChange(draft("c1", editProfile("lunch", time.Second, 0)))
+	assert.NilError(t, err)
+	_, err = f.log.Append(t.Context(), track.StreamConfig, [][]byte{data})
+	assert.NilError(t, err)
+	source.reader.Poll(t.Context())
+
+	whole, err := source.News(t.Context(), track.ConfigPosition{})
+	assert.NilError(t, err)
+	broken := whole
+	broken.State = append([]byte(nil), whole.State...)
+	broken.State[len(broken.State)/2] ^= 1
+	assert.Assert(t, target.learn(broken, "peer") != nil)
+	assert.Assert(t, target.Live() == nil)
+	assert.NilError(t, target.learn(whole, "peer"))
+
+	data, err = change.EncodeChange(draft("c2", editProfile("lunch", time.Minute, 1)))
+	assert.NilError(t, err)
+	wrong := track.ConfigNews{Position: whole.Position, Records: [][]byte{data}, Next: 9}
+	wrong.Position.Seq, wrong.Position.Checksum = 2, change.Sum([]byte("another state"))
+	assert.Assert(t, target.learn(wrong, "peer") != nil)
+	assert.Equal(t, target.timeout("lunch"), time.Second)
+	assert.Equal(t, target.counters.diverged.Get(), uint64(1))
+
+	wrong.Position.Seq, wrong.Records = 1, nil
+	assert.NilError(t, target.learn(wrong, "peer"))
+	assert.Equal(t, target.counters.diverged.Get(), uint64(2))
+}
+
+// The answer to a read that was sent during the search for a snapshot must not
+// be judged if a peer has ended the search at an earlier offset meanwhile.
+func TestBatchBeyondPositionIsNotJudged(t *testing.T) {
+	f := newFleet(clockwork.NewFakeClock(), 1)
+	n := f.add(track.RoleEntry)
+	n.reader.Poll(t.Context())
+	c := draft("c2", editProfile("lunch", time.Second, 0))
+	(*follower)(n.Store).Handle(tail.Batch[change.Record]{
+		From: 5, Next: 6, End: 6,
+		Entries: []tail.Entry[change.Record]{{Offset: 5, Value: change.Record{Change: &c}}},
+	})
+	assert.Equal(t, n.Status().Seq, uint64(0))
+	assert.Equal(t, n.Status().Offset, uint64(0))
+}
+
+func TestSnapshotNow(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	const instances, checks = 350, 2000
+	wanted := 0
+	for range checks {
+		assert.Assert(t, !snapshotNow(testRetention/4-1, testRetention, instances, rng))
+		assert.Assert(t, snapshotNow(testRetention/2, testRetention, instances, rng))
+		for range instances {
+			if snapshotNow(testRetention/4, testRetention, instances, rng) {
+				wanted++
+			}
+		}
+	}
+	mean := float64(wanted) / checks
+	assert.Assert(t, mean > 0.9 && mean < 1.1, "%.3f snapshots a check", mean)
+}
+
+func TestIndexes(t *testing.T) {
+	token := "the-token"
+	cfg := &track.Config{Version: 1, Accounts: []track.ClientAccount{
+		{Name: "farm", TokenSHA256: change.Sum([]byte("other"))}, {Name: "mill", TokenSHA256: change.Sum([]byte(token))},
+	}}
+	first := NewLive(cfg, nil)
+	next := *cfg
+	next.Version, next.Services = 2, []track.Service{{Name: "desk"}}
+	second := NewLive(&next, first)
+	for _, l := range []*Live{first, second} {
+		account, ok := l.AccountByToken(token)
+		assert.Assert(t, ok && account.Name == "mill")
+		_, ok = l.AccountByToken("wrong")
+		assert.Assert(t, !ok)
+	}
+	_, ok := first.Service("desk")
+	assert.Assert(t, !ok)
+	_, ok = second.Service("desk")
+	assert.Assert(t, ok)
+	last := next
+	last.Accounts = nil
+	_, ok = NewLive(&last, second).AccountByToken(token)
+	assert.Assert(t, !ok)
+}
--- a/config/follower.go
+++ b/config/follower.go
@@ -35,18 +35,40 @@
 	defer s.mu.Unlock()
 	s.logFault = ""
 	s.begin(b)
+	if !s.searching && s.next < b.From {
+		// A peer ended the search while the read was under way. The records
+		// between are to be judged first.
+		return
+	}
 	before := s.seq()
 	for _, entry := range b.Entries {
 		s.noteSnapshot(entry)
-		if s.searching {
-			s.search(entry, b.Oldest)
-			continue
-		}
+	}
+	if s.searching {
+		s.searchBatch(b)
+	} else {
+		s.takeBatch(b)
+	}
+	s.end(b, before)
+}
+
+func (s *Store) takeBatch(b tail.Batch[change.Record]) {
+	for _, entry := range b.Entries {
 		if entry.Offset >= s.next {
 			s.take(entry)
 		}
 	}
-	s.end(b, before)
+}
+
+// searchBatch ends with the batch or with the first usable snapshot. The records
+// after that are read again, since some before it are to be judged first.
+func (s *Store) searchBatch(b tail.Batch[change.Record]) {
+	for _, entry := range b.Entries {
+		s.search(entry, b.Oldest)
+		if !s.searching {
+			return
+		}
+	}
 }
 
 // seq returns the number of decided changes; 0 while no state is known.
--- a/config/peers.go
+++ b/config/peers.go
@@ -58,7 +58,7 @@
 	local := slices.DeleteFunc(slices.Clone(entries), func(c track.ConfigContact) bool {
 		return c.Instance.Zone != s.o.Self.Zone
 	})
-	unanswered := s.unanswered(entries)
+	unanswered := s.unanswered(contacts)
 	candidates := contacts
 	switch {
 	case len(unanswered) > 0 && rng.Float64() < unansweredShare:
@@ -75,19 +75,19 @@
 	return candidates[rng.IntN(len(candidates))], true
 }
 
-// unansweredShare is the probability that an entry is asked that has not been
+// unansweredShare is the probability that an instance is asked that has not been
 // asked yet for records that have expired.
 const unansweredShare = 0.5
 
-// unanswered returns the entries that are still to be asked for records that
+// unanswered returns the instances that are still to be asked for records that
 // have expired.
-func (s *Store) unanswered(entries []track.ConfigContact) []track.ConfigContact {
+func (s *Store) unanswered(contacts []track.ConfigContact) []track.ConfigContact {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.state == nil || !s.searching {
 		return nil
 	}
-	return slices.DeleteFunc(slices.Clone(entries), func(c track.ConfigContact) bool { return s.answered[c.Instance.ID] })
+	return slices.DeleteFunc(slices.Clone(contacts), func(c track.ConfigContact) bool { return s.answered[c.Instance.ID] })
 }
 
 // entries returns the number of live entries, this one included.
@@ -233,7 +233,7 @@
 	if decisions, ok := s.state.Since(since.Seq); since.Known && ok {
 		return s.withRecords(news, decisions)
 	}
-	news.State, err = s.snapshot()
+	news.State, err = s.snapshot(s.next)
 	return news, err
 }
 
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -7,7 +7,6 @@
 
 	"go.uber.org/zap"
 
-	"filberttrack.example/track"
 	"filberttrack.example/track/change"
 )
 
@@ -61,8 +60,8 @@
 }
 
 // recoveryWanted reports whether records have expired that this instance never
-// read, the log holds no snapshot, and all entries have answered and know no
-// more. That is so after an outage longer than the retention. The records that
+// read, the log holds no snapshot, and all instances have answered and know no
+// more. Agents count too: one may be all that is left of those who read a record. That is so after an outage longer than the retention. The records that
 // expired were never decided by anyone, so the state is still the newest; a
 // snapshot that starts at the end of the log lets all instances go on from it.
 func (s *Store) recoveryWanted() bool {
@@ -73,7 +72,7 @@
 		return false
 	}
 	for _, c := range contacts {
-		if c.Instance.Role == track.RoleEntry && !s.answered[c.Instance.ID] {
+		if !s.answered[c.Instance.ID] {
 			return false
 		}
 	}
@@ -81,9 +80,7 @@
 }
 
 func (s *Store) appendSnapshot(ctx context.Context) {
-	s.mu.Lock()
-	data, err := s.snapshot()
-	s.mu.Unlock()
+	data, err := s.logSnapshot()
 	if err != nil {
 		s.o.Logger.Error("snapshot failed", zap.Error(err))
 		return
@@ -97,17 +94,25 @@
 	s.o.Logger.Info("snapshot appended", zap.Uint64("offset", offset), zap.Int("bytes", len(data)))
 }
 
-// snapshot returns the record of the state. The caller holds the lock.
-func (s *Store) snapshot() ([]byte, error) {
+// logSnapshot returns the record to append to the log. An instance that has
+// given up the search for expired records lets it start after all that it saw.
+func (s *Store) logSnapshot() ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.searching {
+		return s.snapshot(s.scan)
+	}
+	return s.snapshot(s.next)
+}
+
+// snapshot returns the record of the state, which goes on at the given offset.
+// The caller holds the lock.
+func (s *Store) snapshot(next uint64) ([]byte, error) {
 	body, err := s.state.Marshal()
 	if err != nil {
 		return nil, err
 	}
 	s.checksum, s.checksumSeq = change.Sum(body), s.state.Seq()
-	next := s.next
-	if s.searching {
-		next = s.scan
-	}
 	return change.EncodeSnapshot(change.Snapshot{
 		Next: next, Seq: s.state.Seq(), Version: s.state.Version(), Checksum: s.checksum, Body: body,
 	})
--- a/tail/appender.go
+++ b/tail/appender.go
@@ -23,8 +23,8 @@
 	DefaultMaxBatch = 512
 	// DefaultMaxBatchBytes bounds the bytes of one append of several records.
 	DefaultMaxBatchBytes = 1 << 20
-	// appendBurst is the number of appends that may follow each other at once.
-	appendBurst = 2
+	// appendBurst is the number of appends that an idle instance may make at once.
+	appendBurst = 1
 	// waitingAppends is the number of records that may wait.
 	waitingAppends = 4096
 )
