--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -67,6 +67,12 @@
 
 	server.Stop()
 	assert.NilError(t, <-served)
+	dialer.Close()
+
+	// A connection that was never made can't have carried the dispatch.
+	dialer = wire.NewDialer(grpc.WithTransportCredentials(insecure.NewCredentials()))
+	port, err = dialer.Dial(track.Instance{Address: listener.Addr().String()})
+	assert.NilError(t, err)
 	err = port.Run(context.Background(), sent, func(track.Frame) error { return nil })
 	assert.Assert(t, track.IsKind(err, track.Unavailable), "%v", err)
 	dialer.Close()
