feat: agents of zones without entries, notices and configuration between peers

Cause: a zone whose entries all die would lose its replicas; limits, quarantine and configuration need a carrier. Conclusion: go test ./member ./beat passes.

--- a/beat/exchange.go
+++ b/beat/exchange.go
@@ -123,9 +123,14 @@
 // Heartbeat implements track.Peer for a peer of the zone.
 func (x *Exchange) Heartbeat(_ context.Context, h track.Heartbeat) (track.HeartbeatReply, error) {
 	now := x.options.Clock.Now()
+	local := x.options.Local()
 	x.mu.Lock()
 	err := x.state.Heard(now, h)
 	reply := x.state.Reply(h)
+	if x.options.Self.Role == track.RoleAgent {
+		self := x.heartbeat(local)
+		reply.Self = &self
+	}
 	x.mu.Unlock()
 	if err != nil {
 		x.counts.dropped.Inc()
@@ -139,7 +144,7 @@
 		x.publish()
 	}
 	x.receive(h.From.ID, h.Payloads)
-	reply.Payloads = x.offers(h.From.ID)
+	reply.Payloads = x.offers(h.From)
 	return reply, nil
 }
 
--- a/beat/exchange_test.go
+++ b/beat/exchange_test.go
@@ -232,6 +232,79 @@
 	}
 }
 
+func TestZoneWithoutEntriesIsAdopted(t *testing.T) {
+	t.Parallel()
+	m := today()
+	for _, n := range m.live(track.RoleEntry, "z0") {
+		n.dead = true
+	}
+	m.run(5 * time.Second)
+	m.listAll()
+	pool := func() int {
+		ids := make(map[track.InstanceID]bool)
+		for _, n := range m.live(track.RoleEntry, "") {
+			for _, s := range n.x.Servers() {
+				assert.Assert(t, s.Zone != "z0" || s.Agent[:2] == "z0")
+				ids[s.Agent] = true
+			}
+		}
+		return len(ids)
+	}
+	m.until(t, time.Minute, "the zone's replicas are offered by other zones' entries", func() bool { return pool() == 12 })
+	back := m.start(track.RoleEntry, "r0", "z0", "z0-entry-back", 1)
+	m.listAll()
+	m.run(time.Minute)
+	assert.Equal(t, len(back.x.Servers()), 12)
+	for _, n := range m.live(track.RoleEntry, "") {
+		assert.Equal(t, len(n.x.Servers()), 12, "%s", n.instance.ID)
+	}
+}
+
+func TestNoticesReachTheZoneOnce(t *testing.T) {
+	t.Parallel()
+	m := newMesh()
+	heard := make(map[track.InstanceID][]string)
+	var notices []*Notices
+	for n := range 3 {
+		gossip := NewNotices(track.TopicUsage, track.TopicQuarantine)
+		node := m.start(track.RoleEntry, "r0", "z0", fmt.Sprintf("entry-%d", n), 1, gossip.Handlers()...)
+		gossip.Hurry(track.TopicQuarantine, node.x)
+		gossip.Subscribe(track.TopicQuarantine, func(n track.Notice) {
+			heard[node.instance.ID] = append(heard[node.instance.ID], string(n.From)+":"+string(n.Data))
+		})
+		notices = append(notices, gossip)
+	}
+	m.listAll()
+	m.run(5 * time.Second)
+	notices[0].Publish(track.Notice{Topic: track.TopicQuarantine, Data: []byte("a")})
+	notices[0].Publish(track.Notice{Topic: track.TopicQuarantine, Data: []byte("b")})
+	m.run(m.step)
+	want := []string{"entry-0:a", "entry-0:b"}
+	assert.DeepEqual(t, heard, map[track.InstanceID][]string{"entry-1": want, "entry-2": want})
+	m.run(10 * time.Second)
+	assert.Equal(t, len(heard["entry-1"]), 2)
+}
+
+// newest is a configuration that a peer hands out.
+type newest struct{}
+
+func (newest) News(_ context.Context, since track.ConfigPosition) (track.ConfigNews, error) {
+	return track.ConfigNews{Position: track.ConfigPosition{Known: true, Seq: since.Seq + 1}, State: []byte("state")}, nil
+}
+
+func TestConfigurationComesFromPeers(t *testing.T) {
+	t.Parallel()
+	m := today(NewConfigTopic(newest{}))
+	contacts := m.byID["z0-entry-0"].x.Contacts()
+	assert.Equal(t, len(contacts), 4)
+	for _, c := range contacts {
+		news, err := c.Peer.News(context.Background(), track.ConfigPosition{Seq: 4})
+		assert.NilError(t, err)
+		assert.Equal(t, news.Position.Seq, uint64(5))
+		assert.Equal(t, string(news.State), "state")
+	}
+}
+
 // echo is a topic that offers a fixed payload and notes what it receives.
 type echo struct {
 	name  track.Topic
@@ -240,13 +313,13 @@
 }
 
 func (e *echo) Topic() track.Topic                      { return e.name }
-func (e *echo) Offer(track.InstanceID) []byte           { return e.data }
+func (e *echo) Offer(track.Instance) [][]byte           { return [][]byte{e.data} }
 func (e *echo) Receive(from track.InstanceID, _ []byte) { e.heard[from]++ }
 func (e *echo) Fetch(_ track.InstanceID, request []byte) ([]byte, error) {
 	if len(request) == 0 {
 		return nil, errors.New("nothing asked")
 	}
-	return make([]byte, int(request[0])*track.MaxFetchBytes/10), nil
+	return make([]byte, track.MaxFetchBytes-10+int(request[0])), nil
 }
 
 func TestTopics(t *testing.T) {
--- /dev/null
+++ b/beat/gossip.go
@@ -0,0 +1,134 @@
+package beat
+
+import (
+	"sync"
+
+	"filberttrack.example/track"
+)
+
+// maxNotices bounds the notices of a topic that wait for a peer, and
+// noticesPerMessage those that one heartbeat carries.
+const (
+	maxNotices        = 32
+	noticesPerMessage = 4
+)
+
+// Gossip carries notices of one topic between the entries of a zone. It
+// implements track.TopicHandler.
+type Gossip struct {
+	topic track.Topic
+	// urgent makes notices go out at once; nil lets them wait for heartbeats.
+	urgent func()
+
+	mu sync.Mutex
+	// next numbers the notices; recent holds the latest ones.
+	next   uint64
+	recent [][]byte
+	// sent holds how far each peer was served.
+	sent   map[track.InstanceID]uint64
+	handle []func(track.Notice)
+}
+
+// NewGossip returns the carrier of a topic.
+func NewGossip(topic track.Topic) *Gossip {
+	return &Gossip{topic: topic, sent: make(map[track.InstanceID]uint64)}
+}
+
+// Topic implements track.TopicHandler.
+func (g *Gossip) Topic() track.Topic { return g.topic }
+
+// Offer implements track.TopicHandler. It hands a peer what it has not got yet.
+// A peer that was not served for long gets the latest notices only.
+func (g *Gossip) Offer(to track.Instance) [][]byte {
+	if to.Role != track.RoleEntry {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	oldest := g.next - uint64(len(g.recent))
+	from := max(g.sent[to.ID], oldest)
+	until := min(g.next, from+noticesPerMessage)
+	g.sent[to.ID] = until
+	return g.recent[from-oldest : until-oldest]
+}
+
+// Receive implements track.TopicHandler.
+func (g *Gossip) Receive(from track.InstanceID, data []byte) {
+	g.mu.Lock()
+	handle := g.handle
+	g.mu.Unlock()
+	for _, h := range handle {
+		h(track.Notice{Topic: g.topic, From: from, Data: data})
+	}
+}
+
+// Fetch implements track.TopicHandler. Notices are not fetched.
+func (g *Gossip) Fetch(track.InstanceID, []byte) ([]byte, error) {
+	return nil, track.Fail("fetch notices", UnknownTopic, nil)
+}
+
+func (g *Gossip) publish(data []byte) {
+	g.mu.Lock()
+	g.next++
+	g.recent = append(g.recent, data)
+	if len(g.recent) > maxNotices {
+		g.recent = append([][]byte(nil), g.recent[1:]...)
+	}
+	urgent := g.urgent
+	g.mu.Unlock()
+	if urgent != nil {
+		urgent()
+	}
+}
+
+func (g *Gossip) subscribe(handle func(track.Notice)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.handle = append(g.handle, handle)
+}
+
+// Notices joins the carriers of several topics. It implements track.Gossip.
+type Notices struct {
+	carriers map[track.Topic]*Gossip
+}
+
+// NewNotices returns carriers for the topics.
+func NewNotices(topics ...track.Topic) *Notices {
+	n := &Notices{carriers: make(map[track.Topic]*Gossip, len(topics))}
+	for _, t := range topics {
+		n.carriers[t] = NewGossip(t)
+	}
+	return n
+}
+
+// Handlers returns the carriers, for Options.
+func (n *Notices) Handlers() []track.TopicHandler {
+	handlers := make([]track.TopicHandler, 0, len(n.carriers))
+	for _, g := range n.carriers {
+		handlers = append(handlers, g)
+	}
+	return handlers
+}
+
+// Hurry makes the notices of a topic go out with heartbeats of their own.
+func (n *Notices) Hurry(topic track.Topic, x *Exchange) {
+	if g := n.carriers[topic]; g != nil {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.urgent = x.hurry
+	}
+}
+
+// Publish implements track.Gossip. Topics without a carrier are passed over.
+func (n *Notices) Publish(notice track.Notice) {
+	if g := n.carriers[notice.Topic]; g != nil {
+		g.publish(notice.Data)
+	}
+}
+
+// Subscribe implements track.Gossip.
+func (n *Notices) Subscribe(topic track.Topic, handle func(track.Notice)) {
+	if g := n.carriers[topic]; g != nil {
+		g.subscribe(handle)
+	}
+}
--- a/beat/run.go
+++ b/beat/run.go
@@ -12,6 +12,23 @@
 	"filberttrack.example/track/member"
 )
 
+// Round does at once all that is due, and once more what became due by that. An
+// entry that finds the list and its agents alive can route when it returns.
+func (x *Exchange) Round(ctx context.Context) {
+	for range 2 {
+		var calls errgroup.Group
+		for _, o := range x.due() {
+			calls.Go(func() error {
+				x.perform(ctx, o)
+				return nil
+			})
+		}
+		// The functions report nothing; failures are counted.
+		_ = calls.Wait()
+	}
+	x.publish()
+}
+
 // order is one message that is due. Exactly one of its parts is set.
 type order struct {
 	heartbeat *member.Contact
@@ -126,7 +143,7 @@
 	x.mu.Lock()
 	h := x.heartbeat(local)
 	x.mu.Unlock()
-	h.Payloads = x.offers(to.ID)
+	h.Payloads = x.offers(to)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	x.counts.sent.Inc()
@@ -186,13 +203,13 @@
 	before := len(x.state.Marked())
 	x.state.Listed(x.options.Clock.Now(), instances)
 	if len(x.state.Marked()) > before {
-		x.tellMarks()
+		x.tellEntries()
 	}
 }
 
-// tellMarks makes heartbeats to the other entries due at once, so that new
-// leaving marks do not wait for the interval. The caller holds mu.
-func (x *Exchange) tellMarks() {
+// tellEntries makes heartbeats to the other entries due at once, so that news
+// does not wait for the interval. The caller holds mu.
+func (x *Exchange) tellEntries() {
 	for _, e := range x.state.Entries() {
 		if s := x.peers[e.ID]; s != nil {
 			s.last = time.Time{}
@@ -200,6 +217,13 @@
 	}
 }
 
+// hurry makes heartbeats to the other entries due at once.
+func (x *Exchange) hurry() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.tellEntries()
+}
+
 // Leave tells every entry of the zone at once that this instance takes no new
 // work. It returns when all have answered or failed, or the context ended.
 func (x *Exchange) Leave(ctx context.Context) error {
--- a/beat/topics.go
+++ b/beat/topics.go
@@ -20,17 +20,16 @@
 }
 
 // offers collects the payloads for a peer. One that passes the bound is dropped.
-func (x *Exchange) offers(to track.InstanceID) []track.Payload {
+func (x *Exchange) offers(to track.Instance) []track.Payload {
 	var payloads []track.Payload
 	for _, h := range x.options.Topics {
-		data := h.Offer(to)
-		switch {
-		case len(data) == 0:
-		case len(data) > track.MaxPayloadBytes:
-			x.counts.oversize.Inc()
-			x.options.Logger.Error("payload dropped for its size",
-				zap.String("topic", string(h.Topic())), zap.Int("bytes", len(data)))
-		case len(payloads) < track.MaxPayloads:
+		for _, data := range h.Offer(to) {
+			if len(data) > track.MaxPayloadBytes || len(payloads) == track.MaxPayloads {
+				x.counts.oversize.Inc()
+				x.options.Logger.Error("payload dropped for its size or number",
+					zap.String("topic", string(h.Topic())), zap.Int("bytes", len(data)))
+				continue
+			}
 			payloads = append(payloads, track.Payload{Topic: h.Topic(), Data: data})
 		}
 	}
--- a/member/contacts.go
+++ b/member/contacts.go
@@ -16,24 +16,30 @@
 	Every time.Duration
 }
 
-// Contacts returns the peers of the own zone that get heartbeats, sorted by ID:
-// the entries, and for an entry also the agents that it does not hear.
+// Contacts returns the peers that get heartbeats, sorted by ID: the entries of
+// the own zone or else the adopters, and for an entry also the agents that it
+// should hear and does not.
 func (s *State) Contacts() []Contact {
 	found := make(map[track.InstanceID]Contact)
 	for id, e := range s.learned {
 		found[id] = Contact{Instance: e.instance, Every: s.timing.Retry}
 	}
 	for id, i := range s.book {
-		if i.Zone == s.self.Zone && s.greets(i) {
+		if i.Zone == s.self.Zone && i.Role != s.self.Role || i.Role == track.RoleEntry && i.Zone == s.self.Zone {
 			found[id] = Contact{Instance: i, Every: s.timing.Retry}
 		}
 	}
+	for _, i := range s.adoptions() {
+		found[i.ID] = Contact{Instance: i, Every: s.timing.Retry}
+	}
 	interval := s.Interval()
 	for id, p := range s.members {
 		switch {
 		case p.gone:
 		case p.instance.Role == track.RoleEntry:
-			found[id] = Contact{Instance: p.instance, Every: interval}
+			if _, wanted := found[id]; wanted || p.instance.Zone == s.self.Zone {
+				found[id] = Contact{Instance: p.instance, Every: interval}
+			}
 		case p.suspect:
 			found[id] = Contact{Instance: p.instance, Every: s.timing.MinSuspect}
 		default:
@@ -46,13 +52,43 @@
 	})
 }
 
-// greets reports whether this instance makes itself known to a listed one. Agents
-// do not greet each other.
-func (s *State) greets(i track.Instance) bool {
-	if i.Role == track.RoleEntry {
-		return true
+// adoptions returns the peers in other zones with which an agent of a zone
+// without entries and its adopters talk. Both sides choose by the same rendezvous
+// hash of the agent's ID.
+func (s *State) adoptions() []track.Instance {
+	if s.self.Role == track.RoleAgent {
+		if len(s.Entries()) > 0 {
+			return nil
+		}
+		return s.adopters(s.self)
+	}
+	var agents []track.Instance
+	for _, i := range s.book {
+		if i.Role != track.RoleAgent || i.Zone == s.self.Zone {
+			continue
+		}
+		mine := func(e track.Instance) bool { return e.ID == s.self.ID }
+		if slices.ContainsFunc(s.adopters(i), mine) {
+			agents = append(agents, i)
+		}
+	}
+	return agents
+}
+
+// adopters returns the entries of other zones in the region that take over an
+// agent.
+func (s *State) adopters(agent track.Instance) []track.Instance {
+	var entries []track.Instance
+	for id, i := range s.book {
+		if i.Role == track.RoleEntry && i.Region == agent.Region && i.Zone != agent.Zone && id != s.self.ID {
+			entries = append(entries, i)
+		}
+	}
+	if s.self.Role == track.RoleEntry {
+		entries = append(entries, s.self)
 	}
-	return i.Role == track.RoleAgent && s.self.Role == track.RoleEntry
+	rendezvous(agent.ID, entries, func(i track.Instance) track.InstanceID { return i.ID })
+	return entries[:min(len(entries), s.timing.Adopters)]
 }
 
 // Find returns what is known of an instance: as heard, as listed, or as named by
--- a/member/list.go
+++ b/member/list.go
@@ -34,12 +34,19 @@
 }
 
 // relevant returns the listed instances that this one may talk to: those of its
-// own zone, and for an entry the entries of all zones.
+// own zone, agents of its region that no entry of their zone can hear, and for an
+// entry the entries of all zones.
 func (s *State) relevant(instances []track.Instance) []track.Instance {
+	served := make(map[track.AvailabilityZone]bool)
+	for _, i := range instances {
+		if i.Role == track.RoleEntry {
+			served[i.Zone] = true
+		}
+	}
 	var kept []track.Instance
 	for _, i := range instances {
-		own := i.Zone == s.self.Zone
-		if own || (i.Role == track.RoleEntry && s.self.Role == track.RoleEntry) {
+		peers := i.Role == track.RoleEntry && s.self.Role == track.RoleEntry
+		if peers || (s.mayTalkTo(i) && (i.Role == track.RoleEntry || i.Zone == s.self.Zone || !served[i.Zone])) {
 			kept = append(kept, i)
 		}
 	}
@@ -102,7 +109,7 @@
 // counts the turn as taken. The entries of a zone take turns by the rank of
 // their IDs.
 func (s *State) ListDue(now time.Time) bool {
-	if s.lastList.IsZero() || (s.self.Role == track.RoleAgent && len(s.Entries()) == 0) {
+	if s.lastList.IsZero() || (s.self.Role == track.RoleAgent && !s.hearsEntry()) {
 		return s.takeListTurn(now, s.timing.Retry)
 	}
 	if s.self.Role == track.RoleAgent {
@@ -119,6 +126,16 @@
 	return true
 }
 
+// hearsEntry reports whether any entry is heard, of the own zone or an adopter.
+func (s *State) hearsEntry() bool {
+	for _, p := range s.members {
+		if p.instance.Role == track.RoleEntry && !p.gone {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *State) takeListTurn(now time.Time, every time.Duration) bool {
 	if !s.lastListTry.IsZero() && now.Sub(s.lastListTry) < every {
 		return false
--- a/member/options.go
+++ b/member/options.go
@@ -30,6 +30,9 @@
 	// such a zone.
 	SpillNear int
 	SpillFar  int
+	// Adopters is the number of entries of other zones in the region that take
+	// over an agent whose own zone has no entry.
+	Adopters int
 	// CutIntervals without a digest cut a zone.
 	CutIntervals int
 	// ListTurn is the interval between readings of the instance list by the
@@ -64,6 +67,7 @@
 		DigestFar:          10 * time.Second,
 		SpillNear:          4,
 		SpillFar:           1,
+		Adopters:           3,
 		CutIntervals:       3,
 		ListTurn:           4 * time.Second,
 		AgentList:          10 * time.Minute,
--- a/member/state.go
+++ b/member/state.go
@@ -90,7 +90,7 @@
 func (s *State) Heard(now time.Time, h track.Heartbeat) error {
 	const op = "take heartbeat"
 	switch {
-	case h.From.Zone != s.self.Zone:
+	case !s.mayTalkTo(h.From):
 		return track.Fail(op, WrongZone, errors.New("sender is in zone "+string(h.From.Zone)))
 	case h.From.ID == s.self.ID:
 		return track.Fail(op, SameID, errors.New("another process uses ID "+string(h.From.ID)))
@@ -149,10 +149,20 @@
 	return p
 }
 
-// Answered takes a peer's reply to a heartbeat. Replies of agents prove nothing
-// about their backend servers and are ignored.
+// mayTalkTo reports whether heartbeats may pass between this instance and
+// another: within a zone, and between an agent and the entries of its region.
+func (s *State) mayTalkTo(i track.Instance) bool {
+	return i.Zone == s.self.Zone || (i.Region == s.self.Region && i.Role != s.self.Role)
+}
+
+// Answered takes a peer's reply to a heartbeat.
 func (s *State) Answered(now time.Time, to track.Instance, r track.HeartbeatReply) {
-	if r.From != to.ID || to.Role != track.RoleEntry || to.Zone != s.self.Zone {
+	if r.Self != nil && r.Self.From.ID == to.ID {
+		// A stale one was overtaken by a heartbeat, which said more.
+		_ = s.Heard(now, *r.Self)
+		return
+	}
+	if r.From != to.ID || to.Role != track.RoleEntry {
 		return
 	}
 	if p := s.members[to.ID]; p != nil && r.Incarnation < p.incarnation {
@@ -259,7 +269,7 @@
 	}
 	s.weighSilence()
 	lost := func(p *peer) bool {
-		kept := s.mostSilent && p.instance.Role == track.RoleAgent
+		kept := s.mostSilent && s.ownAgent(p)
 		return p.suspect && !kept && now.Sub(p.heard) > removeAfter
 	}
 	for _, p := range s.present(lost) {
@@ -284,7 +294,7 @@
 func (s *State) weighSilence() {
 	total, silent := 0, 0
 	for _, p := range s.members {
-		if p.instance.Role != track.RoleAgent || p.gone || p.leaving {
+		if !s.ownAgent(p) || p.gone || p.leaving {
 			continue
 		}
 		total++
@@ -349,6 +359,11 @@
 	return n
 }
 
+// ownAgent reports whether a peer is an agent of the own zone, not an adopted one.
+func (s *State) ownAgent(p *peer) bool {
+	return p.instance.Role == track.RoleAgent && p.instance.Zone == s.self.Zone
+}
+
 // inService reports whether the replica behind an agent takes new work.
 func (s *State) inService(p *peer) bool {
 	return p.instance.Role == track.RoleAgent && !p.gone && !p.leaving && p.up && !s.marked(p.instance.ID)
@@ -373,11 +388,13 @@
 	return track.BackendServer{
 		Agent:       p.instance.ID,
 		Incarnation: p.incarnation,
-		Zone:        s.self.Zone,
+		Zone:        p.instance.Zone,
 		Target:      p.instance.Serves,
 		Address:     p.instance.Address,
+		Group:       p.instance.Group,
 		Joined:      p.joined,
 		Load:        p.load,
+		Reported:    p.heard,
 		Suspect:     p.suspect,
 	}
 }
@@ -392,7 +409,8 @@
 		})
 	}
 	for _, p := range s.members {
-		if p.instance.Role == track.RoleEntry && !p.gone && !p.suspect && !p.leaving {
+		own := p.instance.Role == track.RoleEntry && p.instance.Zone == s.self.Zone
+		if own && !p.gone && !p.suspect && !p.leaving {
 			entries = append(entries, track.EntryRef{
 				ID: p.instance.ID, Incarnation: p.incarnation, Address: p.instance.Address,
 			})
@@ -414,8 +432,12 @@
 		Incarnation: s.incarnation,
 		Interval:    s.Interval(),
 	}
-	if s.self.Role == track.RoleEntry && h.Roster != s.Roster() {
-		reply.Entries = s.Entries()
+	if s.self.Role != track.RoleEntry || h.From.Zone != s.self.Zone {
+		return reply
+	}
+	entries := s.Entries()
+	if h.Roster != rosterHash(entries) {
+		reply.Entries = entries
 	}
 	return reply
 }
--- a/member/zones.go
+++ b/member/zones.go
@@ -180,7 +180,9 @@
 	}
 	var servers []track.BackendServer
 	for _, c := range z.candidates {
-		if s.marked(c.Agent) || s.left[c.Agent] >= c.Incarnation {
+		p := s.members[c.Agent]
+		adopted := p != nil && !p.gone
+		if adopted || s.marked(c.Agent) || s.left[c.Agent] >= c.Incarnation {
 			continue
 		}
 		servers = append(servers, track.BackendServer{
@@ -191,6 +193,7 @@
 			Address:     c.Address,
 			Joined:      c.joined,
 			Load:        z.meanLoad(c.Target),
+			Reported:    z.heard,
 		})
 	}
 	return servers
@@ -235,7 +238,7 @@
 	byTarget := make(map[string][]track.Candidate)
 	totals := make(map[string]track.TargetDigest)
 	for _, p := range s.members {
-		if !s.inService(p) || p.suspect {
+		if !s.inService(p) || p.suspect || !s.ownAgent(p) {
 			continue
 		}
 		target := p.instance.Serves
--- a/peer.go
+++ b/peer.go
@@ -21,9 +21,12 @@
 	// MaxPayloads bounds the payloads of one message.
 	MaxPayloads = 16
 	// MaxFetchBytes bounds a request to Fetch and its answer.
-	MaxFetchBytes = 1 << 20
+	MaxFetchBytes = 16 << 20
 )
 
+// TopicConfig carries configuration from peer to peer, on request only.
+const TopicConfig Topic = "Config"
+
 // Payload is the data of one topic, opaque to the exchange of heartbeats.
 type Payload struct {
 	Topic Topic
@@ -36,16 +39,16 @@
 type TopicHandler interface {
 	// Topic returns the name, unique within the process.
 	Topic() Topic
-	// Offer returns what to send to the peer with the next message, or nil. It
-	// is called about once a second for each peer and must hold its rate down.
-	Offer(to InstanceID) []byte
+	// Offer returns what to send to the peer with the next message, if anything.
+	// It is called about once a second for each peer and must hold its rate down.
+	Offer(to Instance) [][]byte
 	// Receive takes what a peer sent.
 	Receive(from InstanceID, data []byte)
 	// Fetch answers a request of a peer for data too large for a heartbeat.
 	Fetch(from InstanceID, request []byte) ([]byte, error)
 }
 
-// Heartbeat is what an instance tells the others of its zone about itself.
+// Heartbeat is what an instance tells its peers about itself.
 type Heartbeat struct {
 	From        Instance
 	Incarnation Incarnation
@@ -77,6 +80,8 @@
 	Incarnation Incarnation
 	// Interval is the time between heartbeats that the receiver can afford.
 	Interval time.Duration
+	// Self is what an agent tells about itself; unset for an entry.
+	Self *Heartbeat
 	// Entries lists the live entries of the zone; set if the hash in the
 	// heartbeat differed.
 	Entries  []EntryRef
--- a/wire/peercodec.go
+++ b/wire/peercodec.go
@@ -38,7 +38,7 @@
 
 // EncodeHeartbeatReply returns the message that carries a reply.
 func EncodeHeartbeatReply(r track.HeartbeatReply) *wirepb.HeartbeatReply {
-	return &wirepb.HeartbeatReply{
+	m := &wirepb.HeartbeatReply{
 		From:        string(r.From),
 		Incarnation: uint64(r.Incarnation),
 		IntervalNs:  int64(r.Interval),
@@ -47,10 +47,14 @@
 			return &wirepb.EntryRef{Id: string(e.ID), Incarnation: uint64(e.Incarnation), Address: e.Address}
 		}),
 	}
+	if r.Self != nil {
+		m.Self = EncodeHeartbeat(*r.Self)
+	}
+	return m
 }
 
 func decodeHeartbeatReply(m *wirepb.HeartbeatReply) track.HeartbeatReply {
-	return track.HeartbeatReply{
+	r := track.HeartbeatReply{
 		From:        track.InstanceID(m.GetFrom()),
 		Incarnation: track.Incarnation(m.GetIncarnation()),
 		Interval:    time.Duration(m.GetIntervalNs()),
@@ -61,6 +65,11 @@
 			}
 		}),
 	}
+	if m.GetSelf() != nil {
+		self := decodeHeartbeat(m.GetSelf())
+		r.Self = &self
+	}
+	return r
 }
 
 // EncodeDigestQuery returns the message that asks for a digest.
