feat: entries take their configuration from the log

Entries read the configuration from the log and seed it from their settings if no change was ever decided. Package lookup goes; config.Live holds the indexes.

--- a/boot/entrycore.go
+++ b/boot/entrycore.go
@@ -6,15 +6,17 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/admin"
 	"filberttrack.example/track/conf"
+	"filberttrack.example/track/config"
 	"filberttrack.example/track/duty"
+	"filberttrack.example/track/edits"
 	"filberttrack.example/track/entry"
 	"filberttrack.example/track/entry/parse"
 	"filberttrack.example/track/entry/relay"
-	"filberttrack.example/track/lookup"
 	"filberttrack.example/track/pick"
 	"filberttrack.example/track/poll"
 )
@@ -27,7 +29,8 @@
 	metrics  *metrics.Set
 	entry    *entry.Entry
 	admin    *admin.Handler
-	index    *lookup.Index
+	config   *config.Store
+	seed     track.Config
 	router   track.Router
 	poller   *poll.Poller
 }
@@ -41,15 +44,19 @@
 			ID: s.Entry.ID, Role: track.RoleEntry, Region: s.Region, Zone: s.Entry.Zone, State: track.Live,
 		},
 		metrics: metrics.NewSet(),
-		index:   lookup.New(s.Config()),
+		seed:    s.Config(),
 		router:  pick.New(),
 	}
+	c.config = config.New(config.Options{
+		Self: c.instance, Log: ports.Platform.Log, Peers: noPeers{}, Clock: ports.Clock,
+		Logger: ports.Logger, Metrics: c.metrics, Seed: randomSeed(c.instance.ID, c.started),
+	})
 	c.poller = poll.New(poll.Options{
 		List: ports.Platform.List, Dialer: ports.Dialer, Router: c.router, Clock: ports.Clock, Logger: ports.Logger,
 	})
 	c.entry = entry.New(entry.Options{
 		Instance:     c.instance,
-		Directory:    c.index,
+		Directory:    c.config.Directory(),
 		Router:       c.router,
 		Dialer:       ports.Dialer,
 		Clock:        ports.Clock,
@@ -61,15 +68,33 @@
 		LogDecisions: s.Logging.Decisions,
 	})
 	c.admin = admin.New(admin.Options{Status: c.Status, Metrics: c.metrics, Profiling: s.Logging.Profiling})
+	edits.New(edits.Options{
+		Store: c.config, Guard: ports.Guard, Clock: ports.Clock, Logger: ports.Logger,
+	}).Register(c.admin)
 	return c
 }
 
-// Start starts the duties of the entry. The entry can route when it returns.
+// configWait bounds the wait for the configuration at the start. An entry that
+// has none after that is not ready, and goes on trying.
+const configWait = 10 * time.Second
+
+// Start starts the duties of the entry. The entry can route when it returns,
+// unless it has no configuration yet.
 func (c *EntryCore) Start(ctx context.Context) []*duty.Duty {
 	c.poller.Round(ctx)
-	return []*duty.Duty{
-		duty.Start(ctx, "poll agents", c.poller.Run),
+	duties := append(c.config.Start(ctx), duty.Start(ctx, "poll agents", c.poller.Run))
+	seeded := make(chan struct{})
+	duties = append(duties, duty.Start(ctx, "seed configuration", func(ctx context.Context) error {
+		defer close(seeded)
+		return c.config.Seed(ctx, &c.seed)
+	}))
+	select {
+	case <-seeded:
+	case <-ctx.Done():
+	case <-c.ports.Clock.After(configWait):
+		c.ports.Logger.Warn("started without configuration", zap.Duration("Waited", configWait))
 	}
+	return duties
 }
 
 // Callers returns the handler for callers.
@@ -80,12 +105,15 @@
 
 // Status returns the status of the entry.
 func (c *EntryCore) Status() track.Status {
+	status := c.config.Status()
 	return track.Status{
 		Instance:      c.instance,
 		Started:       c.started,
-		Ready:         !c.entry.Stopping(),
+		Ready:         c.config.Ready() && !c.entry.Stopping(),
 		Stopping:      c.entry.Stopping(),
-		ConfigVersion: c.index.Version(),
+		ConfigVersion: status.Version,
+		ConfigAge:     status.Age,
+		LogFault:      status.LogFault,
 		OpenRequests:  c.entry.Open(),
 		Servers:       c.poller.Servers(),
 	}
--- a/boot/ports.go
+++ b/boot/ports.go
@@ -30,6 +30,9 @@
 	Client *http.Client
 	Clock  clockwork.Clock
 	Logger *zap.Logger
+	// Guard lets only those operators through that may change something; nil
+	// lets nobody through.
+	Guard func(http.Handler) http.Handler
 	// NewID returns a request ID that no other instance returns.
 	NewID func() track.RequestID
 }
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -20,7 +20,7 @@
 const inForceTarget = 5 * time.Second
 
 // withFleet runs a test with running instances on a fake clock.
-func withFleet(t *testing.T, entries, agents int, test func(t *testing.T, ctx context.Context, f *fleet)) {
+func withFleet(t *testing.T, entries, agents int, test func(ctx context.Context, t *testing.T, f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		f := newFleet(clockwork.NewRealClock(), 1)
@@ -31,7 +31,7 @@
 			f.start(ctx, f.add(track.RoleAgent))
 		}
 		time.Sleep(10 * time.Second)
-		test(t, ctx, f)
+		test(ctx, t, f)
 		cancel()
 		for _, n := range f.live() {
 			f.remove(n)
@@ -57,7 +57,7 @@
 	return time.Since(start)
 }
 
-func publish(t *testing.T, ctx context.Context, n *node, c change.Change) change.Decided {
+func publish(ctx context.Context, t *testing.T, n *node, c change.Change) change.Decided {
 	t.Helper()
 	d, err := n.Publish(ctx, c)
 	assert.NilError(t, err)
@@ -65,13 +65,13 @@
 }
 
 func TestChangeInForceEverywhere(t *testing.T) {
-	withFleet(t, 9, 12, func(t *testing.T, ctx context.Context, f *fleet) {
+	withFleet(t, 9, 12, func(ctx context.Context, t *testing.T, f *fleet) {
 		entry := f.live()[0]
 		worst := time.Duration(0)
 		for i := range 40 {
 			replaces := uint64(i)
 			started := time.Now()
-			d := publish(t, ctx, entry, draft(fmt.Sprint("c", i), editProfile("lunch", time.Duration(i+1)*time.Second, replaces)))
+			d := publish(ctx, t, entry, draft(fmt.Sprint("c", i), editProfile("lunch", time.Duration(i+1)*time.Second, replaces)))
 			assert.Assert(t, d.Verdict.Accepted, d.Verdict.Detail)
 			untilAll(f, time.Minute, func(n *node) bool { return n.timeout("lunch") == time.Duration(i+1)*time.Second })
 			worst = max(worst, time.Since(started))
@@ -83,7 +83,7 @@
 }
 
 func TestLogAwayDuringPublish(t *testing.T) {
-	withFleet(t, 9, 12, func(t *testing.T, ctx context.Context, f *fleet) {
+	withFleet(t, 9, 12, func(ctx context.Context, t *testing.T, f *fleet) {
 		f.log.SetAway(true)
 		result := make(chan change.Decided, 1)
 		go func() {
@@ -105,14 +105,14 @@
 }
 
 func TestPublishGivesUpWithoutClaimingRefusal(t *testing.T) {
-	withFleet(t, 1, 0, func(t *testing.T, ctx context.Context, f *fleet) {
+	withFleet(t, 1, 0, func(ctx context.Context, t *testing.T, f *fleet) {
 		f.log.Hold(100)
 		impatient, cancel := context.WithTimeout(ctx, 20*time.Second)
 		defer cancel()
 		_, err := f.live()[0].Publish(impatient, draft("c1", editProfile("lunch", time.Second, 0)))
 		assert.Assert(t, track.IsKind(err, Unknown), "%v", err)
 		f.log.Release()
-		d := publish(t, ctx, f.live()[0], draft("c1", editProfile("lunch", time.Second, 0)))
+		d := publish(ctx, t, f.live()[0], draft("c1", editProfile("lunch", time.Second, 0)))
 		assert.Assert(t, d.Verdict.Accepted)
 		assert.Equal(t, f.live()[0].Status().Seq, uint64(1))
 	})
@@ -126,12 +126,12 @@
 		"reads lag":     func(f *fleet) { f.log.SetReadLag(3 * time.Second) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			withFleet(t, 2, 1, func(t *testing.T, ctx context.Context, f *fleet) {
+			withFleet(t, 2, 1, func(ctx context.Context, t *testing.T, f *fleet) {
 				fault(f)
 				n := f.live()[0]
-				d := publish(t, ctx, n, draft("c1", editProfile("lunch", time.Second, 0)))
+				d := publish(ctx, t, n, draft("c1", editProfile("lunch", time.Second, 0)))
 				assert.Assert(t, d.Verdict.Accepted)
-				again := publish(t, ctx, f.live()[1], draft("c1", editProfile("lunch", time.Second, 0)))
+				again := publish(ctx, t, f.live()[1], draft("c1", editProfile("lunch", time.Second, 0)))
 				assert.DeepEqual(t, again, d)
 				time.Sleep(time.Minute)
 				for _, n := range f.live() {
@@ -143,7 +143,7 @@
 }
 
 func TestRacingOperators(t *testing.T) {
-	withFleet(t, 2, 0, func(t *testing.T, ctx context.Context, f *fleet) {
+	withFleet(t, 2, 0, func(ctx context.Context, t *testing.T, f *fleet) {
 		verdicts := make(chan change.Decided, 2)
 		for i, operator := range []string{"maria", "jose"} {
 			go func() {
@@ -166,14 +166,14 @@
 }
 
 func TestPausedReaderRecovers(t *testing.T) {
-	withFleet(t, 3, 0, func(t *testing.T, ctx context.Context, f *fleet) {
+	withFleet(t, 3, 0, func(ctx context.Context, t *testing.T, f *fleet) {
 		// The paused entry can't be reached by peers either, so that the
 		// snapshot in the log is all that it has.
 		paused := f.add(track.RoleEntry)
 		f.lonely.Store(paused)
 		paused.reader.Poll(ctx)
 		for i := range 40 {
-			publish(t, ctx, f.live()[0], draft(fmt.Sprint("c", i), editProfile("lunch", time.Duration(i+1)*time.Second, uint64(i))))
+			publish(ctx, t, f.live()[0], draft(fmt.Sprint("c", i), editProfile("lunch", time.Duration(i+1)*time.Second, uint64(i))))
 			time.Sleep(testRetention / 20)
 		}
 		f.start(ctx, paused)
@@ -187,8 +187,8 @@
 }
 
 func TestStartWithLogAway(t *testing.T) {
-	withFleet(t, 3, 0, func(t *testing.T, ctx context.Context, f *fleet) {
-		publish(t, ctx, f.live()[0], draft("c1", editProfile("lunch", time.Second, 0)))
+	withFleet(t, 3, 0, func(ctx context.Context, t *testing.T, f *fleet) {
+		publish(ctx, t, f.live()[0], draft("c1", editProfile("lunch", time.Second, 0)))
 		time.Sleep(10 * time.Second)
 		f.log.SetAway(true)
 		time.Sleep(testRetention)
@@ -204,7 +204,7 @@
 }
 
 func TestLonelyStartWithLogAwayKnowsNothing(t *testing.T) {
-	withFleet(t, 0, 0, func(t *testing.T, ctx context.Context, f *fleet) {
+	withFleet(t, 0, 0, func(ctx context.Context, t *testing.T, f *fleet) {
 		f.log.SetAway(true)
 		n := f.start(ctx, f.add(track.RoleEntry))
 		time.Sleep(time.Hour)
@@ -216,8 +216,8 @@
 // All entries are replaced one by one, and the log returns only after all its
 // records have expired.
 func TestReplacedDuringLongOutage(t *testing.T) {
-	withFleet(t, 9, 12, func(t *testing.T, ctx context.Context, f *fleet) {
-		publish(t, ctx, f.live()[0], draft("c1", editProfile("lunch", time.Second, 0)))
+	withFleet(t, 9, 12, func(ctx context.Context, t *testing.T, f *fleet) {
+		publish(ctx, t, f.live()[0], draft("c1", editProfile("lunch", time.Second, 0)))
 		time.Sleep(10 * time.Second)
 		f.log.SetAway(true)
 		for _, n := range f.live() {
@@ -243,7 +243,7 @@
 			}
 		}
 		started := time.Now()
-		d := publish(t, ctx, entry, draft("c2", editProfile("lunch", time.Minute, 1)))
+		d := publish(ctx, t, entry, draft("c2", editProfile("lunch", time.Minute, 1)))
 		assert.Assert(t, d.Verdict.Accepted, d.Verdict.Detail)
 		untilAll(f, time.Minute, func(n *node) bool { return n.timeout("lunch") == time.Minute })
 		t.Logf("seed 1: publishing again %s after an outage longer than the retention", time.Since(started))
@@ -254,14 +254,14 @@
 }
 
 func TestCorruptRecordsAreSkipped(t *testing.T) {
-	withFleet(t, 2, 1, func(t *testing.T, ctx context.Context, f *fleet) {
+	withFleet(t, 2, 1, func(ctx context.Context, t *testing.T, f *fleet) {
 		good, err := change.EncodeChange(draft("half", editProfile("lunch", time.Second, 0)))
 		assert.NilError(t, err)
 		for _, data := range [][]byte{nil, good[:len(good)/2], []byte("{}"), append([]byte{' ', 'x'}, good...)} {
 			_, err := f.log.Append(ctx, track.StreamConfig, [][]byte{data})
 			assert.NilError(t, err)
 		}
-		d := publish(t, ctx, f.live()[0], draft("c1", editProfile("lunch", time.Minute, 0)))
+		d := publish(ctx, t, f.live()[0], draft("c1", editProfile("lunch", time.Minute, 0)))
 		assert.Assert(t, d.Verdict.Accepted)
 		took := untilAll(f, time.Minute, func(n *node) bool { return n.timeout("lunch") == time.Minute })
 		assert.Assert(t, took <= inForceTarget)
@@ -342,9 +342,9 @@
 	next.Version, next.Services = 2, []track.Service{{Name: "desk"}}
 	second := NewLive(&next, first)
 	for _, l := range []*Live{first, second} {
-		account, ok := l.AccountByToken(token)
+		account, ok := l.Account(change.Sum([]byte(token)))
 		assert.Assert(t, ok && account.Name == "mill")
-		_, ok = l.AccountByToken("wrong")
+		_, ok = l.Account("wrong")
 		assert.Assert(t, !ok)
 	}
 	_, ok := first.Service("desk")
@@ -353,6 +353,6 @@
 	assert.Assert(t, ok)
 	last := next
 	last.Accounts = nil
-	_, ok = NewLive(&last, second).AccountByToken(token)
+	_, ok = NewLive(&last, second).Account(change.Sum([]byte(token)))
 	assert.Assert(t, !ok)
 }
--- a/config/fake_test.go
+++ b/config/fake_test.go
@@ -118,7 +118,7 @@
 	if lonely := l.from.fleet.lonely.Load(); lonely != nil && (lonely == l.from || lonely == l.to) {
 		return track.ConfigNews{}, errors.New("cut off")
 	}
-	news, err := l.to.Store.News(ctx, since)
+	news, err := l.to.News(ctx, since)
 	l.from.fleet.calls.Add(1)
 	size := 2*len(news.Position.Checksum) + 2*positionBytes + len(news.State)
 	for _, r := range news.Records {
--- a/config/follower.go
+++ b/config/follower.go
@@ -116,7 +116,7 @@
 	}
 	state, err := change.Unmarshal(snapshot.Body)
 	if err != nil {
-		s.o.Logger.Error("snapshot refused", zap.Uint64("offset", entry.Offset), zap.Error(err))
+		s.o.Logger.Error("snapshot refused", zap.Uint64("Offset", entry.Offset), zap.Error(err))
 		return
 	}
 	if s.adopt(state, snapshot.Next, "snapshot in the log") {
@@ -145,7 +145,7 @@
 	before := s.state.Seq()
 	d := s.state.Apply(c)
 	if s.state.Seq() == before {
-		s.o.Logger.Info("change appended again", zap.String("change", c.ID))
+		s.o.Logger.Info("change appended again", zap.String("Change", c.ID))
 		return
 	}
 	s.note(d)
@@ -154,8 +154,8 @@
 // note logs and counts a decision.
 func (s *Store) note(d change.Decided) {
 	fields := []zap.Field{
-		zap.String("change", d.Change.ID), zap.String("operator", d.Change.Operator),
-		zap.Uint64("seq", d.Seq), zap.Uint64("version", d.Verdict.Version),
+		zap.String("Change", d.Change.ID), zap.String("Operator", d.Change.Operator),
+		zap.Uint64("Seq", d.Seq), zap.Uint64("Version", d.Verdict.Version),
 	}
 	if d.Verdict.Accepted {
 		s.counters.changes.Inc()
@@ -164,7 +164,7 @@
 	}
 	s.counters.refused.Inc()
 	s.o.Logger.Warn("change refused", append(fields,
-		zap.String("reason", string(d.Verdict.Reason)), zap.String("detail", d.Verdict.Detail))...)
+		zap.String("Reason", string(d.Verdict.Reason)), zap.String("Detail", d.Verdict.Detail))...)
 }
 
 // compare reports a difference between two states that should be equal, and
@@ -178,8 +178,8 @@
 		return true
 	}
 	s.counters.diverged.Inc()
-	s.o.Logger.Error("configurations differ", zap.String("source", source), zap.Uint64("seq", seq),
-		zap.String("own", own), zap.String("other", checksum), zap.Error(err))
+	s.o.Logger.Error("configurations differ", zap.String("Source", source), zap.Uint64("Seq", seq),
+		zap.String("Own", own), zap.String("Other", checksum), zap.Error(err))
 	return false
 }
 
--- a/config/live.go
+++ b/config/live.go
@@ -1,11 +1,6 @@
 package config
 
-import (
-	"crypto/sha256"
-	"encoding/hex"
-
-	"filberttrack.example/track"
-)
+import "filberttrack.example/track"
 
 // Live is the configuration in force on an instance, with indexes for the path
 // of a request. It is never modified; a newer one replaces it.
@@ -15,7 +10,7 @@
 	models   map[string]*track.Model
 	services map[string]*track.Service
 	accounts map[string]*track.ClientAccount
-	tokens   map[[sha256.Size]byte]*track.ClientAccount
+	tokens   map[string]*track.ClientAccount
 }
 
 // NewLive returns the indexes of a configuration. Those of the previous one are
@@ -30,7 +25,7 @@
 	l.models = index(cfg.Models, old.Models, previous.models, func(m *track.Model) string { return m.Name })
 	l.services = index(cfg.Services, old.Services, previous.services, func(s *track.Service) string { return s.Name })
 	l.accounts = index(cfg.Accounts, old.Accounts, previous.accounts, func(a *track.ClientAccount) string { return a.Name })
-	l.tokens = index(cfg.Accounts, old.Accounts, previous.tokens, tokenSum)
+	l.tokens = index(cfg.Accounts, old.Accounts, previous.tokens, func(a *track.ClientAccount) string { return a.TokenSHA256 })
 	return l
 }
 
@@ -48,13 +43,6 @@
 	return m
 }
 
-func tokenSum(a *track.ClientAccount) [sha256.Size]byte {
-	var sum [sha256.Size]byte
-	// The length was checked when the account was accepted.
-	_, _ = hex.Decode(sum[:], []byte(a.TokenSHA256))
-	return sum
-}
-
 // Config returns the whole configuration. The caller must not modify it.
 func (l *Live) Config() *track.Config { return l.config }
 
@@ -70,15 +58,19 @@
 // Service returns the service of the given name.
 func (l *Live) Service(name string) (track.Service, bool) { return get(l.services, name) }
 
-// Account returns the client account of the given name.
-func (l *Live) Account(name string) (track.ClientAccount, bool) { return get(l.accounts, name) }
+// AccountByName returns the client account of the given name.
+func (l *Live) AccountByName(name string) (track.ClientAccount, bool) { return get(l.accounts, name) }
 
-// AccountByToken returns the client account that a bearer token belongs to. The
-// search is by hash, so its duration tells nothing about other tokens.
-func (l *Live) AccountByToken(token string) (track.ClientAccount, bool) {
-	return get(l.tokens, sha256.Sum256([]byte(token)))
+// Account returns the client account that owns the bearer token with the given
+// hexadecimal SHA-256. The search is by hash, so its duration tells nothing
+// about other tokens.
+func (l *Live) Account(tokenSHA256 string) (track.ClientAccount, bool) {
+	return get(l.tokens, tokenSHA256)
 }
 
+// Models returns all models, sorted by name. The caller must not modify them.
+func (l *Live) Models() []track.Model { return l.config.Models }
+
 func get[K comparable, T any](index map[K]*T, key K) (T, bool) {
 	if object, ok := index[key]; ok {
 		return *object, true
--- a/config/peers.go
+++ b/config/peers.go
@@ -109,12 +109,12 @@
 	news, err := contact.Peer.News(ctx, s.Position())
 	if err != nil {
 		s.counters.peerFailures.Inc()
-		s.o.Logger.Debug("peer gave no configuration", zap.String("peer", string(contact.Instance.ID)), zap.Error(err))
+		s.o.Logger.Debug("peer gave no configuration", zap.String("Peer", string(contact.Instance.ID)), zap.Error(err))
 		return
 	}
 	if err := s.learn(news, string(contact.Instance.ID)); err != nil {
 		s.counters.peerFailures.Inc()
-		s.o.Logger.Error("configuration of a peer refused", zap.String("peer", string(contact.Instance.ID)), zap.Error(err))
+		s.o.Logger.Error("configuration of a peer refused", zap.String("Peer", string(contact.Instance.ID)), zap.Error(err))
 		return
 	}
 	s.mu.Lock()
--- a/config/publish.go
+++ b/config/publish.go
@@ -42,7 +42,7 @@
 	for attempt := 1; ; attempt++ {
 		offset, err := s.appender.Append(ctx, data)
 		if err != nil {
-			s.o.Logger.Warn("append of a change failed", zap.String("change", c.ID), zap.Int("attempt", attempt), zap.Error(err))
+			s.o.Logger.Warn("append of a change failed", zap.String("Change", c.ID), zap.Int("Attempt", attempt), zap.Error(err))
 		}
 		wait := tail.Jitter(rng, tail.Backoff(attempt, firstPublishWait, maxPublishWait))
 		d, decided := s.awaitVerdict(ctx, c.ID, wait, err == nil, offset)
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -91,7 +91,7 @@
 		return
 	}
 	s.counters.snapshots.Inc()
-	s.o.Logger.Info("snapshot appended", zap.Uint64("offset", offset), zap.Int("bytes", len(data)))
+	s.o.Logger.Info("snapshot appended", zap.Uint64("Offset", offset), zap.Int("Bytes", len(data)))
 }
 
 // logSnapshot returns the record to append to the log. An instance that has
--- a/config/store.go
+++ b/config/store.go
@@ -162,7 +162,23 @@
 	return s.state != nil && !s.confirmed.IsZero()
 }
 
-// Changed returns a channel that is closed at the next decided change.
+// AwaitReady waits until the store is ready or the context ends.
+func (s *Store) AwaitReady(ctx context.Context) error {
+	for {
+		changed := s.Changed()
+		if s.Ready() {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return track.Fail("wait for configuration", NotReady, context.Cause(ctx))
+		}
+	}
+}
+
+// Changed returns a channel that is closed at the next decided change, and once
+// the store gets ready.
 func (s *Store) Changed() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -243,8 +259,8 @@
 	if s.state != nil && state.Seq() <= s.state.Seq() {
 		return false
 	}
-	s.o.Logger.Info("configuration taken over", zap.String("source", source),
-		zap.Uint64("version", state.Version()), zap.Uint64("seq", state.Seq()))
+	s.o.Logger.Info("configuration taken over", zap.String("Source", source),
+		zap.Uint64("Version", state.Version()), zap.Uint64("Seq", state.Seq()))
 	s.state = state
 	s.next = next
 	s.searching = false
@@ -258,15 +274,24 @@
 	if previous := s.live.Load(); previous == nil || cfg.Version > previous.Version() {
 		s.live.Store(NewLive(cfg, previous))
 	}
+	s.signal()
+}
+
+// signal wakes those that wait for a change.
+func (s *Store) signal() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
 // confirm records that nothing newer than the state existed at the given time.
 func (s *Store) confirm(at time.Time) {
+	first := s.confirmed.IsZero()
 	if at.After(s.confirmed) {
 		s.confirmed = at
 	}
+	if first {
+		s.signal()
+	}
 }
 
 // sum returns the checksum of the state. The caller holds the lock.
--- a/tail/reader.go
+++ b/tail/reader.go
@@ -167,8 +167,8 @@
 	batch := r.decode(page, from)
 	batch.Asked = asked
 	if batch.Gap() {
-		r.o.Logger.Warn("records expired unread", zap.String("stream", r.o.Stream),
-			zap.Uint64("from", from), zap.Uint64("oldest", batch.Oldest))
+		r.o.Logger.Warn("records expired unread", zap.String("Stream", r.o.Stream),
+			zap.Uint64("From", from), zap.Uint64("Oldest", batch.Oldest))
 	}
 	r.o.Follower.Handle(batch)
 	return r.o.Follower.Position() != from && r.o.Follower.Position() < page.Next
@@ -185,7 +185,7 @@
 		return
 	}
 	if r.failures == 0 {
-		r.o.Logger.Warn("reading the log failed", zap.String("stream", r.o.Stream), zap.Error(err))
+		r.o.Logger.Warn("reading the log failed", zap.String("Stream", r.o.Stream), zap.Error(err))
 	}
 	r.failures++
 	r.failed.Inc()
@@ -206,8 +206,8 @@
 		entry.Value, entry.Err = r.o.Decode(record.Data)
 		if entry.Err != nil {
 			r.corrupt.Inc()
-			r.o.Logger.Error("record refused", zap.String("stream", r.o.Stream),
-				zap.Uint64("offset", record.Offset), zap.Int("bytes", len(record.Data)), zap.Error(entry.Err))
+			r.o.Logger.Error("record refused", zap.String("Stream", r.o.Stream),
+				zap.Uint64("Offset", record.Offset), zap.Int("Bytes", len(record.Data)), zap.Error(entry.Err))
 		}
 		b.Entries = append(b.Entries, entry)
 	}
--- a/tail/tail_test.go
+++ b/tail/tail_test.go
@@ -72,17 +72,17 @@
 	})
 }
 
-func appendAll(t *testing.T, log track.Log, values ...string) {
+func appendAll(ctx context.Context, t *testing.T, log track.Log, values ...string) {
 	t.Helper()
 	for _, v := range values {
-		_, err := log.Append(t.Context(), stream, [][]byte{[]byte(v)})
+		_, err := log.Append(ctx, stream, [][]byte{[]byte(v)})
 		assert.NilError(t, err)
 	}
 }
 
 func TestReaderFollowsStream(t *testing.T) {
 	inBubble(t, func(ctx context.Context, log *memlog.Log) {
-		appendAll(t, log, "a", "b", "!", "", "c")
+		appendAll(ctx, t, log, "a", "b", "!", "", "c")
 		c := &collector{}
 		r := reader(log, c)
 		duty.Start(ctx, "tail", r.Run)
@@ -90,7 +90,7 @@
 		assert.DeepEqual(t, c.values, []string{"a", "b", "c"})
 		assert.DeepEqual(t, c.refused, []uint64{2, 3})
 
-		appendAll(t, log, "d")
+		appendAll(ctx, t, log, "d")
 		r.Wake()
 		synctest.Wait()
 		assert.Equal(t, len(c.values), 4)
@@ -101,7 +101,7 @@
 		assert.Assert(t, c.faults >= 25 && c.faults <= 70, "%d reads failed", c.faults)
 		appended := time.Now()
 		log.SetAway(false)
-		appendAll(t, log, "e")
+		appendAll(ctx, t, log, "e")
 		for len(c.values) < 5 {
 			time.Sleep(10 * time.Millisecond)
 			synctest.Wait()
@@ -112,14 +112,14 @@
 
 func TestReaderNoticesGap(t *testing.T) {
 	inBubble(t, func(ctx context.Context, log *memlog.Log) {
-		appendAll(t, log, "a", "b", "c", "d")
+		appendAll(ctx, t, log, "a", "b", "c", "d")
 		c := &collector{next: 1}
 		log.Expire(stream, 3)
 		r := reader(log, c)
 		assert.Assert(t, !r.Poll(ctx))
 		assert.Equal(t, c.gaps, 1)
 		assert.DeepEqual(t, c.values, []string{"d"})
-		appendAll(t, log, "e")
+		appendAll(ctx, t, log, "e")
 		log.Expire(stream, 5)
 		r.Poll(ctx)
 		assert.Equal(t, c.gaps, 2)
