--- a/wire/client.go
+++ b/wire/client.go
@@ -43,6 +43,8 @@
 	limits := []grpc.DialOption{
 		// An attempt is repeated only by the entry, which knows whether it may.
 		grpc.WithDisableRetry(),
+		grpc.WithStaticStreamWindowSize(streamWindowBytes),
+		grpc.WithStaticConnWindowSize(connWindowBytes),
 		// A connection whose peer was cut off is given up, and a peer that comes
 		// back is found, well within the time that a caller waits.
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{
