--- a/change/check.go
+++ b/change/check.go
@@ -17,7 +17,7 @@
 	maxTimeout    = time.Hour
 	maxAttempts   = 10
 	maxWeight     = 1e6
-	maxRate       = 1e9
+	maxRate       = 1e12
 )
 
 const nameCharacters = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-"
--- a/cmd/filberttrack/main.go
+++ b/cmd/filberttrack/main.go
@@ -38,14 +38,15 @@
 		Suggest:               true,
 		// main prints the error and chooses the exit code.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
-		Commands: []*cli.Command{
+		Commands: append(objectCommands(),
 			devCommand(),
 			entryCommand(),
 			agentCommand(),
 			standinCommand(),
 			checkCommand(),
 			statusCommand(),
-		},
+			configCommand(),
+		),
 	}
 }
 
--- /dev/null
+++ b/cmd/filberttrack/publish.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"filberttrack.example/track/change"
+	"filberttrack.example/track/edits"
+)
+
+// Exit codes of commands that publish.
+const (
+	exitRefused     = 3
+	exitNotInForce  = 4
+	defaultOperator = "unnamed"
+)
+
+// publishFlags are the flags of commands that publish a change.
+func publishFlags() []cli.Flag {
+	return append(adminFlags(),
+		&cli.StringFlag{Name: "operator", Usage: "`NAME` that the history shows", Value: defaultOperator, Sources: cli.EnvVars("FILBERTTRACK_OPERATOR", "USER")},
+		&cli.StringFlag{Name: "token-file", Usage: "`FILE` with the admin token", Sources: cli.EnvVars("FILBERTTRACK_TOKEN_FILE")},
+		&cli.StringFlag{Name: "id", Usage: "change `ID`; give that of a change whose verdict is unknown to publish it again"},
+		&cli.BoolFlag{Name: "wait", Usage: "wait until the change is in force on all known live instances"},
+		&cli.BoolFlag{Name: "dry-run", Usage: "show the verdict that the change would get, and publish nothing"},
+		&cli.DurationFlag{Name: "timeout", Usage: "longest `TIME` to wait for the verdict, and again with --wait", Value: 20 * time.Second},
+	)
+}
+
+// publishEdits publishes a change with the edits and prints the verdict.
+func publishEdits(ctx context.Context, c *cli.Command, changed []change.Edit) error {
+	if len(changed) == 0 {
+		fmt.Println("nothing to change")
+		return nil
+	}
+	id := c.String("id")
+	if id == "" {
+		id = rand.Text()
+	}
+	published, err := publish(ctx, c, edits.Publication{
+		Change: change.Change{ID: id, Operator: c.String("operator"), Edits: changed},
+		DryRun: c.Bool("dry-run"), Wait: c.Bool("wait"), Timeout: c.Duration("timeout"),
+	})
+	if err != nil {
+		return fmt.Errorf("publish change %s: %w", id, err)
+	}
+	if c.Bool("json") {
+		err = printJSON(os.Stdout, published)
+	} else {
+		err = printPublished(os.Stdout, published)
+	}
+	if err != nil {
+		return err
+	}
+	return publishedCode(published)
+}
+
+// publishedCode returns the exit code for a publication; its text is printed
+// already.
+func publishedCode(p edits.Published) error {
+	switch {
+	case !p.Decided.Verdict.Accepted:
+		return cli.Exit("the change was refused", exitRefused)
+	case p.Spread != nil && !p.Spread.Complete():
+		return cli.Exit("the change is accepted, but not in force everywhere yet", exitNotInForce)
+	}
+	return nil
+}
+
+func printPublished(w io.Writer, p edits.Published) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "Change\t%s\n", p.Decided.Change.ID)
+	fmt.Fprintf(t, "Verdict\t%s\n", verdictText(p))
+	fmt.Fprintf(t, "Version\t%d\n", p.Decided.Verdict.Version)
+	if v := p.Decided.Verdict; !v.Accepted {
+		fmt.Fprintf(t, "Detail\t%s\n", v.Detail)
+		if v.Winner != nil {
+			fmt.Fprintf(t, "Changed by\t%s at %s\n", v.Winner.Operator, v.Winner.Time.Format(time.RFC3339))
+		}
+	}
+	if s := p.Spread; s != nil {
+		fmt.Fprintf(t, "In force on\t%d of %d instances\n", len(s.InForce), len(s.InForce)+len(s.Behind)+len(s.Silent))
+		for _, id := range s.Behind {
+			fmt.Fprintf(t, "Older version\t%s\n", id)
+		}
+		for _, id := range s.Silent {
+			fmt.Fprintf(t, "No answer\t%s\n", id)
+		}
+	}
+	return t.Flush()
+}
+
+func verdictText(p edits.Published) string {
+	text := "refused: " + string(p.Decided.Verdict.Reason)
+	if p.Decided.Verdict.Accepted {
+		text = "accepted"
+	}
+	if p.DryRun {
+		text += " (dry run, nothing was published)"
+	}
+	return text
+}
+
+// objectNames lists the objects that a change edits.
+func objectNames(c change.Change) string {
+	names := make([]string, len(c.Edits))
+	for i, e := range c.Edits {
+		names[i] = strings.ToLower(string(e.Kind)) + "/" + e.Name
+	}
+	const most = 4
+	if len(names) > most {
+		return fmt.Sprintf("%s and %d more", strings.Join(names[:most], " "), len(names)-most)
+	}
+	return strings.Join(names, " ")
+}
--- a/cmd/filberttrack/status.go
+++ b/cmd/filberttrack/status.go
@@ -100,6 +100,10 @@
 	fmt.Fprintf(t, "Started\t%s\n", s.Started.Format(time.RFC3339))
 	fmt.Fprintf(t, "Ready\t%t\n", s.Ready)
 	fmt.Fprintf(t, "Config version\t%d\n", s.ConfigVersion)
+	fmt.Fprintf(t, "Config age\t%s\n", ageText(s.ConfigAge))
+	if s.LogFault != "" {
+		fmt.Fprintf(t, "Log\taway: %s\n", s.LogFault)
+	}
 	fmt.Fprintf(t, "Open requests\t%d\n", s.OpenRequests)
 	if len(s.Servers) > 0 {
 		fmt.Fprintln(t, "\nAGENT\tZONE\tTARGET\tRUNNING\tCAPACITY")
--- a/conf/check.go
+++ b/conf/check.go
@@ -45,6 +45,11 @@
 }
 
 func (c *checker) check(s *Settings, use Use) {
+	if use == UseObjects {
+		c.profiles(s.Profile)
+		c.accounts(s.Account)
+		return
+	}
 	c.logging(s.Logging)
 	c.profiles(s.Profile)
 	c.models(s)
--- a/conf/load.go
+++ b/conf/load.go
@@ -92,6 +92,9 @@
 	UseAgent
 	UseStandin
 	UseDev
+	// UseObjects is for files with profiles, models, services and client
+	// accounts that are to be published. What they refer to is checked then.
+	UseObjects
 )
 
 // Load reads, completes and checks a settings file.
