--- a/agent.go
+++ b/agent.go
@@ -13,13 +13,15 @@
 	// other process refuses it.
 	Agent       InstanceID
 	Incarnation Incarnation
-	Kind        CallKind
-	Target      string
-	Method      string
-	Path        string
-	Query       string
-	Header      http.Header
-	Body        []byte
+	// Stamp is the agent's time as the entry knew it when it formed the attempt.
+	Stamp  Stamp
+	Kind   CallKind
+	Target string
+	Method string
+	Path   string
+	Query  string
+	Header http.Header
+	Body   []byte
 	// Timeout is the time left until the caller's deadline when the dispatch was
 	// sent. It is relative, so that clocks need not agree.
 	Timeout  time.Duration
@@ -135,6 +137,8 @@
 
 // Load is the load of a backend server as its agent measures it.
 type Load struct {
+	// Stamp is the agent's time at which the load was measured.
+	Stamp Stamp
 	// Running is the number of attempts in progress.
 	Running int
 	// Queued is the number of attempts waiting inside the backend server.
