--- a/agent.go
+++ b/agent.go
@@ -115,9 +115,9 @@
 	Run(ctx context.Context, d Dispatch, send FrameFunc) error
 	// Bar makes sure that an attempt which has not started never will, and
 	// returns the state it found.
-	Bar(ctx context.Context, id AttemptID) (AttemptState, error)
+	Bar(ctx context.Context, ref AttemptRef) (AttemptState, error)
 	// Replay waits for the attempt and hands over its stored answer.
-	Replay(ctx context.Context, id AttemptID, send FrameFunc) error
+	Replay(ctx context.Context, ref AttemptRef, send FrameFunc) error
 	// Report returns the agent's state, for membership and routing.
 	Report(ctx context.Context) (Report, error)
 }
--- /dev/null
+++ b/frames/resume_test.go
@@ -0,0 +1,209 @@
+package frames_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/frames"
+)
+
+// script is what the fake engine says, one word a token.
+var script = strings.SplitAfter("the bales at mill nine were wet so the truck left without them today ", " ")
+
+type request struct {
+	Messages             []struct{ Role, Content string }
+	MaxTokens            int  `json:"max_tokens"`
+	ContinueFinalMessage bool `json:"continue_final_message"`
+	AddGenerationPrompt  bool `json:"add_generation_prompt"`
+	Seed                 int
+}
+
+// generate returns the chunks of a fake engine that continues the script after
+// the partial message of the request.
+func generate(t assert.TestingT, body []byte, replica int, begun string) []string {
+	r := request{AddGenerationPrompt: true}
+	assert.NilError(t, json.Unmarshal(body, &r))
+	assert.Equal(t, r.Seed, 7, "unknown members must be kept")
+	said := ""
+	if r.ContinueFinalMessage {
+		last := r.Messages[len(r.Messages)-1]
+		assert.Equal(t, last.Role, "assistant")
+		assert.Equal(t, r.AddGenerationPrompt, false)
+		said = strings.TrimPrefix(last.Content, begun)
+	}
+	rest, ok := strings.CutPrefix(strings.Join(script, ""), said)
+	assert.Assert(t, ok, "asked to continue %q", said)
+	chunk := func(choices string) string {
+		return fmt.Sprintf(`{"id":"c%d","created":%d,"model":"m","choices":[%s]}`, replica, replica, choices)
+	}
+	chunks := []string{chunk(`{"index":0,"delta":{"role":"assistant","content":""},"finish_reason":null}`)}
+	reason := "stop"
+	words := strings.SplitAfter(rest, " ")
+	for i, word := range words[:len(words)-1] {
+		if i == r.MaxTokens {
+			reason = "length"
+			break
+		}
+		chunks = append(chunks, chunk(fmt.Sprintf(`{"index":0,"delta":{"content":%q},"finish_reason":null}`, word)))
+	}
+	chunks = append(chunks, chunk(fmt.Sprintf(`{"index":0,"delta":{},"finish_reason":%q}`, reason)))
+	return append(chunks, fmt.Sprintf(
+		`{"id":"c%d","choices":[],"usage":{"prompt_tokens":%d,"completion_tokens":%d,"total_tokens":99}}`,
+		replica, 10+len(strings.Fields(said)), len(chunks)-2))
+}
+
+// told is what a caller has.
+type told struct {
+	text   string
+	roles  int
+	ids    map[string]bool
+	reason string
+	usage  *usage
+}
+
+type usage struct {
+	Prompt     int `json:"prompt_tokens"`
+	Completion int `json:"completion_tokens"`
+}
+
+func (c *told) read(t assert.TestingT, data []byte) {
+	for line := range strings.SplitSeq(string(data), "\n") {
+		if line == "" {
+			continue
+		}
+		var chunk struct {
+			ID      string
+			Choices []struct {
+				Delta        struct{ Role, Content string }
+				FinishReason string `json:"finish_reason"`
+			}
+			Usage *usage
+		}
+		assert.NilError(t, json.Unmarshal([]byte(line), &chunk))
+		c.ids[chunk.ID] = true
+		if chunk.Usage != nil {
+			c.usage = chunk.Usage
+		}
+		for _, choice := range chunk.Choices {
+			c.text += choice.Delta.Content
+			c.reason += choice.FinishReason
+			if choice.Delta.Role != "" {
+				c.roles++
+			}
+		}
+	}
+}
+
+const ask = `{"model":"m","seed":7,"stream_options":{"include_usage":true},"max_tokens":%d,` +
+	`"messages":[{"role":"user","content":"why"}%s}`
+
+// However often replicas die, and wherever, no word is twice or missing.
+func TestResumeKeepsEachWordOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		bound := rapid.IntRange(1, len(script)+1).Draw(rt, "bound")
+		begun, tail := "", "]"
+		if rapid.Bool().Draw(rt, "begun by caller") {
+			begun = "Well, "
+			tail = `,{"role":"assistant","content":"Well, "}],"continue_final_message":true,"add_generation_prompt":false`
+		}
+		body := []byte(fmt.Sprintf(ask, bound, tail))
+		transcript, err := frames.NewTranscript(body)
+		assert.NilError(rt, err)
+		caller := told{ids: map[string]bool{}}
+		for replica := 0; !transcript.Finished(); replica++ {
+			chunks := generate(rt, body, replica, begun)
+			cut := rapid.IntRange(0, len(chunks)).Draw(rt, "cut")
+			for _, piece := range chunks[:cut] {
+				out, err := transcript.Relay([]byte(piece + "\n"))
+				assert.NilError(rt, err)
+				caller.read(rt, out)
+			}
+			if caller.reason != "" {
+				break
+			}
+			body, err = transcript.Resume()
+			if track.IsKind(err, frames.Exhausted) {
+				caller.read(rt, transcript.Ending())
+				break
+			}
+			assert.NilError(rt, err)
+		}
+		words := min(bound, len(script)-1)
+		assert.Equal(rt, strings.TrimSpace(caller.text), strings.TrimSpace(strings.Join(script[:words], "")))
+		assert.Equal(rt, caller.roles, 1)
+		assert.Equal(rt, len(caller.ids), 1)
+		if caller.usage != nil {
+			assert.Equal(rt, *caller.usage, usage{Prompt: 10, Completion: words})
+		}
+	})
+}
+
+func TestNotResumed(t *testing.T) {
+	const plain = `"messages":[{"role":"user","content":"why"}]`
+	for name, test := range map[string]struct{ request, chunk string }{
+		"no chat":          {`{"prompt":"why"}`, ""},
+		"several choices":  {`{` + plain + `,"n":2}`, ""},
+		"tools":            {`{` + plain + `,"tools":[{}]}`, ""},
+		"logprobs":         {`{` + plain + `,"logprobs":true}`, ""},
+		"constrained":      {`{` + plain + `,"response_format":{"type":"json_object"}}`, ""},
+		"bound no number":  {`{` + plain + `,"max_tokens":"x"}`, ""},
+		"tool call":        {`{` + plain + `}`, `{"choices":[{"delta":{"tool_calls":[{}]}}]}`},
+		"second choice":    {`{` + plain + `}`, `{"choices":[{"index":1,"delta":{"content":"x"}}]}`},
+		"reasoning":        {`{` + plain + `}`, `{"choices":[{"delta":{"reasoning_content":"hm"}}]}`},
+		"finished":         {`{` + plain + `}`, `{"choices":[{"delta":{},"finish_reason":"stop"}]}`},
+		"message in parts": {`{"messages":[{"role":"assistant","content":[{}]}],"continue_final_message":true}`, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			transcript, err := frames.NewTranscript([]byte(test.request))
+			assert.NilError(t, err)
+			_, err = transcript.Relay([]byte(`{"choices":[{"delta":{"content":"so"}}]}` + "\n" + test.chunk))
+			assert.NilError(t, err)
+			_, err = transcript.Resume()
+			assert.Assert(t, track.IsKind(err, frames.NotResumable), "%v", err)
+		})
+	}
+}
+
+// A frame that can't be read in full leaves no trace, so that its words are
+// generated again.
+func TestRelayIsWhole(t *testing.T) {
+	transcript, err := frames.NewTranscript([]byte(`{"messages":[]}`))
+	assert.NilError(t, err)
+	_, err = transcript.Relay([]byte(`{"choices":[{"delta":{"content":"so"}}]}` + "\n" + `{"choi`))
+	assert.Assert(t, track.IsKind(err, frames.Malformed))
+	assert.Equal(t, transcript.Text(), "")
+	_, err = transcript.Relay([]byte(`{"choices":[{"delta":{},"finish_reason":"stop"}]}`))
+	assert.NilError(t, err)
+	assert.Assert(t, transcript.Finished())
+	_, err = transcript.Relay([]byte(`{"choices":[{"delta":{"content":"more"}}]}`))
+	assert.Assert(t, track.IsKind(err, frames.Malformed))
+}
+
+func FuzzRelay(f *testing.F) {
+	f.Add([]byte(`{"messages":[{"role":"user","content":"a"}],"max_tokens":3}`), []byte(`{"id":"x","choices":[{"delta":{"content":"w"}}]}`))
+	f.Add([]byte(`{"messages":null,"continue_final_message":true}`), []byte("{}\n{\"choices\":[{\"delta\":{\"role\":\"a\"}}],\"usage\":{}}"))
+	f.Fuzz(func(t *testing.T, body, data []byte) {
+		transcript, err := frames.NewTranscript(body)
+		if err != nil {
+			return
+		}
+		for range 2 {
+			if _, err := transcript.Relay(data); err != nil {
+				return
+			}
+			next, err := transcript.Resume()
+			if err != nil {
+				return
+			}
+			if !json.Valid(next) {
+				t.Fatalf("resume made %q", next)
+			}
+		}
+	})
+}
