--- a/frames/resume.go
+++ b/frames/resume.go
@@ -57,14 +57,6 @@
 	return nil
 }
 
-func wantsUsage(request object) bool {
-	var options struct {
-		IncludeUsage bool `json:"include_usage"`
-	}
-	raw := request["stream_options"]
-	return carries(raw) && json.Unmarshal(raw, &options) == nil && options.IncludeUsage
-}
-
 // Resume returns the body of the request that continues the generation from
 // the text that the caller has. Its errors are of kind NotResumable, or
 // Exhausted if no token is left to generate; then Ending closes the answer.
--- a/frames/resume_test.go
+++ b/frames/resume_test.go
@@ -115,7 +115,7 @@
 			tail = `,{"role":"assistant","content":"Well, "}],"continue_final_message":true,"add_generation_prompt":false`
 		}
 		body := []byte(fmt.Sprintf(ask, bound, tail))
-		transcript, err := frames.NewTranscript(body)
+		transcript, err := frames.NewTranscript(body, true)
 		assert.NilError(rt, err)
 		caller := told{ids: map[string]bool{}}
 		for replica := 0; !transcript.Finished(); replica++ {
@@ -162,7 +162,7 @@
 		"message in parts": {`{"messages":[{"role":"assistant","content":[{}]}],"continue_final_message":true}`, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
-			transcript, err := frames.NewTranscript([]byte(test.request))
+			transcript, err := frames.NewTranscript([]byte(test.request), false)
 			assert.NilError(t, err)
 			_, err = transcript.Relay([]byte(`{"choices":[{"delta":{"content":"so"}}]}` + "\n" + test.chunk))
 			assert.NilError(t, err)
@@ -175,7 +175,7 @@
 // A frame that can't be read in full leaves no trace, so that its words are
 // generated again.
 func TestRelayIsWhole(t *testing.T) {
-	transcript, err := frames.NewTranscript([]byte(`{"messages":[]}`))
+	transcript, err := frames.NewTranscript([]byte(`{"messages":[]}`), false)
 	assert.NilError(t, err)
 	_, err = transcript.Relay([]byte(`{"choices":[{"delta":{"content":"so"}}]}` + "\n" + `{"choi`))
 	assert.Assert(t, track.IsKind(err, frames.Malformed))
@@ -191,7 +191,7 @@
 	f.Add([]byte(`{"messages":[{"role":"user","content":"a"}],"max_tokens":3}`), []byte(`{"id":"x","choices":[{"delta":{"content":"w"}}]}`))
 	f.Add([]byte(`{"messages":null,"continue_final_message":true}`), []byte("{}\n{\"choices\":[{\"delta\":{\"role\":\"a\"}}],\"usage\":{}}"))
 	f.Fuzz(func(t *testing.T, body, data []byte) {
-		transcript, err := frames.NewTranscript(body)
+		transcript, err := frames.NewTranscript(body, true)
 		if err != nil {
 			return
 		}
--- a/frames/transcript.go
+++ b/frames/transcript.go
@@ -53,8 +53,10 @@
 type Transcript struct {
 	request object
 	body    []byte
-	head    head
-	text    strings.Builder
+	// wantsUsage is set if the answer ends with the usage.
+	wantsUsage bool
+	head       head
+	text       strings.Builder
 	// tokens is the number of tokens handed to the caller.
 	tokens int
 	// before is the number of those that earlier replicas generated.
@@ -71,9 +73,9 @@
 }
 
 // NewTranscript returns the transcript of the answer to a chat completion
-// request.
-func NewTranscript(body []byte) (*Transcript, error) {
-	t := &Transcript{body: body}
+// request. The caller may have asked for the usage after the text.
+func NewTranscript(body []byte, wantsUsage bool) (*Transcript, error) {
+	t := &Transcript{body: body, wantsUsage: wantsUsage}
 	if err := json.Unmarshal(body, &t.request); err != nil {
 		return nil, track.Fail("read request", Malformed, err)
 	}
@@ -89,7 +91,7 @@
 // Finished reports whether the caller has the whole text, with the reason for
 // its end and the usage if it asked for that.
 func (t *Transcript) Finished() bool {
-	return t.finished && (t.accounted || !wantsUsage(t.request))
+	return t.finished && (t.accounted || !t.wantsUsage)
 }
 
 // Relay takes the data of a frame, one or more whole chunks separated by
