feat: settings of idempotency keys, and no NotRun for a retry that was not looked up

Cause: an entry that refuses a retry early can't know whether the key ran; a question to a cut-off agent waited for the deadline. Change: refusals for load or a stop are Unknown for a key that the caller may have sent before; [Entry.Claims] in the settings file; a bound on the question to an agent; KeyRetention 18 h, so that a log of 24 h covers it.

--- a/boot/entrycore.go
+++ b/boot/entrycore.go
@@ -51,9 +51,12 @@
 		List: ports.Platform.List, Dialer: ports.Dialer, Router: c.router, Clock: ports.Clock, Logger: ports.Logger,
 	})
 	drops := frames.NewDrops(c.metrics)
+	limits := claims.Defaults()
+	limits.KeyRetention = s.Entry.Claims.KeyRetention
+	limits.TimedKeysOnly = s.Entry.Claims.TimedKeysOnly
 	c.claims = claims.New(claims.Options{
 		Log: ports.Platform.Log, Agents: ports.Dialer, Clock: ports.Clock, Logger: ports.Logger,
-		Metrics: c.metrics, Drops: drops, Settings: claims.Defaults(),
+		Metrics: c.metrics, Drops: drops, Settings: limits,
 	})
 	c.entry = entry.New(entry.Options{
 		Instance:     c.instance,
--- a/boot/once_test.go
+++ b/boot/once_test.go
@@ -52,6 +52,28 @@
 	})
 }
 
+// The caller gives up while the service still books; its retry gets the answer
+// to the first request.
+func TestSessionCallerGaveUp(t *testing.T) {
+	play(t, "session-caller-gave-up", 2, func(_ context.Context, x *session) {
+		x.desks[0].SetLatency(3 * time.Second)
+		x.book(0, booking, "friday", "Filberttrack-Timeout", "500ms")
+		x.book(1, booking, "friday", "Filberttrack-Timeout", "10s")
+		x.send(0, "GET", bookings, "", "Filberttrack-Timeout", "10s")
+	})
+}
+
+// An entry that refuses a retry before it has looked at the key does not know
+// whether the work ran.
+func TestSessionRetryAtStoppingEntry(t *testing.T) {
+	play(t, "session-retry-at-stopping-entry", 2, func(ctx context.Context, x *session) {
+		x.book(0, booking, "friday")
+		x.entries[1].Drain(ctx)
+		x.book(1, booking, "friday")
+		x.book(1, booking, "saturday", "Filberttrack-First-Send", "true")
+	})
+}
+
 // A replica dies in the middle of a streamed generation; another goes on from
 // the text that the caller has.
 func TestSessionResume(t *testing.T) {
--- a/claims/execute.go
+++ b/claims/execute.go
@@ -287,7 +287,7 @@
 	}
 	for range settings.RecallAttempts {
 		var state track.AttemptState
-		state, err = agent.Bar(ctx, view.Claim.Ref())
+		state, err = x.ask(ctx, agent, view)
 		if err == nil {
 			answer, known := x.settle(ctx, agent, view, state)
 			if known && answer == nil && state == track.AttemptForgotten {
@@ -305,6 +305,13 @@
 	return nil, track.Fail(op, Unreachable, err)
 }
 
+// ask bars the attempt of a claim, unless it has started.
+func (x *execution) ask(ctx context.Context, agent track.Agent, view View) (track.AttemptState, error) {
+	ctx, cancel := context.WithTimeout(ctx, x.book.options.Settings.RecallTimeout)
+	defer cancel()
+	return agent.Bar(ctx, view.Claim.Ref())
+}
+
 // settle acts on the state that the agent found. It reports whether the matter
 // is known; with no answer the attempt is barred or forgotten.
 func (x *execution) settle(ctx context.Context, agent track.Agent, view View, state track.AttemptState) (*Answer, bool) {
--- a/claims/settings.go
+++ b/claims/settings.go
@@ -34,8 +34,10 @@
 	// BarDelay is the age of another entry's claim from which its attempt is
 	// barred, so that concurrent retries do not bar what is about to start.
 	BarDelay time.Duration
-	// RecallAttempts and RecallBackoff govern calls of an agent that does not answer.
+	// RecallAttempts, RecallTimeout and RecallBackoff govern the question to an
+	// agent what became of an attempt.
 	RecallAttempts int
+	RecallTimeout  time.Duration
 	RecallBackoff  time.Duration
 	// MaxClaims bounds the claims of one request.
 	MaxClaims int
@@ -44,7 +46,7 @@
 // Defaults returns the settings of an entry that names none.
 func Defaults() Settings {
 	return Settings{
-		KeyRetention:     24 * time.Hour,
+		KeyRetention:     18 * time.Hour,
 		KeyLead:          time.Minute,
 		MaxKeys:          500_000,
 		AppendInterval:   25 * time.Millisecond,
@@ -58,6 +60,7 @@
 		MarkInterval:     time.Minute,
 		BarDelay:         500 * time.Millisecond,
 		RecallAttempts:   3,
+		RecallTimeout:    2 * time.Second,
 		RecallBackoff:    200 * time.Millisecond,
 		MaxClaims:        4,
 	}
--- a/conf/check.go
+++ b/conf/check.go
@@ -17,6 +17,8 @@
 	maxRanks           = 1024
 	minTimeout         = time.Millisecond
 	longestTimeout     = time.Hour
+	minKeyRetention    = time.Minute
+	maxKeyRetention    = 30 * 24 * time.Hour
 	maxAttemptsAllowed = 10
 	tokenDigestLength  = 64
 	maxBodyLimitBytes  = 1 << 30
@@ -133,6 +135,7 @@
 	inRange(c, "Entry.MaxTimeout", e.MaxTimeout, minTimeout, longestTimeout)
 	inRange(c, "Entry.BalancerDelay", e.BalancerDelay, 0, longestTimeout)
 	inRange(c, "Entry.StopTimeout", e.StopTimeout, minTimeout, longestTimeout)
+	inRange(c, "Entry.Claims.KeyRetention", e.Claims.KeyRetention, minKeyRetention, maxKeyRetention)
 }
 
 func (c *checker) agent(a Agent) {
--- a/conf/defaults.go
+++ b/conf/defaults.go
@@ -1,6 +1,10 @@
 package conf
 
-import "time"
+import (
+	"time"
+
+	"filberttrack.example/track/claims"
+)
 
 // Defaults of the settings.
 const (
@@ -33,6 +37,7 @@
 	setDefault(&s.Entry.MaxTimeout, defaultMaxTimeout)
 	setDefault(&s.Entry.BalancerDelay, defaultBalancerDelay)
 	setDefault(&s.Entry.StopTimeout, defaultStopTimeout)
+	setDefault(&s.Entry.Claims.KeyRetention, claims.Defaults().KeyRetention)
 	setDefault(&s.Agent.StopTimeout, defaultStopTimeout)
 	setDefault(&s.Logging.Level, "info")
 	setDefault(&s.Logging.Format, "json")
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -55,6 +55,17 @@
 	BalancerDelay time.Duration
 	// StopTimeout bounds a planned stop.
 	StopTimeout time.Duration
+	// Claims says how calls that must not be repeated are treated.
+	Claims Claims
+}
+
+// Claims is the part of an entry's section about idempotency keys.
+type Claims struct {
+	// KeyRetention is how long a key is remembered. The log has to keep the
+	// stream of claims for longer.
+	KeyRetention time.Duration
+	// TimedKeysOnly refuses keys that are no UUIDv7.
+	TimedKeysOnly bool
 }
 
 // Agent is the section of an agent.
--- a/entry/claim/claim.go
+++ b/entry/claim/claim.go
@@ -52,6 +52,7 @@
 	ctx, cancel := context.WithTimeout(ctx, x.Call.Deadline.Sub(s.options.Clock.Now()))
 	defer cancel()
 	r := &runner{step: s, call: &x.Call}
+	x.Judged = true
 	answer, err := s.options.Book.Execute(ctx, workOf(x), r)
 	r.release(track.Result{Outcome: track.NotRun})
 	if err != nil {
@@ -75,7 +76,7 @@
 		Key:        claims.Key{Account: call.Account.Name, Service: call.Target, Name: call.IdempotencyKey},
 		BodySHA256: hex.EncodeToString(digest.Sum(nil)),
 		Request:    call.ID,
-		First:      x.Request.Header.Get(flow.HeaderFirstSend) == "true",
+		First:      x.FirstSend(),
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -138,6 +138,10 @@
 	outcome := x.Writer.Header().Get(flow.HeaderOutcome)
 	if err != nil {
 		refusal := refusalOf(err)
+		if refusal.Outcome == track.NotRun && transient(refusal.Status) && x.MayHaveRun() {
+			// The caller takes NotRun for the work, not for this request alone.
+			refusal.Outcome = track.Unknown
+		}
 		outcome = refusal.Outcome.String()
 		writeError(x.Writer, refusal)
 	}
@@ -146,6 +150,12 @@
 		Update(e.options.Clock.Since(x.Call.Arrived).Seconds())
 }
 
+// transient reports whether a request refused with the status may have been
+// taken at another time.
+func transient(status int) bool {
+	return status == http.StatusTooManyRequests || status >= http.StatusInternalServerError
+}
+
 // refusalOf returns the refusal that the error is, or stands for.
 func refusalOf(err error) *flow.RefusalError {
 	var refusal *flow.RefusalError
--- a/entry/flow/flow.go
+++ b/entry/flow/flow.go
@@ -29,6 +29,8 @@
 	Writer  http.ResponseWriter
 	Request *http.Request
 	Call    track.Call
+	// Judged is set once the outcome speaks of the idempotency key too.
+	Judged bool
 	// Answered is set once the caller has the whole answer.
 	Answered bool
 
@@ -52,6 +54,18 @@
 	x.releases = nil
 }
 
+// FirstSend reports whether the caller states that it sends its idempotency key
+// for the first time.
+func (x *Exchange) FirstSend() bool {
+	return x.Request.Header.Get(HeaderFirstSend) == "true"
+}
+
+// MayHaveRun reports whether an earlier request under the same idempotency key
+// may have run, for all that the steps so far have found out.
+func (x *Exchange) MayHaveRun() bool {
+	return x.Request.Header.Get(HeaderIdempotency) != "" && !x.Judged && !x.FirstSend()
+}
+
 // RefusalError ends an exchange with an error answer.
 type RefusalError struct {
 	// Status is the HTTP status.
