--- a/boot/agentcore.go
+++ b/boot/agentcore.go
@@ -14,6 +14,7 @@
 	"filberttrack.example/track/agent"
 	"filberttrack.example/track/conf"
 	"filberttrack.example/track/duty"
+	"filberttrack.example/track/ledger"
 )
 
 // AgentCore is an agent without its listeners: all its parts, joined.
@@ -49,6 +50,7 @@
 		Clock:       ports.Clock,
 		Logger:      ports.Logger,
 		Metrics:     c.metrics,
+		Ledger:      ledger.Defaults(),
 	})
 	c.admin = admin.New(admin.Options{Status: c.Status, Metrics: c.metrics, Profiling: s.Logging.Profiling})
 	return c, nil
--- a/boot/entrycore.go
+++ b/boot/entrycore.go
@@ -10,6 +10,7 @@
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/admin"
+	"filberttrack.example/track/claims"
 	"filberttrack.example/track/conf"
 	"filberttrack.example/track/config"
 	"filberttrack.example/track/duty"
@@ -17,6 +18,7 @@
 	"filberttrack.example/track/entry"
 	"filberttrack.example/track/entry/parse"
 	"filberttrack.example/track/entry/relay"
+	"filberttrack.example/track/frames"
 	"filberttrack.example/track/pick"
 	"filberttrack.example/track/poll"
 )
@@ -33,6 +35,7 @@
 	seed     track.Config
 	router   track.Router
 	poller   *poll.Poller
+	claims   *claims.Book
 }
 
 // NewEntryCore joins the parts of an entry.
@@ -54,6 +57,14 @@
 	c.poller = poll.New(poll.Options{
 		List: ports.Platform.List, Dialer: ports.Dialer, Router: c.router, Clock: ports.Clock, Logger: ports.Logger,
 	})
+	drops := frames.NewDrops(c.metrics)
+	limits := claims.Defaults()
+	limits.KeyRetention = s.Entry.Claims.KeyRetention
+	limits.TimedKeysOnly = s.Entry.Claims.TimedKeysOnly
+	c.claims = claims.New(claims.Options{
+		Log: ports.Platform.Log, Agents: ports.Dialer, Clock: ports.Clock, Logger: ports.Logger,
+		Metrics: c.metrics, Drops: drops, Settings: limits,
+	})
 	c.entry = entry.New(entry.Options{
 		Instance:     c.instance,
 		Directory:    c.config.Directory(),
@@ -66,6 +77,8 @@
 		Parse:        parse.Limits{MaxBodyBytes: s.Entry.MaxBodyBytes, MaxTimeout: s.Entry.MaxTimeout},
 		Relay:        relay.Limits{MaxAnswerBytes: s.Entry.MaxAnswerBytes},
 		LogDecisions: s.Logging.Decisions,
+		Claims:       c.claims,
+		Drops:        drops,
 	})
 	c.admin = admin.New(admin.Options{Status: c.Status, Metrics: c.metrics, Profiling: s.Logging.Profiling})
 	edits.New(edits.Options{
@@ -83,6 +96,7 @@
 func (c *EntryCore) Start(ctx context.Context) []*duty.Duty {
 	c.poller.Round(ctx)
 	duties := append(c.config.Start(ctx), duty.Start(ctx, "poll agents", c.poller.Run))
+	duties = append(duties, c.claims.Start(ctx)...)
 	seeded := make(chan struct{})
 	duties = append(duties, duty.Start(ctx, "seed configuration", func(ctx context.Context) error {
 		defer close(seeded)
--- a/entry/send/judge.go
+++ b/entry/send/judge.go
@@ -34,13 +34,16 @@
 		return r.refuse(http.StatusServiceUnavailable, "no_backend_server", r.fault(t)), true
 	case !t.whole() || t.cutOff():
 		r.excluded = append(r.excluded, choice.Server.Agent)
-		r.answer.Reset()
+		if r.answer.Committed() {
+			return r.resume(r.fault(t))
+		}
+		r.reset()
 		return r.refuse(http.StatusBadGateway, "backend_server_failed", r.fault(t)), true
 	case t.status >= errorStatus && !t.relaysErrors():
 		return r.engineError(t), t.status >= serverErrorStatus
 	case retriable(t.status) && r.mayRetry(ctx):
 		r.excluded = append(r.excluded, choice.Server.Agent)
-		r.answer.Reset()
+		r.reset()
 		return r.refuse(t.status, "backend_server_failed", "the backend server is overloaded"), true
 	}
 	return r.finish(t), false
--- a/wire/client.go
+++ b/wire/client.go
@@ -138,10 +138,10 @@
 }
 
 // Replay implements track.Agent.
-func (c *agentClient) Replay(ctx context.Context, id track.AttemptID, send track.FrameFunc) error {
+func (c *agentClient) Replay(ctx context.Context, ref track.AttemptRef, send track.FrameFunc) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stream, err := c.client.Replay(ctx, attemptToWire(id))
+	stream, err := c.client.Replay(ctx, refToWire(ref))
 	if err != nil {
 		return fromStatus("replay", err)
 	}
@@ -149,8 +149,8 @@
 }
 
 // Bar implements track.Agent.
-func (c *agentClient) Bar(ctx context.Context, id track.AttemptID) (track.AttemptState, error) {
-	reply, err := c.client.Bar(ctx, attemptToWire(id))
+func (c *agentClient) Bar(ctx context.Context, ref track.AttemptRef) (track.AttemptState, error) {
+	reply, err := c.client.Bar(ctx, refToWire(ref))
 	if err != nil {
 		return track.AttemptForgotten, fromStatus("bar attempt", err)
 	}
--- a/wire/server.go
+++ b/wire/server.go
@@ -58,12 +58,12 @@
 // Replay implements wirepb.AgentServer.
 func (s *agentServer) Replay(ref *wirepb.AttemptRef, stream grpc.ServerStreamingServer[wirepb.Frame]) error {
 	send := func(f track.Frame) error { return stream.Send(frameToWire(f)) }
-	return toStatus(s.agent.Replay(stream.Context(), attemptFromWire(ref), send))
+	return toStatus(s.agent.Replay(stream.Context(), refFromWire(ref), send))
 }
 
 // Bar implements wirepb.AgentServer.
 func (s *agentServer) Bar(ctx context.Context, ref *wirepb.AttemptRef) (*wirepb.BarReply, error) {
-	state, err := s.agent.Bar(ctx, attemptFromWire(ref))
+	state, err := s.agent.Bar(ctx, refFromWire(ref))
 	if err != nil {
 		return nil, toStatus(err)
 	}
