--- a/cmd/capacity/control.go
+++ b/cmd/capacity/control.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -37,12 +38,18 @@
 	rate bool
 }
 
-// at returns the cost that the line gives for a size of a deployment.
-func (c cost) at(line gauge.Line, size float64) float64 {
+// at returns the cost at a size of a deployment: the measured one, or else that
+// of the line, marked with a tilde.
+func (c cost) at(points []gauge.Point, line gauge.Line, size float64) string {
+	for _, p := range points {
+		if p.Size == size {
+			return fmt.Sprintf("%.4g", p.Cost)
+		}
+	}
 	if c.rate {
-		return line.Slope * size
+		return fmt.Sprintf("~%.4g", line.Slope*size)
 	}
-	return line.At(size)
+	return fmt.Sprintf("~%.4g", line.At(size))
 }
 
 func controlCommand() *cli.Command {
@@ -61,7 +68,7 @@
 
 // subjects lists all parts that are measured.
 func subjects() []subject {
-	return slices.Concat(pathSubjects())
+	return slices.Concat(configSubjects(), memberSubjects(), entrySubjects(), pathSubjects())
 }
 
 func measureControl(ctx context.Context, out io.Writer, all []subject, only string) error {
@@ -81,6 +88,10 @@
 // print measures the subject and prints a row for each cost.
 func (s subject) print(ctx context.Context, out io.Writer) error {
 	points := make([][]gauge.Point, len(s.costs))
+	// The first run fills pools and caches, and does not count.
+	if _, err := s.measure(ctx, s.sizes[0]); err != nil {
+		return err
+	}
 	for _, size := range s.sizes {
 		values, err := s.measure(ctx, size)
 		if err != nil {
@@ -96,13 +107,26 @@
 		for j, p := range points[i] {
 			measured[j] = fmt.Sprintf("%.0f:%.4g", p.Size, p.Cost)
 		}
-		fmt.Fprintf(out, "%s\t%s, %s\t%s\t%s\t%.4g\t%.4g\t%.3f\t%.4g\t%.4g\n",
+		fmt.Fprintf(out, "%s\t%s, %s\t%s\t%s\t%.4g\t%.4g\t%.3f\t%s\t%s\n",
 			s.name, c.name, c.unit, s.variable, strings.Join(measured, " "), line.Base, line.Slope, line.R2,
-			c.at(line, c.today), c.at(line, c.planned))
+			c.at(points[i], line, c.today), c.at(points[i], line, c.planned))
 	}
 	return nil
 }
 
+// processorMicros returns the processor time of run in microseconds.
+func processorMicros(run func() error) (float64, error) {
+	before, err := gauge.ProcessorTime()
+	if err != nil {
+		return 0, err
+	}
+	if err := run(); err != nil {
+		return 0, err
+	}
+	after, err := gauge.ProcessorTime()
+	return float64(after-before) / float64(time.Microsecond), err
+}
+
 // heapKB returns by how many kilobytes the heap grew since before.
 func heapKB(before uint64) float64 {
 	return (float64(gauge.HeapBytes()) - float64(before)) / 1000
--- a/cmd/capacity/sizes.go
+++ b/cmd/capacity/sizes.go
@@ -27,9 +27,25 @@
 	todayStreams   = todayRequests * requestSeconds / todayEntries
 )
 
+// The agents and entries of a zone, rounded up.
+const (
+	plannedZoneAgents  = (plannedAgents + plannedZones - 1) / plannedZones
+	plannedZoneEntries = (plannedEntries + plannedZones - 1) / plannedZones
+	todayZoneAgents    = (todayAgents + todayZones - 1) / todayZones
+	todayZoneEntries   = (todayEntries + todayZones - 1) / todayZones
+)
+
 // The connections of an entry to own processes: the agents and entries of its
 // zone and an entry of each other zone.
 const (
-	plannedConns = plannedAgents/plannedZones + plannedEntries/plannedZones + plannedZones - 1
-	todayConns   = todayAgents/todayZones + todayEntries/todayZones + todayZones - 1
+	plannedConns = plannedZoneAgents + plannedZoneEntries + plannedZones - 2
+	todayConns   = todayZoneAgents + todayZoneEntries + todayZones - 2
+)
+
+// The heartbeats and digests of an entry in a second: what its agents send at
+// the interval it can afford, one to and from each entry of the zone, and the
+// digests asked of other zones and by them.
+const (
+	plannedCalls = 27 + 2*(plannedZoneEntries-1) + 8
+	todayCalls   = todayZoneAgents + 2*(todayZoneEntries-1) + 2
 )
