--- a/cmd/capacity/control.go
+++ b/cmd/capacity/control.go
@@ -68,7 +68,7 @@
 
 // subjects lists all parts that are measured.
 func subjects() []subject {
-	return slices.Concat(configSubjects(), memberSubjects(), entrySubjects(), pathSubjects())
+	return slices.Concat(configSubjects(), memberSubjects(), entrySubjects(), expertSubjects(), pathSubjects())
 }
 
 func measureControl(ctx context.Context, out io.Writer, all []subject, only string) error {
--- a/plat/log.go
+++ b/plat/log.go
@@ -107,5 +107,19 @@
 		return
 	}
 	page, err := h.log.Read(r.Context(), r.PathValue("stream"), from, min(limit, MaxRecords))
+	page.Records = bounded(page.Records)
 	answer(w, opRead, page, err)
 }
+
+// bounded returns as many of the first records as fit into a page, and at least
+// one.
+func bounded(records []track.Record) []track.Record {
+	size := 0
+	for i, r := range records {
+		size += len(r.Data)
+		if i > 0 && size > MaxPageBytes {
+			return records[:i]
+		}
+	}
+	return records
+}
--- a/plat/plat.go
+++ b/plat/plat.go
@@ -18,10 +18,15 @@
 
 // Bounds of what the clients and servers accept.
 const (
-	// MaxRequestBytes bounds the body of a request.
-	MaxRequestBytes = 4 << 20
-	// MaxResponseBytes bounds the body of an answer.
-	MaxResponseBytes = 16 << 20
+	// MaxRecordBytes bounds one record. A snapshot of the configuration is the
+	// largest.
+	MaxRecordBytes = 24 << 20
+	// MaxPageBytes bounds the records of one page, unless it holds a single one.
+	MaxPageBytes = 8 << 20
+	// MaxRequestBytes and MaxResponseBytes bound the bodies of requests and
+	// answers. JSON carries records in base64.
+	MaxRequestBytes  = 2 * MaxRecordBytes
+	MaxResponseBytes = 2 * MaxRecordBytes
 	// MaxRecords bounds the records of one append and of one page.
 	MaxRecords = 10_000
 )
--- a/plat/plat_test.go
+++ b/plat/plat_test.go
@@ -58,6 +58,29 @@
 	assert.Assert(t, track.IsKind(err, track.Invalid))
 }
 
+// TestLargeRecords covers snapshots of a configuration of full size.
+func TestLargeRecords(t *testing.T) {
+	log := memlog.New(clockwork.NewFakeClock(), memlog.Settings{})
+	client := plat.NewLog(serve(t, plat.NewLogHandler(log)))
+	large := make([]byte, plat.MaxRecordBytes)
+	for range 2 {
+		_, err := client.Append(t.Context(), "s", [][]byte{large})
+		assert.NilError(t, err)
+	}
+	_, err := client.Append(t.Context(), "s", [][]byte{{1}, {2}})
+	assert.NilError(t, err)
+	from := uint64(0)
+	for _, want := range []int{1, 1, 2} {
+		page, err := client.Read(t.Context(), "s", from, 10)
+		assert.NilError(t, err)
+		assert.Equal(t, len(page.Records), want)
+		assert.Equal(t, page.Next, uint64(4))
+		from += uint64(want)
+	}
+	_, err = client.Append(t.Context(), "s", [][]byte{make([]byte, plat.MaxRequestBytes)})
+	assert.Assert(t, track.IsKind(err, track.Invalid))
+}
+
 // TestAppendFailsWithTheRightKind covers the ways in which no answer arrives.
 func TestAppendFailsWithTheRightKind(t *testing.T) {
 	refusing, err := net.Listen("tcp", "127.0.0.1:0")
