--- a/plat/log.go
+++ b/plat/log.go
@@ -42,13 +42,17 @@
 	if len(data) == 0 || len(data) > MaxRecords {
 		return 0, track.Fail(opAppend, track.Invalid, errRecords)
 	}
+	size := 0
+	for _, d := range data {
+		size += len(d)
+	}
+	if size > MaxRecordBytes {
+		return 0, track.Fail(opAppend, track.Invalid, errTooLarge)
+	}
 	body, err := json.Marshal(AppendRequest{Data: data})
 	if err != nil {
 		return 0, track.Fail(opAppend, track.Invalid, err)
 	}
-	if len(body) > MaxRequestBytes {
-		return 0, track.Fail(opAppend, track.Invalid, errTooLarge)
-	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, l.records(stream).String(), bytes.NewReader(body))
 	if err != nil {
 		return 0, track.Fail(opAppend, track.Invalid, err)
--- a/plat/plat.go
+++ b/plat/plat.go
@@ -18,8 +18,8 @@
 
 // Bounds of what the clients and servers accept.
 const (
-	// MaxRecordBytes bounds one record. A snapshot of the configuration is the
-	// largest.
+	// MaxRecordBytes bounds the records of one append. A snapshot of the
+	// configuration is the largest record.
 	MaxRecordBytes = 24 << 20
 	// MaxPageBytes bounds the records of one page, unless it holds a single one.
 	MaxPageBytes = 8 << 20
@@ -27,7 +27,7 @@
 	// answers. JSON carries records in base64.
 	MaxRequestBytes  = 2 * MaxRecordBytes
 	MaxResponseBytes = 2 * MaxRecordBytes
-	// MaxRecords bounds the records of one append and of one page.
+	// MaxRecords bounds the number of records of one append and of one page.
 	MaxRecords = 10_000
 )
 
