--- a/conf/check.go
+++ b/conf/check.go
@@ -17,6 +17,8 @@
 	maxRanks           = 1024
 	minTimeout         = time.Millisecond
 	longestTimeout     = time.Hour
+	minKeyRetention    = time.Minute
+	maxKeyRetention    = 30 * 24 * time.Hour
 	maxAttemptsAllowed = 10
 	tokenDigestLength  = 64
 	maxBodyLimitBytes  = 1 << 30
@@ -45,6 +47,11 @@
 }
 
 func (c *checker) check(s *Settings, use Use) {
+	if use == UseObjects {
+		c.profiles(s.Profile)
+		c.accounts(s.Account)
+		return
+	}
 	c.logging(s.Logging)
 	c.profiles(s.Profile)
 	c.models(s)
@@ -133,6 +140,7 @@
 	inRange(c, "Entry.MaxTimeout", e.MaxTimeout, minTimeout, longestTimeout)
 	inRange(c, "Entry.BalancerDelay", e.BalancerDelay, 0, longestTimeout)
 	inRange(c, "Entry.StopTimeout", e.StopTimeout, minTimeout, longestTimeout)
+	inRange(c, "Entry.Claims.KeyRetention", e.Claims.KeyRetention, minKeyRetention, maxKeyRetention)
 }
 
 func (c *checker) agent(a Agent) {
--- a/plat/plat_test.go
+++ b/plat/plat_test.go
@@ -58,6 +58,20 @@
 	assert.Assert(t, track.IsKind(err, track.Invalid))
 }
 
+// TestSnapshotFits covers a snapshot of a configuration of full size.
+func TestSnapshotFits(t *testing.T) {
+	const snapshotBytes = 7_200_000
+	log := memlog.New(clockwork.NewFakeClock(), memlog.Settings{})
+	client := plat.NewLog(serve(t, plat.NewLogHandler(log)))
+	_, err := client.Append(t.Context(), "s", [][]byte{make([]byte, snapshotBytes)})
+	assert.NilError(t, err)
+	page, err := client.Read(t.Context(), "s", 0, 10)
+	assert.NilError(t, err)
+	assert.Equal(t, len(page.Records[0].Data), snapshotBytes)
+	_, err = client.Append(t.Context(), "s", [][]byte{make([]byte, plat.MaxRecordBytes), {1}})
+	assert.Assert(t, track.IsKind(err, track.Invalid))
+}
+
 // TestAppendFailsWithTheRightKind covers the ways in which no answer arrives.
 func TestAppendFailsWithTheRightKind(t *testing.T) {
 	refusing, err := net.Listen("tcp", "127.0.0.1:0")
