--- a/agent/agent.go
+++ b/agent/agent.go
@@ -9,12 +9,14 @@
 	"net/url"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/ledger"
 )
 
 // Options holds what an agent is made of.
@@ -28,12 +30,14 @@
 	Clock   clockwork.Clock
 	Logger  *zap.Logger
 	Metrics *metrics.Set
+	// Ledger bounds what the agent remembers of attempts.
+	Ledger ledger.Settings
 }
 
 // Agent implements track.Agent in front of one backend server.
 type Agent struct {
 	options Options
-	table   *table
+	ledger  *ledger.Ledger
 	leaving atomic.Bool
 	up      atomic.Bool
 	running atomic.Int64
@@ -45,7 +49,10 @@
 
 // New returns an agent that takes work at once.
 func New(options Options) *Agent {
-	a := &Agent{options: options, table: newTable()}
+	a := &Agent{
+		options: options,
+		ledger:  ledger.New(options.Instance.ID, options.Incarnation, options.Clock, options.Ledger),
+	}
 	a.up.Store(true)
 	return a
 }
@@ -53,28 +60,38 @@
 // Run implements track.Agent.
 func (a *Agent) Run(ctx context.Context, d track.Dispatch, send track.FrameFunc) error {
 	out := &output{id: d.ID, send: send}
-	refusal := a.refusal(d)
-	if refusal == "" {
-		refusal = a.table.start(d.ID)
-	}
-	if refusal != "" {
-		a.decide(d, "refused", string(refusal))
-		return out.final(track.Frame{Outcome: track.NotRun, Refusal: refusal})
+	verdict := a.ledger.Admit(d, a.refusal(d))
+	if verdict.Attempt == nil {
+		a.decide(d, "refused", string(verdict.Refusal))
+		return out.final(track.Frame{Outcome: verdict.Outcome, Refusal: verdict.Refusal})
 	}
-	defer a.table.finish(d.ID)
 	a.decide(d, "started", "")
+	if d.Claim != nil {
+		return a.runKeyed(ctx, d, verdict.Attempt, send)
+	}
+	return a.run(ctx, d, d.Timeout, verdict.Attempt, out)
+}
+
+// run runs an admitted attempt to its end.
+func (a *Agent) run(
+	ctx context.Context, d track.Dispatch, timeout time.Duration, attempt *ledger.Attempt, out *output,
+) error {
 	a.running.Add(1)
 	defer a.running.Add(-1)
-	ctx, cancel := context.WithTimeout(ctx, d.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return a.forward(ctx, d, out)
+	err := a.forward(ctx, d, out)
+	if out.neverStarted {
+		attempt.Abort()
+	} else {
+		attempt.Done()
+	}
+	return err
 }
 
 // refusal returns why the dispatch must not start here, or "".
 func (a *Agent) refusal(d track.Dispatch) track.Refusal {
 	switch {
-	case d.Agent != a.options.Instance.ID || d.Incarnation != a.options.Incarnation:
-		return track.RefusedStale
 	case d.Target != a.options.Instance.Serves:
 		return track.RefusedWrongTarget
 	case a.leaving.Load():
@@ -86,14 +103,13 @@
 }
 
 // Bar implements track.Agent.
-func (a *Agent) Bar(_ context.Context, id track.AttemptID) (track.AttemptState, error) {
-	return a.table.bar(id), nil
+func (a *Agent) Bar(_ context.Context, ref track.AttemptRef) (track.AttemptState, error) {
+	return a.ledger.Bar(ref), nil
 }
 
 // Replay implements track.Agent.
-func (a *Agent) Replay(_ context.Context, id track.AttemptID, send track.FrameFunc) error {
-	out := &output{id: id, send: send}
-	return out.final(track.Frame{Outcome: track.Unknown, Fault: "answer not kept"})
+func (a *Agent) Replay(ctx context.Context, ref track.AttemptRef, send track.FrameFunc) error {
+	return a.replay(ctx, ref, send)
 }
 
 // Report implements track.Agent.
@@ -102,6 +118,7 @@
 	load := a.load
 	a.loadMu.Unlock()
 	load.Running = int(a.running.Load())
+	load.Stamp = a.ledger.Stamp()
 	return track.Report{
 		Instance:    a.options.Instance,
 		Incarnation: a.options.Incarnation,
--- a/entry/send/send.go
+++ b/entry/send/send.go
@@ -13,6 +13,7 @@
 	"filberttrack.example/track"
 	"filberttrack.example/track/entry/flow"
 	"filberttrack.example/track/entry/relay"
+	"filberttrack.example/track/frames"
 )
 
 // Options holds what the step is made of.
@@ -22,6 +23,8 @@
 	Clock  clockwork.Clock
 	Logger *zap.Logger
 	Limits relay.Limits
+	// Drops counts frames out of sequence.
+	Drops *frames.Drops
 	// LogDecisions turns on a log line for each routing decision.
 	LogDecisions bool
 }
@@ -44,9 +47,13 @@
 
 // Run implements flow.Step.
 func (s *Step) Run(ctx context.Context, x *flow.Exchange) error {
+	if x.Answered {
+		return track.Skip("answered already")
+	}
 	ctx, cancel := context.WithTimeout(ctx, x.Call.Deadline.Sub(s.options.Clock.Now()))
 	defer cancel()
 	r := &run{step: s, exchange: x, answer: relay.For(x, s.options.Limits)}
+	r.reset()
 	for {
 		refusal, again := r.attempt(ctx)
 		if refusal == nil {
@@ -72,12 +79,16 @@
 	excluded []track.InstanceID
 	// tainted is set once an attempt may have run.
 	tainted bool
+	// transcript follows a streamed generation; nil for other calls.
+	transcript *frames.Transcript
+	// body is the request that continues a generation; nil before that.
+	body []byte
 }
 
 // mayRetry reports whether a further attempt is allowed.
 func (r *run) mayRetry(ctx context.Context) bool {
 	call := &r.exchange.Call
-	if ctx.Err() != nil || r.answer.Committed() {
+	if ctx.Err() != nil || r.answer.Committed() && r.body == nil {
 		return false
 	}
 	if call.NonIdempotent && r.tainted {
@@ -94,7 +105,13 @@
 		return r.noServer(err), false
 	}
 	started := r.step.options.Clock.Now()
-	t := &transfer{answer: r.answer, clock: r.step.options.Clock, started: started}
+	t := &transfer{
+		answer:     r.answer,
+		clock:      r.step.options.Clock,
+		started:    started,
+		transcript: r.transcript,
+		checker:    frames.NewChecker(track.AttemptID{Request: r.exchange.Call.ID, Number: r.number}, r.step.options.Drops),
+	}
 	t.run(ctx, r, choice)
 	result := track.Result{
 		Outcome:   t.outcome(),
--- a/wire/peercodec.go
+++ b/wire/peercodec.go
@@ -131,6 +131,7 @@
 	return &wirepb.PeerLoad{
 		Running: int32(l.Running), Queued: int32(l.Queued), Capacity: int32(l.Capacity),
 		TokensInFlight: int64(l.TokensInFlight), StepTimeNs: int64(l.StepTime), CachedPrefixes: l.CachedPrefixes,
+		StampNs: int64(l.Stamp),
 	}
 }
 
@@ -138,7 +139,7 @@
 	return track.Load{
 		Running: int(m.GetRunning()), Queued: int(m.GetQueued()), Capacity: int(m.GetCapacity()),
 		TokensInFlight: int(m.GetTokensInFlight()), StepTime: time.Duration(m.GetStepTimeNs()),
-		CachedPrefixes: m.GetCachedPrefixes(),
+		CachedPrefixes: m.GetCachedPrefixes(), Stamp: track.Stamp(m.GetStampNs()),
 	}
 }
 
