feat: membership, draining and mutual TLS in entry and agent

Cause: the thin path polled every agent from every entry and cut requests at a second signal without naming them. Change: heartbeats replace the poller; peers hand on configuration and notices; planned stops run through package drain; TLS and the operators' token by settings; zones and peers in status.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/drain"
 	"filberttrack.example/track/ledger"
 )
 
@@ -40,7 +41,7 @@
 	ledger  *ledger.Ledger
 	leaving atomic.Bool
 	up      atomic.Bool
-	running atomic.Int64
+	running drain.Requests
 	seq     atomic.Uint64
 
 	loadMu sync.Mutex
@@ -76,8 +77,7 @@
 func (a *Agent) run(
 	ctx context.Context, d track.Dispatch, timeout time.Duration, attempt *ledger.Attempt, out *output,
 ) error {
-	a.running.Add(1)
-	defer a.running.Add(-1)
+	defer a.running.Begin(d.ID.Request)()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	err := a.forward(ctx, d, out)
@@ -117,7 +117,7 @@
 	a.loadMu.Lock()
 	load := a.load
 	a.loadMu.Unlock()
-	load.Running = int(a.running.Load())
+	load.Running = a.Running()
 	load.Stamp = a.ledger.Stamp()
 	return track.Report{
 		Instance:    a.options.Instance,
@@ -136,7 +136,12 @@
 
 // Running returns the number of attempts in progress.
 func (a *Agent) Running() int {
-	return int(a.running.Load())
+	return a.running.Len()
+}
+
+// OpenRequests returns the requests with attempts in progress, sorted.
+func (a *Agent) OpenRequests() []track.RequestID {
+	return a.running.Open()
 }
 
 func (a *Agent) decide(d track.Dispatch, decision, reason string) {
--- a/beat/exchange.go
+++ b/beat/exchange.go
@@ -3,7 +3,9 @@
 package beat
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -64,9 +66,11 @@
 	state   *member.State
 	seq     uint64
 	leaving bool
-	peers   map[track.InstanceID]*schedule
-	zones   map[track.AvailabilityZone]*schedule
-	reading bool
+	// toldUp and toldLeaving are what the latest news to all entries said.
+	toldUp, toldLeaving bool
+	peers               map[track.InstanceID]*schedule
+	zones               map[track.AvailabilityZone]*schedule
+	reading             bool
 }
 
 // schedule says when a peer or a zone was last called.
@@ -157,20 +161,33 @@
 
 // publish hands the replicas to the router and logs what changed.
 func (x *Exchange) publish() {
-	x.mu.Lock()
-	events := x.state.TakeEvents()
 	if x.options.Update != nil {
 		// The update stays under the lock, so that a later set is never overtaken.
+		x.mu.Lock()
 		x.options.Update(x.state.Servers())
+		x.mu.Unlock()
 	}
+	x.logEvents()
+}
+
+// logEvents logs what changed since the last call, sorted by instance. Changes
+// that an agent sees decide nothing and are logged at debug level.
+func (x *Exchange) logEvents() {
+	x.mu.Lock()
+	events := x.state.TakeEvents()
 	x.mu.Unlock()
+	slices.SortStableFunc(events, func(a, b member.Event) int { return cmp.Compare(a.Instance, b.Instance) })
+	level := zap.InfoLevel
+	if x.options.Self.Role == track.RoleAgent {
+		level = zap.DebugLevel
+	}
 	for _, e := range events {
-		x.options.Logger.Info("membership changed",
-			zap.String("event", string(e.Kind)),
-			zap.String("instance", string(e.Instance)),
-			zap.Uint64("incarnation", uint64(e.Incarnation)),
-			zap.String("zone", string(e.Zone)),
-			zap.String("reason", e.Reason))
+		x.options.Logger.Log(level, "membership changed",
+			zap.String("Event", string(e.Kind)),
+			zap.String("Instance", string(e.Instance)),
+			zap.Uint64("Incarnation", uint64(e.Incarnation)),
+			zap.String("Zone", string(e.Zone)),
+			zap.String("Reason", e.Reason))
 	}
 }
 
--- a/beat/run.go
+++ b/beat/run.go
@@ -42,13 +42,14 @@
 	defer ticker.Stop()
 	var calls errgroup.Group
 	for {
-		for _, o := range x.due() {
+		orders := x.due()
+		x.publish()
+		for _, o := range orders {
 			calls.Go(func() error {
 				x.perform(ctx, o)
 				return nil
 			})
 		}
-		x.publish()
 		select {
 		case <-ticker.Chan():
 		case <-ctx.Done():
@@ -61,9 +62,14 @@
 // one in progress.
 func (x *Exchange) due() []order {
 	now := x.options.Clock.Now()
+	local := x.options.Local()
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.state.Tick(now)
+	if local.Up != x.toldUp || local.Leaving != x.toldLeaving {
+		x.toldUp, x.toldLeaving = local.Up, local.Leaving
+		x.tellEntries()
+	}
 	var orders []order
 	for _, c := range x.state.Contacts() {
 		if claim(x.peers, c.Instance.ID, now, c.Every) {
--- a/boot/agent.go
+++ b/boot/agent.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
 	"filberttrack.example/track/conf"
+	"filberttrack.example/track/drain"
 	"filberttrack.example/track/duty"
 	"filberttrack.example/track/wire"
 )
@@ -15,44 +17,56 @@
 type Agent struct {
 	*AgentCore
 	logger *zap.Logger
+	dialer *wire.Dialer
+	timing drain.Timing
 	server *grpc.Server
 	admin  *httpServer
 	duties []*duty.Duty
 	cancel context.CancelFunc
 }
 
-// StartAgent starts an agent. It takes work when the function returns.
-func StartAgent(ctx context.Context, s conf.Settings, logger *zap.Logger) (*Agent, error) {
-	ports, _ := realPorts(Platform{}, logger)
-	core, err := NewAgentCore(s, ports)
+// StartAgent starts an agent. It takes work when the function returns. The
+// platform's list is all that an agent needs of it.
+func StartAgent(ctx context.Context, s conf.Settings, platform Platform, logger *zap.Logger) (*Agent, error) {
+	trust, err := newTrust(s, s.Agent.Zone, logger)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := listenGRPC(s.Agent.Listen)
 	if err != nil {
 		return nil, err
 	}
+	ports, dialer := realPorts(platform, trust, listener.Addr().String(), logger)
+	core, err := NewAgentCore(s, ports)
+	if err != nil {
+		return nil, errors.Join(err, listener.Close())
+	}
 	ctx, cancel := context.WithCancel(ctx)
-	a := &Agent{AgentCore: core, logger: logger, cancel: cancel, server: wire.NewServer()}
+	a := &Agent{
+		AgentCore: core, logger: logger, cancel: cancel, dialer: dialer,
+		timing: drain.Timing{Limit: s.Agent.StopTimeout}, server: wire.NewServer(trust.server()...),
+	}
 	wire.RegisterAgent(a.server, core.Port())
+	wire.RegisterPeer(a.server, core.Members(), trust.identify)
+	a.duties = append(trust.start(ctx), serveGRPC(ctx, listener, a.server))
 	err = a.listen(ctx, s.Agent)
 	if err != nil {
 		cancel()
+		a.server.Stop()
 		return nil, err
 	}
 	a.duties = append(a.duties, a.Start(ctx)...)
 	return a, nil
 }
 
+// listen starts the listener for operators, if there is one.
 func (a *Agent) listen(ctx context.Context, s conf.Agent) error {
-	listener, serving, err := serveGRPC(ctx, s.Listen, a.server)
-	if err != nil {
-		return err
-	}
-	a.duties = append(a.duties, serving)
-	a.instance.Address = listener.Addr().String()
 	if s.Admin == "" {
 		return nil
 	}
+	var err error
 	a.admin, err = serveHTTP(ctx, "operators", s.Admin, adminHeaderBytes, a.Operators(), a.logger)
 	if err != nil {
-		a.server.Stop()
 		return err
 	}
 	a.duties = append(a.duties, a.admin.duty)
@@ -67,15 +81,20 @@
 	return a.admin.Addr()
 }
 
-// Stop refuses new work, finishes work in progress and ends the agent. The
-// context bounds the time for work in progress.
+// Stop refuses new work, tells the entries, finishes work in progress and ends
+// the agent. The end of the context cuts off what is still open, which the error
+// and the log say.
 func (a *Agent) Stop(ctx context.Context) error {
-	a.Drain(ctx)
+	cut := a.Drain(context.WithoutCancel(ctx), a.timing, stopsOf(ctx))
 	if a.admin != nil {
 		a.admin.stop(ctx)
 	}
-	a.server.Stop()
 	a.cancel()
+	if cut != nil {
+		a.server.Stop()
+	}
+	stopGRPC(ctx, a.server)
+	a.dialer.Close()
 	a.ports.Client.CloseIdleConnections()
-	return duty.Wait(a.logger, a.duties...)
+	return errors.Join(cut, duty.Wait(a.logger, a.duties...))
 }
--- a/boot/agentcore.go
+++ b/boot/agentcore.go
@@ -12,7 +12,9 @@
 	"filberttrack.example/track"
 	"filberttrack.example/track/admin"
 	"filberttrack.example/track/agent"
+	"filberttrack.example/track/beat"
 	"filberttrack.example/track/conf"
+	"filberttrack.example/track/drain"
 	"filberttrack.example/track/duty"
 	"filberttrack.example/track/ledger"
 )
@@ -24,6 +26,7 @@
 	started  time.Time
 	metrics  *metrics.Set
 	agent    *agent.Agent
+	members  *beat.Exchange
 	admin    *admin.Handler
 }
 
@@ -40,11 +43,12 @@
 		instance: track.Instance{
 			ID: s.Agent.ID, Role: track.RoleAgent, Region: s.Region, Zone: s.Agent.Zone, State: track.Live,
 			Serves: s.Agent.Serves, Group: s.Agent.Group, Ranks: s.Agent.Ranks,
+			Address: ports.Address,
 		},
 	}
 	c.agent = agent.New(agent.Options{
 		Instance:    c.instance,
-		Incarnation: track.Incarnation(ports.Clock.Now().UnixNano()),
+		Incarnation: incarnationOf(c.started),
 		Backend:     backend,
 		Client:      ports.Client,
 		Clock:       ports.Clock,
@@ -52,6 +56,7 @@
 		Metrics:     c.metrics,
 		Ledger:      ledger.Defaults(),
 	})
+	c.members = newExchange(c.instance, c.started, ports, c.metrics, c.local, nil)
 	c.admin = admin.New(admin.Options{Status: c.Status, Metrics: c.metrics, Profiling: s.Logging.Profiling})
 	return c, nil
 }
@@ -60,6 +65,7 @@
 func (c *AgentCore) Start(ctx context.Context) []*duty.Duty {
 	return []*duty.Duty{
 		duty.Start(ctx, "probe backend server", c.agent.Probe),
+		duty.Start(ctx, "exchange heartbeats", c.members.Run),
 	}
 }
 
@@ -79,19 +85,33 @@
 func (c *AgentCore) Status() track.Status {
 	// Report of a local agent does not fail.
 	report, _ := c.agent.Report(context.Background())
-	return track.Status{
+	status := track.Status{
 		Instance:     c.instance,
-		Incarnation:  report.Incarnation,
 		Started:      c.started,
 		Ready:        report.Up && !report.Leaving,
 		Stopping:     report.Leaving,
 		OpenRequests: report.Load.Running,
 	}
+	addMembership(&status, c.members.View())
+	return status
 }
 
-// Drain refuses new work and waits until work in progress has ended, or the
-// context has.
-func (c *AgentCore) Drain(ctx context.Context) {
-	c.agent.Leave()
-	waitUntil(ctx, c.ports.Clock, func() bool { return c.agent.Running() == 0 })
+// Members returns the port for the heartbeats of other instances.
+func (c *AgentCore) Members() track.Peer { return c.members }
+
+// local returns what the agent tells entries about itself.
+func (c *AgentCore) local() beat.Local {
+	// Report of a local agent does not fail.
+	report, _ := c.agent.Report(context.Background())
+	return beat.Local{Leaving: report.Leaving, Up: report.Up, Load: report.Load}
+}
+
+// Drain refuses new work at once, tells the entries, and waits until work in
+// progress has ended. A second stop ends it early.
+func (c *AgentCore) Drain(ctx context.Context, timing drain.Timing, stops <-chan struct{}) error {
+	return drain.New(timing, drain.Hooks{
+		Unready: c.agent.Leave,
+		Tell:    c.members.Leave,
+		Open:    c.agent.OpenRequests,
+	}, c.ports.Clock, c.ports.Logger).Run(ctx, stops)
 }
--- a/boot/dev.go
+++ b/boot/dev.go
@@ -45,6 +45,7 @@
 	}
 	s.Entry.ID = "entry-1"
 	s.Entry.Zone = s.Zone[0].Name
+	s.Entry.Peer = loopbackAny
 	d.Entry, err = StartEntry(ctx, s, Platform{Log: d.Log, List: d.List}, logger.Named(string(s.Entry.ID)))
 	if err != nil {
 		d.stopAgents(ctx)
@@ -84,7 +85,7 @@
 	if replicas.Ranks > 0 {
 		s.Agent.Group = string(id)
 	}
-	agent, err := StartAgent(ctx, s, logger.Named(string(id)))
+	agent, err := StartAgent(ctx, s, Platform{Log: d.Log, List: d.List}, logger.Named(string(id)))
 	if err != nil {
 		return err
 	}
--- a/boot/entry.go
+++ b/boot/entry.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"time"
+	"errors"
 
-	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
+	"google.golang.org/grpc"
 
 	"filberttrack.example/track/conf"
+	"filberttrack.example/track/drain"
 	"filberttrack.example/track/duty"
 	"filberttrack.example/track/wire"
 )
@@ -17,6 +18,8 @@
 	*EntryCore
 	logger  *zap.Logger
 	dialer  *wire.Dialer
+	timing  drain.Timing
+	server  *grpc.Server
 	callers *httpServer
 	admin   *httpServer
 	duties  []*duty.Duty
@@ -26,24 +29,33 @@
 // adminHeaderBytes bounds the header of an operator's request.
 const adminHeaderBytes = 32 << 10
 
-// openPollInterval is the time between two looks at the open requests of a
-// stopping instance.
-const openPollInterval = 20 * time.Millisecond
-
 // StartEntry starts an entry. It is ready when the function returns.
 func StartEntry(ctx context.Context, s conf.Settings, platform Platform, logger *zap.Logger) (*Entry, error) {
+	trust, err := newTrust(s, s.Entry.Zone, logger)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := listenGRPC(s.Entry.Peer)
+	if err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(ctx)
-	ports, dialer := realPorts(platform, logger)
+	ports, dialer := realPorts(platform, trust, listener.Addr().String(), logger)
 	e := &Entry{
 		EntryCore: NewEntryCore(s, ports),
 		logger:    logger,
 		dialer:    dialer,
+		timing:    drain.Timing{Settle: s.Entry.BalancerDelay, Limit: s.Entry.StopTimeout},
+		server:    wire.NewServer(trust.server()...),
 		cancel:    cancel,
 	}
-	e.duties = e.Start(ctx)
-	err := e.listen(ctx, s.Entry)
+	wire.RegisterPeer(e.server, e.Members(), trust.identify)
+	e.duties = append(trust.start(ctx), serveGRPC(ctx, listener, e.server))
+	e.duties = append(e.duties, e.Start(ctx)...)
+	err = e.listen(ctx, s.Entry)
 	if err != nil {
 		cancel()
+		e.server.Stop()
 		return nil, err
 	}
 	return e, nil
@@ -68,26 +80,23 @@
 // AdminAddr returns the address for operators.
 func (e *Entry) AdminAddr() string { return e.admin.Addr() }
 
-// Stop finishes open requests, refuses new ones, and ends the entry. The context
-// bounds the time for open requests.
+// Stop stops gracefully: the entry is unready at once, refuses new requests after
+// the delay for the balancer, and ends when the open ones have. The end of the
+// context cuts off what is still open, which the error and the log say.
 func (e *Entry) Stop(ctx context.Context) error {
-	e.Drain(ctx)
+	cut := e.Drain(context.WithoutCancel(ctx), e.timing, stopsOf(ctx))
 	e.callers.stop(ctx)
 	e.admin.stop(ctx)
 	e.cancel()
+	e.server.Stop()
 	e.dialer.Close()
-	return duty.Wait(e.logger, append(e.duties, e.callers.duty, e.admin.duty)...)
+	return errors.Join(cut, duty.Wait(e.logger, append(e.duties, e.callers.duty, e.admin.duty)...))
 }
 
-// waitUntil waits until the condition holds or the context ends.
-func waitUntil(ctx context.Context, clock clockwork.Clock, condition func() bool) {
-	ticker := clock.NewTicker(openPollInterval)
-	defer ticker.Stop()
-	for !condition() {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-		}
-	}
+// stopsOf returns stop signals: one at once, and a second when the context ends.
+func stopsOf(ctx context.Context) <-chan struct{} {
+	stops := make(chan struct{}, 2)
+	stops <- struct{}{}
+	context.AfterFunc(ctx, func() { stops <- struct{}{} })
+	return stops
 }
--- a/boot/entrycore.go
+++ b/boot/entrycore.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -10,9 +11,11 @@
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/admin"
+	"filberttrack.example/track/beat"
 	"filberttrack.example/track/claims"
 	"filberttrack.example/track/conf"
 	"filberttrack.example/track/config"
+	"filberttrack.example/track/drain"
 	"filberttrack.example/track/duty"
 	"filberttrack.example/track/edits"
 	"filberttrack.example/track/entry"
@@ -20,7 +23,6 @@
 	"filberttrack.example/track/entry/relay"
 	"filberttrack.example/track/frames"
 	"filberttrack.example/track/pick"
-	"filberttrack.example/track/poll"
 )
 
 // EntryCore is an entry without its listeners: all its parts, joined.
@@ -34,7 +36,8 @@
 	config   *config.Store
 	seed     track.Config
 	router   track.Router
-	poller   *poll.Poller
+	members  *beat.Exchange
+	unready  atomic.Bool
 	claims   *claims.Book
 }
 
@@ -45,18 +48,21 @@
 		started: ports.Clock.Now(),
 		instance: track.Instance{
 			ID: s.Entry.ID, Role: track.RoleEntry, Region: s.Region, Zone: s.Entry.Zone, State: track.Live,
+			Address: ports.Address,
 		},
 		metrics: metrics.NewSet(),
 		seed:    s.Config(),
 		router:  pick.New(),
 	}
+	notices := beat.NewNotices(track.TopicUsage, track.TopicQuarantine)
+	topics := append(notices.Handlers(), beat.NewConfigTopic(lateConfig{c}))
+	c.members = newExchange(c.instance, c.started, ports, c.metrics, c.local, c.router.Update, topics...)
+	notices.Hurry(track.TopicQuarantine, c.members)
+	ports.Dialer = leaveWatcher{ports.Dialer, c.members}
 	c.config = config.New(config.Options{
-		Self: c.instance, Log: ports.Platform.Log, Peers: noPeers{}, Clock: ports.Clock,
+		Self: c.instance, Log: ports.Platform.Log, Peers: c.members, Clock: ports.Clock,
 		Logger: ports.Logger, Metrics: c.metrics, Seed: randomSeed(c.instance.ID, c.started),
 	})
-	c.poller = poll.New(poll.Options{
-		List: ports.Platform.List, Dialer: ports.Dialer, Router: c.router, Clock: ports.Clock, Logger: ports.Logger,
-	})
 	drops := frames.NewDrops(c.metrics)
 	limits := claims.Defaults()
 	limits.KeyRetention = s.Entry.Claims.KeyRetention
@@ -94,8 +100,8 @@
 // Start starts the duties of the entry. The entry can route when it returns,
 // unless it has no configuration yet.
 func (c *EntryCore) Start(ctx context.Context) []*duty.Duty {
-	c.poller.Round(ctx)
-	duties := append(c.config.Start(ctx), duty.Start(ctx, "poll agents", c.poller.Run))
+	c.members.Round(ctx)
+	duties := append(c.config.Start(ctx), duty.Start(ctx, "exchange heartbeats", c.members.Run))
 	duties = append(duties, c.claims.Start(ctx)...)
 	seeded := make(chan struct{})
 	duties = append(duties, duty.Start(ctx, "seed configuration", func(ctx context.Context) error {
@@ -119,23 +125,48 @@
 
 // Status returns the status of the entry.
 func (c *EntryCore) Status() track.Status {
-	status := c.config.Status()
-	return track.Status{
+	config := c.config.Status()
+	status := track.Status{
 		Instance:      c.instance,
 		Started:       c.started,
-		Ready:         c.config.Ready() && !c.entry.Stopping(),
+		Ready:         c.config.Ready() && !c.unready.Load() && !c.entry.Stopping(),
 		Stopping:      c.entry.Stopping(),
-		ConfigVersion: status.Version,
-		ConfigAge:     status.Age,
-		LogFault:      status.LogFault,
+		ConfigVersion: config.Version,
+		ConfigAge:     config.Age,
+		LogFault:      config.LogFault,
 		OpenRequests:  c.entry.Open(),
-		Servers:       c.poller.Servers(),
+		Servers:       c.members.Servers(),
 	}
+	addMembership(&status, c.members.View())
+	return status
+}
+
+// Instance describes the entry, with the address for other instances.
+func (c *EntryCore) Instance() track.Instance { return c.instance }
+
+// Members returns the port for the heartbeats of other instances.
+func (c *EntryCore) Members() track.Peer { return c.members }
+
+// local returns what the entry tells others about itself.
+func (c *EntryCore) local() beat.Local {
+	return beat.Local{Leaving: c.unready.Load()}
+}
+
+// Drain stops gracefully: unready at once, no new requests after the balancer
+// had time to notice, then the open ones end. A second stop ends it early.
+func (c *EntryCore) Drain(ctx context.Context, timing drain.Timing, stops <-chan struct{}) error {
+	return drain.New(timing, drain.Hooks{
+		Unready: func() { c.unready.Store(true) },
+		Tell:    c.members.Leave,
+		Finish:  c.entry.Stop,
+		Open:    c.entry.OpenRequests,
+	}, c.ports.Clock, c.ports.Logger).Run(ctx, stops)
 }
 
-// Drain refuses new requests and waits until the open ones have ended, or the
-// context has.
-func (c *EntryCore) Drain(ctx context.Context) {
-	c.entry.Stop()
-	waitUntil(ctx, c.ports.Clock, func() bool { return c.entry.Open() == 0 })
+// lateConfig answers peers from a store that is made after the membership.
+type lateConfig struct{ core *EntryCore }
+
+// News implements track.ConfigPeer.
+func (l lateConfig) News(ctx context.Context, since track.ConfigPosition) (track.ConfigNews, error) {
+	return l.core.config.News(ctx, since)
 }
--- a/boot/ports.go
+++ b/boot/ports.go
@@ -7,8 +7,6 @@
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/wire"
@@ -26,6 +24,10 @@
 	Platform Platform
 	// Dialer opens ports to agents.
 	Dialer track.AgentDialer
+	// Peers opens ports by which instances tell each other about themselves.
+	Peers track.PeerDialer
+	// Address is where other instances reach this one.
+	Address string
 	// Client reaches the backend server of an agent.
 	Client *http.Client
 	Clock  clockwork.Clock
@@ -38,11 +40,14 @@
 }
 
 // realPorts returns the ports of a process that runs by itself, and its dialer.
-func realPorts(platform Platform, logger *zap.Logger) (Ports, *wire.Dialer) {
-	dialer := wire.NewDialer(grpc.WithTransportCredentials(insecure.NewCredentials()))
+func realPorts(platform Platform, t *trust, address string, logger *zap.Logger) (Ports, *wire.Dialer) {
+	dialer := wire.NewDialer(t.dial)
 	return Ports{
 		Platform: platform,
 		Dialer:   dialer,
+		Peers:    dialer,
+		Address:  address,
+		Guard:    t.token.Guard,
 		Client:   backendClient(),
 		Clock:    clockwork.NewRealClock(),
 		Logger:   logger,
--- a/cmd/capacity/memory.go
+++ b/cmd/capacity/memory.go
@@ -8,7 +8,6 @@
 
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/gauge"
@@ -74,7 +73,7 @@
 // measureConns opens connections from one dialer, each to a server of its own.
 func measureConns(ctx context.Context, n int) ([]float64, error) {
 	before := gauge.HeapBytes()
-	dialer := wire.NewDialer(grpc.WithTransportCredentials(insecure.NewCredentials()))
+	dialer := wire.NewDialer(nil)
 	defer dialer.Close()
 	for i := range n {
 		server := wire.NewServer()
--- a/cmd/filberttrack/daemon.go
+++ b/cmd/filberttrack/daemon.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"filberttrack.example/track/conf"
+	"filberttrack.example/track/duty"
 	"filberttrack.example/track/logger"
 )
 
@@ -34,7 +35,7 @@
 type starter func(ctx context.Context, s conf.Settings, l *zap.Logger) (stopper, string, error)
 
 // runDaemon starts a daemon, runs it until SIGINT or SIGTERM, and stops it
-// gracefully. A second signal ends the process at once.
+// gracefully. A second signal or the time limit cuts off what is still open.
 func runDaemon(ctx context.Context, s conf.Settings, timeout time.Duration, start starter) error {
 	built, err := logger.New(s.Logging)
 	if err != nil {
@@ -44,18 +45,28 @@
 		// Standard error can't always be synced; nothing is lost by that.
 		_ = built.Sync()
 	}()
-	signalled, restore := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
-	defer restore()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(signals)
 	daemon, ready, err := start(ctx, s, built)
 	if err != nil {
 		return err
 	}
 	fmt.Println(ready)
-	<-signalled.Done()
-	// From here on a second signal has its default effect.
-	restore()
+	select {
+	case <-signals:
+	case <-ctx.Done():
+	}
 	built.Info("stopping", zap.Duration("Timeout", timeout))
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
 	defer cancel()
-	return daemon.Stop(ctx)
+	stopped := duty.Start(ctx, "stop", daemon.Stop)
+	select {
+	case err = <-stopped.Done():
+		return err
+	case <-signals:
+	}
+	built.Warn("second signal: open requests are cut off")
+	cancel()
+	return <-stopped.Done()
 }
--- a/cmd/filberttrack/status.go
+++ b/cmd/filberttrack/status.go
@@ -105,6 +105,7 @@
 		fmt.Fprintf(t, "Log\taway: %s\n", s.LogFault)
 	}
 	fmt.Fprintf(t, "Open requests\t%d\n", s.OpenRequests)
+	printMembership(t, s)
 	if len(s.Servers) > 0 {
 		fmt.Fprintln(t, "\nAGENT\tZONE\tTARGET\tRUNNING\tCAPACITY")
 	}
@@ -113,3 +114,27 @@
 	}
 	return t.Flush()
 }
+
+// printMembership prints what the instance knows of others.
+func printMembership(w io.Writer, s track.Status) {
+	if s.ListAge >= 0 {
+		fmt.Fprintf(w, "Instance list read\t%s ago\n", s.ListAge.Round(time.Second))
+	} else {
+		fmt.Fprintln(w, "Instance list read\tnever")
+	}
+	if s.Isolated {
+		fmt.Fprintln(w, "Isolated\tno other availability zone can be reached")
+	}
+	if len(s.Zones) > 0 {
+		fmt.Fprintln(w, "\nZONE\tSTATE\tLAST HEARD")
+	}
+	for _, z := range s.Zones {
+		fmt.Fprintf(w, "%s\t%s\t%s ago\n", z.Zone, z.State, z.Silence.Round(time.Second))
+	}
+	if len(s.Peers) > 0 {
+		fmt.Fprintln(w, "\nINSTANCE\tROLE\tSTATE\tLAST HEARD")
+	}
+	for _, p := range s.Peers {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s ago\n", p.ID, p.Role, p.State, p.Silence.Round(time.Second))
+	}
+}
--- a/conf/check.go
+++ b/conf/check.go
@@ -53,6 +53,8 @@
 		return
 	}
 	c.logging(s.Logging)
+	c.tls(s.TLS)
+	c.operator(s.Operator)
 	c.profiles(s.Profile)
 	c.models(s)
 	c.accounts(s.Account)
@@ -120,6 +122,24 @@
 	c.oneOf("Logging.Format", l.Format, "json", "console")
 }
 
+func (c *checker) tls(t TLS) {
+	if t == (TLS{}) {
+		return
+	}
+	c.required("TLS.Certificate", t.Certificate)
+	c.required("TLS.Key", t.Key)
+	c.required("TLS.Authority", t.Authority)
+}
+
+func (c *checker) operator(o Operator) {
+	if o.TokenFile != "" && o.TokenSHA256 != "" {
+		c.fault("Operator.TokenSHA256", "must not be set beside Operator.TokenFile")
+	}
+	if o.TokenSHA256 != "" && len(o.TokenSHA256) != tokenDigestLength {
+		c.fault("Operator.TokenSHA256", "must be the SHA-256 of the token, %d hexadecimal digits", tokenDigestLength)
+	}
+}
+
 func (c *checker) platform(p Platform) {
 	c.baseURL("Platform.LogURL", p.LogURL)
 	c.baseURL("Platform.ListURL", p.ListURL)
@@ -134,6 +154,7 @@
 func (c *checker) entryLimits(e Entry) {
 	c.address("Entry.Listen", e.Listen)
 	c.address("Entry.Admin", e.Admin)
+	c.address("Entry.Peer", e.Peer)
 	inRange(c, "Entry.MaxBodyBytes", e.MaxBodyBytes, 1, maxBodyLimitBytes)
 	inRange(c, "Entry.MaxHeaderBytes", e.MaxHeaderBytes, 1024, 1<<20)
 	inRange(c, "Entry.MaxAnswerBytes", e.MaxAnswerBytes, 1024, maxBodyLimitBytes)
--- a/conf/defaults.go
+++ b/conf/defaults.go
@@ -10,6 +10,7 @@
 const (
 	defaultListen         = "127.0.0.1:8080"
 	defaultAdmin          = "127.0.0.1:8081"
+	defaultPeer           = "127.0.0.1:0"
 	defaultMaxBodyBytes   = 4 << 20
 	defaultMaxHeaderBytes = 32 << 10
 	defaultMaxAnswerBytes = 16 << 20
@@ -31,6 +32,7 @@
 func applyDefaults(s *Settings) {
 	setDefault(&s.Entry.Listen, defaultListen)
 	setDefault(&s.Entry.Admin, defaultAdmin)
+	setDefault(&s.Entry.Peer, defaultPeer)
 	setDefault(&s.Entry.MaxBodyBytes, defaultMaxBodyBytes)
 	setDefault(&s.Entry.MaxHeaderBytes, defaultMaxHeaderBytes)
 	setDefault(&s.Entry.MaxAnswerBytes, defaultMaxAnswerBytes)
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -14,6 +14,8 @@
 	Platform Platform
 	Entry    Entry
 	Agent    Agent
+	TLS      TLS
+	Operator Operator
 	Logging  Logging
 	// Zone lists the availability zones of stand-ins, with their replicas.
 	Zone    []Zone
@@ -86,6 +88,25 @@
 	StopTimeout time.Duration
 }
 
+// TLS names the files for mutual TLS between own processes. All are set, or none.
+type TLS struct {
+	// Certificate holds the certificate of this process in PEM form.
+	Certificate string
+	// Key holds its private key.
+	Key string
+	// Authority holds the certificates that sign those of other processes.
+	Authority string
+}
+
+// Operator guards the calls of operators that change something. With neither
+// field set, such calls are refused.
+type Operator struct {
+	// TokenFile names the file that holds the token.
+	TokenFile string
+	// TokenSHA256 is the hexadecimal SHA-256 of the token.
+	TokenSHA256 string
+}
+
 // Logging says how a process logs.
 type Logging struct {
 	// Level is debug, info, warn or error.
--- a/drain/drainer.go
+++ b/drain/drainer.go
@@ -29,8 +29,8 @@
 	Unready func()
 	// Tell tells the peers, right after Unready.
 	Tell func(context.Context) error
-	// Finish closes the doors to new work. Its context ends with the shutdown.
-	Finish func(context.Context) error
+	// Finish closes the doors to new work. It must not wait.
+	Finish func()
 	// Open returns the requests in progress.
 	Open func() []track.RequestID
 }
@@ -78,20 +78,23 @@
 			return context.Cause(ctx)
 		case <-stops:
 			state.Stop(d.clock.Now())
+			d.enter(ctx, state.Phase(), hooks)
 		case <-ticker.Chan():
-			state.Step(d.clock.Now(), len(d.hooks.Open()))
 		}
-		if d.enter(ctx, state.Phase(), hooks) == Ended {
+		// New work is refused before the work in progress is counted.
+		state.Step(d.clock.Now(), len(d.hooks.Open()))
+		d.enter(ctx, state.Phase(), hooks)
+		if state.Phase() == Ended {
 			return d.end()
 		}
 	}
 }
 
 // enter runs the hooks of a phase that was just reached.
-func (d *Drainer) enter(ctx context.Context, next Phase, hooks *errgroup.Group) Phase {
+func (d *Drainer) enter(ctx context.Context, next Phase, hooks *errgroup.Group) {
 	last := d.Phase()
 	if next == last {
-		return next
+		return
 	}
 	if last == Serving && d.hooks.Unready != nil {
 		d.hooks.Unready()
@@ -101,10 +104,9 @@
 	if last == Serving && d.hooks.Tell != nil {
 		hooks.Go(func() error { return d.tell(ctx) })
 	}
-	if next == Finishing && d.hooks.Finish != nil {
-		hooks.Go(func() error { return d.hooks.Finish(ctx) })
+	if next >= Finishing && last < Finishing && d.hooks.Finish != nil {
+		d.hooks.Finish()
 	}
-	return next
 }
 
 func (d *Drainer) tell(ctx context.Context) error {
--- a/drain/requests.go
+++ b/drain/requests.go
@@ -11,6 +11,7 @@
 type Requests struct {
 	mu   sync.Mutex
 	open map[track.RequestID]int
+	len  int
 }
 
 // Begin notes that work on a request begins. Call the result once when it ends.
@@ -21,6 +22,7 @@
 		r.open = make(map[track.RequestID]int)
 	}
 	r.open[id]++
+	r.len++
 	return sync.OnceFunc(func() { r.end(id) })
 }
 
@@ -28,11 +30,20 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.open[id]--
+	r.len--
 	if r.open[id] == 0 {
 		delete(r.open, id)
 	}
 }
 
+// Len returns the number of pieces of work in progress. A request counts as
+// often as it was begun.
+func (r *Requests) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.len
+}
+
 // Open returns the requests in progress, sorted.
 func (r *Requests) Open() []track.RequestID {
 	r.mu.Lock()
--- a/drain/state.go
+++ b/drain/state.go
@@ -67,6 +67,9 @@
 	}
 	s.stopped = now
 	s.phase = Settling
+	if s.timing.Settle <= 0 {
+		s.phase = Finishing
+	}
 }
 
 // Step lets time pass with the given number of requests open, and returns the
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,6 +15,7 @@
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/claims"
+	"filberttrack.example/track/drain"
 	"filberttrack.example/track/entry/flow"
 	"filberttrack.example/track/entry/parse"
 	"filberttrack.example/track/entry/relay"
@@ -48,7 +49,7 @@
 	options  Options
 	mux      *http.ServeMux
 	stopping atomic.Bool
-	open     atomic.Int64
+	open     drain.Requests
 }
 
 // New returns an entry.
@@ -79,18 +80,22 @@
 
 // Open returns the number of requests in progress.
 func (e *Entry) Open() int {
-	return int(e.open.Load())
+	return e.open.Len()
+}
+
+// OpenRequests returns the requests in progress, sorted.
+func (e *Entry) OpenRequests() []track.RequestID {
+	return e.open.Open()
 }
 
 // handle returns the handler that runs a plan. It takes the given methods only,
 // or any if none is given.
 func (e *Entry) handle(plan []flow.Step, writeError errorWriter, methods ...string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		e.open.Add(1)
-		defer e.open.Add(-1)
 		x := &flow.Exchange{Writer: w, Request: r}
-		defer x.End()
 		x.Call.ID = e.options.NewID()
+		defer e.open.Begin(x.Call.ID)()
+		defer x.End()
 		x.Call.Arrived = e.options.Clock.Now()
 		w.Header().Set(flow.HeaderRequestID, string(x.Call.ID))
 		err := e.run(r.Context(), plan, x, methods)
--- a/stand/local/network.go
+++ b/stand/local/network.go
@@ -24,6 +24,8 @@
 type Network struct {
 	mu     sync.Mutex
 	agents map[string]*node
+	peers  map[string]track.Peer
+	killed map[string]bool
 	cut    map[link]chan struct{}
 }
 
@@ -67,13 +69,14 @@
 
 // NewNetwork returns a network without agents.
 func NewNetwork() *Network {
-	return &Network{agents: make(map[string]*node), cut: make(map[link]chan struct{})}
+	return &Network{agents: make(map[string]*node), peers: make(map[string]track.Peer), killed: make(map[string]bool), cut: make(map[link]chan struct{})}
 }
 
 // Serve makes the agent answer at the address.
 func (n *Network) Serve(address string, agent track.Agent) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	delete(n.killed, address)
 	n.agents[address] = &node{agent: agent, calls: make(map[int]func())}
 }
 
@@ -81,6 +84,8 @@
 func (n *Network) Kill(address string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	delete(n.peers, address)
+	n.killed[address] = true
 	if node, ok := n.agents[address]; ok {
 		node.kill()
 		delete(n.agents, address)
--- a/wire/client.go
+++ b/wire/client.go
@@ -5,12 +5,15 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
@@ -33,13 +36,18 @@
 // implements track.AgentDialer.
 type Dialer struct {
 	options []grpc.DialOption
+	secure  func(track.AvailabilityZone) credentials.TransportCredentials
 
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
 }
 
-// NewDialer returns a dialer. The options must name the transport credentials.
-func NewDialer(options ...grpc.DialOption) *Dialer {
+// NewDialer returns a dialer that uses the credentials for the zone of each
+// instance, or none if secure is nil.
+func NewDialer(secure func(track.AvailabilityZone) credentials.TransportCredentials, options ...grpc.DialOption) *Dialer {
+	if secure == nil {
+		secure = func(track.AvailabilityZone) credentials.TransportCredentials { return insecure.NewCredentials() }
+	}
 	limits := []grpc.DialOption{
 		// An attempt is repeated only by the entry, which knows whether it may.
 		grpc.WithDisableRetry(),
@@ -63,27 +71,39 @@
 	}
 	return &Dialer{
 		options: append(limits, options...),
+		secure:  secure,
 		conns:   make(map[string]*grpc.ClientConn),
 	}
 }
 
 // Dial implements track.AgentDialer.
 func (d *Dialer) Dial(instance track.Instance) (track.Agent, error) {
-	conn, err := d.Conn(instance.Address)
+	conn, err := d.conn(instance)
 	if err != nil {
 		return nil, err
 	}
 	return &agentClient{conn: conn, client: wirepb.NewAgentClient(conn)}, nil
 }
 
-// Conn returns the shared connection to an address.
-func (d *Dialer) Conn(address string) (*grpc.ClientConn, error) {
+// DialPeer implements track.PeerDialer.
+func (d *Dialer) DialPeer(instance track.Instance) (track.Peer, error) {
+	conn, err := d.conn(instance)
+	if err != nil {
+		return nil, err
+	}
+	return NewPeer(conn), nil
+}
+
+// conn returns the shared connection to an instance's address.
+func (d *Dialer) conn(instance track.Instance) (*grpc.ClientConn, error) {
+	address := instance.Address
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if conn, ok := d.conns[address]; ok {
 		return conn, nil
 	}
-	conn, err := grpc.NewClient("passthrough:///"+address, d.options...)
+	options := append(slices.Clone(d.options), grpc.WithTransportCredentials(d.secure(instance.Zone)))
+	conn, err := grpc.NewClient("passthrough:///"+address, options...)
 	if err != nil {
 		return nil, track.Fail("dial "+address, track.Unavailable, err)
 	}
