--- a/expert.go
+++ b/expert.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
+	"time"
 )
 
 // Ballot numbers the proposals to change the expert map of a group. Ballots are
@@ -24,6 +26,23 @@
 	)
 }
 
+// RankID names a rank of a group by the agent that is its only door.
+type RankID struct {
+	Agent InstanceID
+	// Rank numbers the ranks behind the agent from 0.
+	Rank int
+}
+
+// Compare orders ranks by agent, then by number.
+func (r RankID) Compare(other RankID) int {
+	return cmp.Or(cmp.Compare(r.Agent, other.Agent), cmp.Compare(r.Rank, other.Rank))
+}
+
+// String returns the name used in logs.
+func (r RankID) String() string {
+	return fmt.Sprintf("%s/%d", r.Agent, r.Rank)
+}
+
 // ExpertMap says which expert each slot of each rank holds.
 type ExpertMap struct {
 	// Version is the ballot of the proposal that brought the map.
@@ -110,7 +129,7 @@
 type MapOrder struct {
 	Kind   MapOrderKind
 	Ballot Ballot
-	To     InstanceID
+	To     RankID
 	// Incarnation is that of the member when it promised; a later one refuses the
 	// order. It is not set on a Promise.
 	Incarnation Incarnation
@@ -144,7 +163,7 @@
 type MapReply struct {
 	Kind   MapOrderKind
 	Ballot Ballot
-	From   InstanceID
+	From   RankID
 	// Incarnation is that of the member.
 	Incarnation Incarnation
 	Refusal     MapRefusal
@@ -162,3 +181,60 @@
 	// the order may have been carried out, or may still be.
 	Order(ctx context.Context, o MapOrder) (MapReply, error)
 }
+
+// ExpertCounts holds the tokens that the ranks behind an agent routed to each
+// expert in the latest window. Engines report them late and with gaps.
+type ExpertCounts struct {
+	// Window numbers the windows; a window that was seen before is ignored.
+	Window uint64
+	// Tokens holds the tokens for each layer and expert.
+	Tokens [][]float64
+}
+
+// ExpertCounter is the port by which an agent reads counts from its engine.
+type ExpertCounter interface {
+	Counts(ctx context.Context) (ExpertCounts, error)
+}
+
+// MapDoor is the port to the ranks behind an agent.
+type MapDoor interface {
+	MapMember
+	ExpertCounter
+}
+
+// ExpertMove is one expert copy that a plan moves.
+type ExpertMove struct {
+	Layer int
+	Rank  int
+	From  int
+	To    int
+}
+
+// ExpertReport is what an agent tells operators about its group's placement.
+type ExpertReport struct {
+	Group  string
+	Paused bool
+	// Map is the map in use.
+	Map ExpertMap
+	// RankLoads holds each rank's load relative to the mean.
+	RankLoads []float64
+	// Skew is the load of the slowest rank over the mean.
+	Skew float64
+	// LowerBound is the least skew that the slots allow.
+	LowerBound float64
+	// Planned is the time of the latest plan; the fields below describe it.
+	Planned time.Time
+	Reason  string
+	Moves   []ExpertMove
+	// Deferred is the number of moves that exceed the budget of one plan.
+	Deferred int
+	// Expected is the skew after the moves.
+	Expected float64
+	// Bytes is the size of the weights to fetch, Fetch the time that takes.
+	Bytes int64
+	Fetch time.Duration
+	// Outcome and OutcomeReason tell how the latest attempt to change the map
+	// ended.
+	Outcome       string
+	OutcomeReason string
+}
--- a/expert/plan.go
+++ b/expert/plan.go
@@ -81,6 +81,11 @@
 	}, nil
 }
 
+// Shape returns the shape of the group.
+func (p *Planner) Shape() Shape {
+	return p.shape
+}
+
 // Observe takes the tokens counted for each layer and expert in one window. A
 // window without counts is ignored.
 func (p *Planner) Observe(counts Loads) error {
--- /dev/null
+++ b/swap/door.go
@@ -0,0 +1,62 @@
+package swap
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"filberttrack.example/track"
+)
+
+// Door is the way to all ranks behind an agent.
+type Door struct {
+	members []*Member
+	counter track.ExpertCounter
+	clock   clockwork.Clock
+
+	mu    sync.Mutex
+	heard time.Time
+}
+
+var _ track.MapDoor = (*Door)(nil)
+
+// NewDoor returns the door of an agent that has just started, with an engine
+// for each rank behind it.
+func NewDoor(agent track.InstanceID, incarnation track.Incarnation, engines []track.RankEngine, counter track.ExpertCounter, clock clockwork.Clock) *Door {
+	d := &Door{counter: counter, clock: clock, heard: clock.Now()}
+	for i, engine := range engines {
+		d.members = append(d.members, NewMember(track.RankID{Agent: agent, Rank: i}, incarnation, engine))
+	}
+	return d
+}
+
+// Order implements track.MapMember.
+func (d *Door) Order(ctx context.Context, o track.MapOrder) (track.MapReply, error) {
+	if o.To.Rank < 0 || o.To.Rank >= len(d.members) {
+		return track.MapReply{}, track.Fail("order rank", track.Invalid, fmt.Errorf("no rank %d", o.To.Rank))
+	}
+	d.mu.Lock()
+	d.heard = d.clock.Now()
+	d.mu.Unlock()
+	return d.members[o.To.Rank].Order(ctx, o)
+}
+
+// Counts implements track.ExpertCounter.
+func (d *Door) Counts(ctx context.Context) (track.ExpertCounts, error) {
+	return d.counter.Counts(ctx)
+}
+
+// Heard returns the time of the latest order.
+func (d *Door) Heard() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.heard
+}
+
+// State returns the state of the first rank behind the agent.
+func (d *Door) State(ctx context.Context) (track.RankState, error) {
+	return d.members[0].engine.State(ctx)
+}
--- a/swap/driver.go
+++ b/swap/driver.go
@@ -70,24 +70,24 @@
 // Driver is one attempt under one ballot. It is not safe for concurrent use.
 type Driver struct {
 	ballot  track.Ballot
-	members []track.InstanceID
+	members []track.RankID
 	plan    Plan
 
 	phase phase
 	// replies holds the accepted reply of each member in this phase.
-	replies map[track.InstanceID]track.MapReply
+	replies map[track.RankID]track.MapReply
 	// orders holds the orders of this phase, for repeats.
-	orders map[track.InstanceID]track.MapOrder
+	orders map[track.RankID]track.MapOrder
 	// promises holds the incarnations under which the members promised.
-	promises map[track.InstanceID]track.Incarnation
+	promises map[track.RankID]track.Incarnation
 	maps     bool
 	result   Result
 }
 
 // NewDriver returns a driver for the members of a group and its first orders.
-func NewDriver(ballot track.Ballot, members []track.InstanceID, plan Plan) (*Driver, []track.MapOrder) {
-	d := &Driver{ballot: ballot, members: slices.Sorted(slices.Values(members)), plan: plan}
-	d.promises = make(map[track.InstanceID]track.Incarnation, len(members))
+func NewDriver(ballot track.Ballot, members []track.RankID, plan Plan) (*Driver, []track.MapOrder) {
+	d := &Driver{ballot: ballot, members: slices.SortedFunc(slices.Values(members), track.RankID.Compare), plan: plan}
+	d.promises = make(map[track.RankID]track.Incarnation, len(members))
 	d.result.Highest = ballot.Number
 	return d, d.enter(promising, d.promiseOrder)
 }
@@ -97,15 +97,15 @@
 	return d.result, d.phase == ended
 }
 
-func (d *Driver) promiseOrder(track.InstanceID) (track.MapOrder, bool) {
+func (d *Driver) promiseOrder(track.RankID) (track.MapOrder, bool) {
 	return track.MapOrder{Kind: track.OrderPromise, Maps: d.maps}, true
 }
 
 // enter begins a phase with an order for each member that needs one.
-func (d *Driver) enter(p phase, order func(track.InstanceID) (track.MapOrder, bool)) []track.MapOrder {
+func (d *Driver) enter(p phase, order func(track.RankID) (track.MapOrder, bool)) []track.MapOrder {
 	d.phase = p
-	d.replies = make(map[track.InstanceID]track.MapReply, len(d.members))
-	d.orders = make(map[track.InstanceID]track.MapOrder, len(d.members))
+	d.replies = make(map[track.RankID]track.MapReply, len(d.members))
+	d.orders = make(map[track.RankID]track.MapOrder, len(d.members))
 	var out []track.MapOrder
 	for _, member := range d.members {
 		o, ok := order(member)
@@ -120,8 +120,8 @@
 }
 
 // everyone returns the same order for each member.
-func everyone(o track.MapOrder) func(track.InstanceID) (track.MapOrder, bool) {
-	return func(track.InstanceID) (track.MapOrder, bool) { return o, true }
+func everyone(o track.MapOrder) func(track.RankID) (track.MapOrder, bool) {
+	return func(track.RankID) (track.MapOrder, bool) { return o, true }
 }
 
 // Handle takes a reply and returns the orders that follow. Replies to another
@@ -173,8 +173,8 @@
 	return d.end(Stuck, reason)
 }
 
-func (d *Driver) missing() []track.InstanceID {
-	var out []track.InstanceID
+func (d *Driver) missing() []track.RankID {
+	var out []track.RankID
 	for _, o := range d.Repeat() {
 		out = append(out, o.To)
 	}
@@ -228,7 +228,7 @@
 // promised follows the promises of all members: no order of an older ballot can
 // take effect from now on.
 func (d *Driver) promised() []track.MapOrder {
-	states := make(map[track.InstanceID]track.RankState, len(d.replies))
+	states := make(map[track.RankID]track.RankState, len(d.replies))
 	blank := false
 	for member, r := range d.replies {
 		d.promises[member] = r.Incarnation
@@ -246,7 +246,7 @@
 	return d.prepare(states)
 }
 
-func (d *Driver) prepare(states map[track.InstanceID]track.RankState) []track.MapOrder {
+func (d *Driver) prepare(states map[track.RankID]track.RankState) []track.MapOrder {
 	if d.plan.Map == nil {
 		return d.end(Idle, "")
 	}
--- a/swap/member.go
+++ b/swap/member.go
@@ -10,7 +10,7 @@
 
 // Member guards the rank behind an agent. It is safe for concurrent use.
 type Member struct {
-	id          track.InstanceID
+	id          track.RankID
 	incarnation track.Incarnation
 	engine      track.RankEngine
 
@@ -26,7 +26,7 @@
 var _ track.MapMember = (*Member)(nil)
 
 // NewMember returns the member of an agent that has just started.
-func NewMember(id track.InstanceID, incarnation track.Incarnation, engine track.RankEngine) *Member {
+func NewMember(id track.RankID, incarnation track.Incarnation, engine track.RankEngine) *Member {
 	return &Member{id: id, incarnation: incarnation, engine: engine}
 }
 
@@ -114,7 +114,10 @@
 	return ""
 }
 
-var errOtherSwitch = errors.New("rank is not armed for this switch")
+var (
+	errOtherSwitch = errors.New("rank is not armed for this switch")
+	errIncomplete  = errors.New("order lacks a map or a state")
+)
 
 // obey carries out an admitted order. Orders that were carried out before do
 // nothing.
@@ -122,10 +125,16 @@
 	fence := o.Ballot.Number
 	switch o.Kind {
 	case track.OrderPrepare:
+		if o.Map == nil {
+			return errIncomplete
+		}
 		return m.engine.Prepare(ctx, fence, *o.Map)
 	case track.OrderArm:
 		return m.arm(ctx, fence, o.Switch)
 	case track.OrderRestore:
+		if o.State == nil {
+			return errIncomplete
+		}
 		return m.restore(ctx, fence, *o.State)
 	case track.OrderCommit:
 		return m.commit(ctx, fence, o.Switch)
--- a/swap/member_test.go
+++ b/swap/member_test.go
@@ -11,24 +11,29 @@
 	"filberttrack.example/track/swap"
 )
 
+var (
+	rankA = track.RankID{Agent: "a"}
+	rankB = track.RankID{Agent: "b"}
+)
+
 // pairOf is a group of two ranks with a member each, armed and decided by hand.
 type pairOf struct {
 	t       *testing.T
 	group   *ranks.Group
-	members map[track.InstanceID]*swap.Member
+	members map[track.RankID]*swap.Member
 }
 
 func newPair(t *testing.T, checksFences bool) *pairOf {
 	p := &pairOf{t: t, group: ranks.New(ranks.Settings{Ranks: 2, Map: baseMap, ChecksFences: checksFences})}
-	p.members = map[track.InstanceID]*swap.Member{
-		"a": swap.NewMember("a", 1, p.group.Rank(0)),
-		"b": swap.NewMember("b", 1, p.group.Rank(1)),
+	p.members = map[track.RankID]*swap.Member{
+		rankA: swap.NewMember(rankA, 1, p.group.Rank(0)),
+		rankB: swap.NewMember(rankB, 1, p.group.Rank(1)),
 	}
 	return p
 }
 
-func (p *pairOf) restart(id track.InstanceID, incarnation track.Incarnation) {
-	rank := map[track.InstanceID]int{"a": 0, "b": 1}[id]
+func (p *pairOf) restart(id track.RankID, incarnation track.Incarnation) {
+	rank := map[track.RankID]int{rankA: 0, rankB: 1}[id]
 	p.members[id] = swap.NewMember(id, incarnation, p.group.Rank(rank))
 }
 
@@ -59,7 +64,7 @@
 		m := baseMap
 		plan.Map = &m
 	}
-	return swap.NewDriver(track.Ballot{Number: number, Driver: "a"}, []track.InstanceID{"a", "b"}, plan)
+	return swap.NewDriver(track.Ballot{Number: number, Driver: "a"}, []track.RankID{rankA, rankB}, plan)
 }
 
 // armed returns a driver whose arm orders are ready to be sent.
@@ -123,8 +128,8 @@
 	undo := feed(second, p.send(orders...))
 	assert.Equal(t, undo[0].Kind, track.OrderDisarm)
 
-	p.restart("b", 2)
-	promise := track.MapOrder{Kind: track.OrderPromise, Ballot: arms[1].Ballot, To: "b"}
+	p.restart(rankB, 2)
+	promise := track.MapOrder{Kind: track.OrderPromise, Ballot: arms[1].Ballot, To: rankB}
 	p.send(promise)
 	late := p.send(arms[1])
 	assert.Equal(t, late[0].Refusal, track.RefusedIncarnation)
@@ -169,13 +174,13 @@
 	for _, restart := range []bool{true, false} {
 		p := newPair(t, false)
 		engine := &slow{Rank: p.group.Rank(1), hold: true}
-		p.members["b"] = swap.NewMember("b", 1, engine)
+		p.members[rankB] = swap.NewMember(rankB, 1, engine)
 		d, arms := p.armed(1)
 		p.send(arms...)
 		undo := d.GiveUp()
 		p.send(undo[1])
 		if restart {
-			p.members["b"] = swap.NewMember("b", 2, engine)
+			p.members[rankB] = swap.NewMember(rankB, 2, engine)
 		}
 		second, orders := p.driver(2, false)
 		commits := feed(second, p.send(orders...))
--- a/swap/settle.go
+++ b/swap/settle.go
@@ -8,8 +8,8 @@
 // promised: a change left half done is finished or undone, and blank ranks are
 // restored.
 type settlement struct {
-	members []track.InstanceID
-	states  map[track.InstanceID]track.RankState
+	members []track.RankID
+	states  map[track.RankID]track.RankState
 	// open is the switch that some member is armed for.
 	open *track.MapSwitch
 	// finish is set if the open switch is to be committed.
@@ -19,7 +19,7 @@
 	blank bool
 }
 
-func newSettlement(members []track.InstanceID, states map[track.InstanceID]track.RankState, fallback track.ExpertMap, ballot track.Ballot) *settlement {
+func newSettlement(members []track.RankID, states map[track.RankID]track.RankState, fallback track.ExpertMap, ballot track.Ballot) *settlement {
 	s := &settlement{members: members, states: states}
 	s.donor.Blank = true
 	for _, member := range members {
@@ -85,7 +85,7 @@
 }
 
 // order returns the order by which a member is settled, if it needs one.
-func (s *settlement) order(member track.InstanceID) (track.MapOrder, bool) {
+func (s *settlement) order(member track.RankID) (track.MapOrder, bool) {
 	state := s.states[member]
 	switch {
 	case state.Blank:
--- a/swap/world_test.go
+++ b/swap/world_test.go
@@ -18,8 +18,8 @@
 	// faults is the rate of faults, 0 to 4.
 	faults  int
 	group   *ranks.Group
-	ids     []track.InstanceID
-	agents  map[track.InstanceID]*agent
+	ids     []track.RankID
+	agents  map[track.RankID]*agent
 	drivers []*driver
 	orders  []track.MapOrder
 	replies []track.MapReply
@@ -44,7 +44,7 @@
 
 type driver struct {
 	*swap.Driver
-	owner       track.InstanceID
+	owner       track.RankID
 	incarnation track.Incarnation
 	ballot      track.Ballot
 }
@@ -56,7 +56,7 @@
 	w := &world{
 		rng:     rng,
 		faults:  rng.IntN(5),
-		agents:  map[track.InstanceID]*agent{},
+		agents:  map[track.RankID]*agent{},
 		outcome: map[swap.Outcome]int{},
 		used:    map[track.Ballot]bool{},
 		group: ranks.New(ranks.Settings{
@@ -64,7 +64,7 @@
 		}),
 	}
 	for i := range size {
-		id := track.InstanceID(fmt.Sprintf("agent-%d", i))
+		id := track.RankID{Agent: track.InstanceID(fmt.Sprintf("agent-%d", i))}
 		w.ids = append(w.ids, id)
 		w.agents[id] = &agent{rank: w.group.Rank(i)}
 		w.startAgent(id)
@@ -72,7 +72,7 @@
 	return w
 }
 
-func (w *world) startAgent(id track.InstanceID) {
+func (w *world) startAgent(id track.RankID) {
 	a := w.agents[id]
 	a.incarnation++
 	a.down, a.crashed = false, false
@@ -122,19 +122,19 @@
 	return d.send(func() error { return d.Rank.Restore(ctx, fence, s) })
 }
 
-func (w *world) pick() track.InstanceID {
+func (w *world) pick() track.RankID {
 	return w.ids[w.rng.IntN(len(w.ids))]
 }
 
 // drive starts a driver on an agent; with a map it changes to that, without it
 // settles.
-func (w *world) drive(owner track.InstanceID, change bool) {
+func (w *world) drive(owner track.RankID, change bool) {
 	a := w.agents[owner]
 	if a.down {
 		return
 	}
 	w.highest++
-	ballot := track.Ballot{Number: w.highest, Driver: owner, Incarnation: a.incarnation}
+	ballot := track.Ballot{Number: w.highest, Driver: owner.Agent, Incarnation: a.incarnation}
 	if !w.calm && w.rng.IntN(4) == 0 {
 		ballot.Number -= min(ballot.Number-1, w.rng.Uint64N(4))
 	}
@@ -224,7 +224,7 @@
 }
 
 // kill ends an agent's process, with the drivers on it.
-func (w *world) kill(id track.InstanceID) {
+func (w *world) kill(id track.RankID) {
 	w.agents[id].down = true
 	w.forget(func(d *driver) bool { return d.owner == id })
 }
