--- a/boot/agent.go
+++ b/boot/agent.go
@@ -31,12 +31,16 @@
 	ctx, cancel := context.WithCancel(ctx)
 	a := &Agent{AgentCore: core, logger: logger, cancel: cancel, server: wire.NewServer()}
 	wire.RegisterAgent(a.server, core.Port())
+	if core.door != nil {
+		wire.RegisterDoor(a.server, core.door)
+	}
 	err = a.listen(ctx, s.Agent)
 	if err != nil {
 		cancel()
 		return nil, err
 	}
 	a.duties = append(a.duties, a.Start(ctx)...)
+	logger.Info("agent ready", zap.String("Listen", a.instance.Address), zap.String("Admin", a.AdminAddr()))
 	return a, nil
 }
 
--- a/boot/agentcore.go
+++ b/boot/agentcore.go
@@ -14,6 +14,8 @@
 	"filberttrack.example/track/agent"
 	"filberttrack.example/track/conf"
 	"filberttrack.example/track/duty"
+	"filberttrack.example/track/steer"
+	"filberttrack.example/track/swap"
 )
 
 // AgentCore is an agent without its listeners: all its parts, joined.
@@ -24,6 +26,9 @@
 	metrics  *metrics.Set
 	agent    *agent.Agent
 	admin    *admin.Handler
+	// steer and door are nil for an agent without ranks.
+	steer *steer.Steer
+	door  *swap.Door
 }
 
 // NewAgentCore joins the parts of an agent.
@@ -51,14 +56,18 @@
 		Metrics:     c.metrics,
 	})
 	c.admin = admin.New(admin.Options{Status: c.Status, Metrics: c.metrics, Profiling: s.Logging.Profiling})
-	return c, nil
+	return c, c.joinRanks(s, backend)
 }
 
 // Start starts the duties of the agent.
 func (c *AgentCore) Start(ctx context.Context) []*duty.Duty {
-	return []*duty.Duty{
+	duties := []*duty.Duty{
 		duty.Start(ctx, "probe backend server", c.agent.Probe),
 	}
+	if c.steer != nil {
+		duties = append(duties, duty.Start(ctx, "steer experts", c.steer.Run))
+	}
+	return duties
 }
 
 // Port returns the port through which entries reach the agent.
--- a/boot/dev.go
+++ b/boot/dev.go
@@ -11,6 +11,7 @@
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/conf"
+	"filberttrack.example/track/duty"
 	"filberttrack.example/track/stand/memlog"
 	"filberttrack.example/track/stand/roster"
 )
@@ -27,6 +28,9 @@
 	List   *roster.Roster
 
 	servers []*httpServer
+	// duties step the stand-in rank groups until the context ends.
+	duties []*duty.Duty
+	cancel context.CancelFunc
 	// Handlers holds the stand-in backend servers, in the order of Agents.
 	Handlers []http.Handler
 }
@@ -34,9 +38,11 @@
 // StartDev starts the deployment that the settings describe.
 func StartDev(ctx context.Context, s conf.Settings, logger *zap.Logger) (*Dev, error) {
 	clock := clockwork.NewRealClock()
+	ctx, cancel := context.WithCancel(ctx)
 	d := &Dev{
-		Log:  memlog.New(clock, memlog.Settings{Retention: s.Standin.Retention}),
-		List: roster.New(clock),
+		cancel: cancel,
+		Log:    memlog.New(clock, memlog.Settings{Retention: s.Standin.Retention}),
+		List:   roster.New(clock),
 	}
 	err := d.startAgents(ctx, s, clock, logger)
 	if err != nil {
@@ -70,7 +76,14 @@
 
 func (d *Dev) startReplica(ctx context.Context, s conf.Settings, zone track.AvailabilityZone, replicas conf.Replicas, id track.InstanceID, clock clockwork.Clock, logger *zap.Logger) error {
 	handler := backendHandler(clock, s, replicas)
-	server, err := serveHTTP(ctx, "backend server", loopbackAny, adminHeaderBytes, handler, logger)
+	s.Agent.Experts.Slots = conf.SlotsFor(replicas.Ranks, s.Agent.Experts.PerLayer)
+	front := handler
+	if replicas.Ranks > 0 {
+		var stepping *duty.Duty
+		front, stepping = withRanks(ctx, handler, s.Agent.Experts, replicas, clock)
+		d.duties = append(d.duties, stepping)
+	}
+	server, err := serveHTTP(ctx, "backend server", loopbackAny, adminHeaderBytes, front, logger)
 	if err != nil {
 		return err
 	}
@@ -82,6 +95,7 @@
 	s.Agent.Serves = replicas.Target
 	s.Agent.Ranks = replicas.Ranks
 	if replicas.Ranks > 0 {
+		s.Agent.Admin = loopbackAny
 		s.Agent.Group = string(id)
 	}
 	agent, err := StartAgent(ctx, s, logger.Named(string(id)))
@@ -114,4 +128,10 @@
 	for _, s := range d.servers {
 		s.stop(ctx)
 	}
+	d.cancel()
+	for _, stepping := range d.duties {
+		// It ends with the context; its end is no failure.
+		for range stepping.Done() {
+		}
+	}
 }
--- a/boot/ports.go
+++ b/boot/ports.go
@@ -26,6 +26,9 @@
 	Platform Platform
 	// Dialer opens ports to agents.
 	Dialer track.AgentDialer
+	// Ranks opens the ports to the ranks behind an agent; nil if the process
+	// does not steer a rank group.
+	Ranks RankPorts
 	// Client reaches the backend server of an agent.
 	Client *http.Client
 	Clock  clockwork.Clock
@@ -40,6 +43,7 @@
 	return Ports{
 		Platform: platform,
 		Dialer:   dialer,
+		Ranks:    httpRanks,
 		Client:   backendClient(),
 		Clock:    clockwork.NewRealClock(),
 		Logger:   logger,
--- a/cmd/filberttrack/main.go
+++ b/cmd/filberttrack/main.go
@@ -45,6 +45,7 @@
 			standinCommand(),
 			checkCommand(),
 			statusCommand(),
+			expertsCommand(),
 		},
 	}
 }
--- a/cmd/filberttrack/status.go
+++ b/cmd/filberttrack/status.go
@@ -54,10 +54,15 @@
 
 // get fetches a value from an operators' listener.
 func get[T any](ctx context.Context, address, path string) (T, error) {
+	return request[T](ctx, http.MethodGet, address, path)
+}
+
+// request asks an operators' listener and decodes its answer.
+func request[T any](ctx context.Context, method, address, path string) (T, error) {
 	var value T
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, nil)
 	if err != nil {
 		return value, fmt.Errorf("build request: %w", err)
 	}
--- a/conf/check.go
+++ b/conf/check.go
@@ -13,13 +13,18 @@
 
 // Bounds of the settings.
 const (
-	maxReplicas        = 1000
-	maxRanks           = 1024
-	minTimeout         = time.Millisecond
-	longestTimeout     = time.Hour
-	maxAttemptsAllowed = 10
-	tokenDigestLength  = 64
-	maxBodyLimitBytes  = 1 << 30
+	maxReplicas    = 1000
+	maxRanks       = 1024
+	maxLayers      = 1024
+	maxExperts     = 4096
+	maxExpertBytes = 64 << 30
+	// maxFetchBytesPerSecond bounds the rate of one rank.
+	maxFetchBytesPerSecond = 1 << 40
+	minTimeout             = time.Millisecond
+	longestTimeout         = time.Hour
+	maxAttemptsAllowed     = 10
+	tokenDigestLength      = 64
+	maxBodyLimitBytes      = 1 << 30
 )
 
 // checker collects the faults of a file.
@@ -142,9 +147,21 @@
 	c.address("Agent.Listen", a.Listen)
 	c.baseURL("Agent.BackendURL", a.BackendURL)
 	inRange(c, "Agent.Ranks", a.Ranks, 0, maxRanks)
+	if a.Ranks > 0 {
+		c.experts(a.Experts)
+	}
 	inRange(c, "Agent.StopTimeout", a.StopTimeout, minTimeout, longestTimeout)
 }
 
+func (c *checker) experts(e Experts) {
+	inRange(c, "Agent.Experts.Layers", e.Layers, 1, maxLayers)
+	inRange(c, "Agent.Experts.PerLayer", e.PerLayer, 1, maxExperts)
+	inRange(c, "Agent.Experts.Slots", e.Slots, 1, e.PerLayer)
+	inRange(c, "Agent.Experts.Bytes", e.Bytes, 1, maxExpertBytes)
+	inRange(c, "Agent.Experts.FetchBytesPerSecond", e.FetchBytesPerSecond, 1, maxFetchBytesPerSecond)
+	inRange(c, "Agent.Experts.StagedCopies", e.StagedCopies, 1, maxLayers*maxExperts)
+}
+
 func (c *checker) standin(s Standin) {
 	c.address("Standin.Listen", s.Listen)
 	for i, server := range s.Servers {
--- a/conf/defaults.go
+++ b/conf/defaults.go
@@ -21,6 +21,14 @@
 	defaultWeight         = 1
 	defaultCapacity       = 32
 	defaultCacheBlocks    = 4096
+	defaultLayers         = 16
+	defaultExperts        = 64
+	defaultExpertBytes    = 16 << 20
+	defaultStagedCopies   = 96
+	// defaultFetchBytesPerSecond is 4 Gbit/s for each rank.
+	defaultFetchBytesPerSecond = 512 << 20
+	// spareSlots is the number of redundant copies that a rank holds in a layer.
+	spareSlots = 2
 )
 
 // applyDefaults fills in whatever the file left out.
@@ -34,6 +42,12 @@
 	setDefault(&s.Entry.BalancerDelay, defaultBalancerDelay)
 	setDefault(&s.Entry.StopTimeout, defaultStopTimeout)
 	setDefault(&s.Agent.StopTimeout, defaultStopTimeout)
+	setDefault(&s.Agent.Experts.Layers, defaultLayers)
+	setDefault(&s.Agent.Experts.PerLayer, defaultExperts)
+	setDefault(&s.Agent.Experts.Slots, SlotsFor(s.Agent.Ranks, s.Agent.Experts.PerLayer))
+	setDefault(&s.Agent.Experts.Bytes, defaultExpertBytes)
+	setDefault(&s.Agent.Experts.FetchBytesPerSecond, defaultFetchBytesPerSecond)
+	setDefault(&s.Agent.Experts.StagedCopies, defaultStagedCopies)
 	setDefault(&s.Logging.Level, "info")
 	setDefault(&s.Logging.Format, "json")
 	setDefault(&s.Standin.Retention, defaultRetention)
@@ -66,3 +80,10 @@
 		*value = standard
 	}
 }
+
+// SlotsFor gives each rank its share of the experts of a layer, and spare slots
+// for redundant copies.
+func SlotsFor(ranks, experts int) int {
+	ranks = max(1, ranks)
+	return min(experts, (experts+ranks-1)/ranks+spareSlots)
+}
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -71,10 +71,28 @@
 	Serves string
 	Group  string
 	Ranks  int
+	// Experts describes the experts of the ranks.
+	Experts Experts
 	// StopTimeout bounds a planned stop.
 	StopTimeout time.Duration
 }
 
+// Experts describes the experts of a rank group and the fetching of their
+// weights.
+type Experts struct {
+	Layers int
+	// PerLayer is the number of experts of a layer.
+	PerLayer int
+	// Slots is the number of expert copies that a rank holds in each layer.
+	Slots int
+	// Bytes is the size of the weights of one expert in one layer.
+	Bytes int64
+	// FetchBytesPerSecond is the weight store's rate for each rank.
+	FetchBytesPerSecond int64
+	// StagedCopies is the number of copies that a rank has room to stage.
+	StagedCopies int
+}
+
 // Logging says how a process logs.
 type Logging struct {
 	// Level is debug, info, warn or error.
--- a/expert/plan.go
+++ b/expert/plan.go
@@ -54,6 +54,11 @@
 	MovesPerRank int
 }
 
+// DefaultPolicy returns the weights for a model whose profile names none.
+func DefaultPolicy() track.ExpertPolicy {
+	return track.ExpertPolicy{SkewWeight: 1, MoveWeight: 0.05}
+}
+
 // Planner follows the load of a group and proposes changes to its placement.
 // It is not safe for concurrent use.
 type Planner struct {
--- a/expert/repack.go
+++ b/expert/repack.go
@@ -16,6 +16,17 @@
 	return p
 }
 
+// Uniform returns the placement for experts of equal load.
+func Uniform(s Shape) Placement {
+	loads := NewLoads(s)
+	for _, layer := range loads {
+		for e := range layer {
+			layer[e] = 1
+		}
+	}
+	return Repack(s, loads)
+}
+
 // LowerBound returns the least skew that a placement with the slots of the
 // shape can have: no rank is below the mean, nor below its share of the hottest
 // expert spread over its copies. It is averaged over the layers.
--- a/stand/ranks/ranks.go
+++ b/stand/ranks/ranks.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"filberttrack.example/track"
 )
 
@@ -317,3 +319,57 @@
 		return nil
 	})
 }
+
+// Run steps the group until the context ends. A step takes at least the given
+// time; one that a rank holds is tried again after that time.
+func (g *Group) Run(ctx context.Context, clock clockwork.Clock, stepTime time.Duration) error {
+	ticker := clock.NewTicker(stepTime)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-ticker.Chan():
+			g.Step()
+		}
+	}
+}
+
+// Engines returns the ranks as engines.
+func (g *Group) Engines() []track.RankEngine {
+	out := make([]track.RankEngine, len(g.ranks))
+	for i, r := range g.ranks {
+		out[i] = r
+	}
+	return out
+}
+
+// Counter is a track.ExpertCounter that returns the counts of the window before
+// the current one.
+type Counter struct {
+	clock  clockwork.Clock
+	window time.Duration
+	start  time.Time
+
+	mu     sync.Mutex
+	next   func() [][]float64
+	number uint64
+	latest [][]float64
+}
+
+var _ track.ExpertCounter = (*Counter)(nil)
+
+// NewCounter returns a counter that takes the counts of each window from next.
+func NewCounter(clock clockwork.Clock, window time.Duration, next func() [][]float64) *Counter {
+	return &Counter{clock: clock, window: window, start: clock.Now(), next: next}
+}
+
+// Counts implements track.ExpertCounter.
+func (c *Counter) Counts(context.Context) (track.ExpertCounts, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for due := uint64(c.clock.Since(c.start) / c.window); c.number < due; c.number++ {
+		c.latest = c.next()
+	}
+	return track.ExpertCounts{Window: c.number, Tokens: c.latest}, nil
+}
--- a/steer/report.go
+++ b/steer/report.go
@@ -32,8 +32,6 @@
 func (s *Steer) note(now expert.Placement, plan expert.Plan, loads expert.Loads) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.report.Group = s.group()
-	s.report.Map = now.Map()
 	s.report.Planned = s.options.Clock.Now()
 	s.report.Skew, s.report.Expected, s.report.LowerBound = plan.Skew, plan.Expected, 1
 	if loads != nil {
@@ -51,6 +49,14 @@
 	return s.paused
 }
 
+// follow records the map in use, whoever drives.
+func (s *Steer) follow(state track.RankState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.report.Group = s.group()
+	s.report.Map = state.Map
+}
+
 func (s *Steer) group() string {
 	for _, agent := range s.options.Group() {
 		if agent.ID == s.options.Self {
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -102,13 +102,16 @@
 // Tick does what is due: settle what holds the group, or plan.
 func (s *Steer) Tick(ctx context.Context) {
 	now := s.options.Clock.Now()
-	state, err := s.options.Door.State(ctx)
-	if err != nil {
+	states, err := s.options.Door.States(ctx)
+	if err != nil || len(states) == 0 {
 		s.options.Logger.Warn("rank state unknown", zap.Error(err))
 		return
 	}
+	// A blank rank has no map to plan from.
+	state := states[max(0, slices.IndexFunc(states, func(r track.RankState) bool { return !r.Blank }))]
+	s.follow(state)
 	turn := s.turn()
-	if s.held(state, now, turn) {
+	if s.held(states, now, turn) {
 		s.attempt(ctx, nil, state)
 		return
 	}
@@ -132,8 +135,9 @@
 
 // held reports whether a rank has been waiting for a driver for long enough
 // that this agent becomes one. Later agents wait longer.
-func (s *Steer) held(state track.RankState, now time.Time, turn int) bool {
-	if !state.Blank && (state.Armed == nil || state.Decided) {
+func (s *Steer) held(states []track.RankState, now time.Time, turn int) bool {
+	waits := func(r track.RankState) bool { return r.Blank || r.Armed != nil && !r.Decided }
+	if !slices.ContainsFunc(states, waits) {
 		s.heldSince = time.Time{}
 		return false
 	}
@@ -152,6 +156,9 @@
 	if err := s.observe(ctx, now.Shape); err != nil {
 		s.options.Logger.Warn("expert counts missing", zap.Error(err))
 	}
+	if s.planner == nil {
+		return nil
+	}
 	began := s.options.Clock.Now()
 	plan, err := s.planner.Plan(now, s.budget())
 	if err != nil {
--- /dev/null
+++ b/steer/steer_test.go
@@ -0,0 +1,173 @@
+package steer_test
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/expert"
+	"filberttrack.example/track/stand/ranks"
+	"filberttrack.example/track/steer"
+	"filberttrack.example/track/swap"
+)
+
+var shape = expert.Shape{Ranks: 8, Layers: 2, Experts: 32, Slots: 6}
+
+// group is four agents with two ranks each.
+type group struct {
+	clock  *clockwork.FakeClock
+	ranks  *ranks.Group
+	agents []track.Instance
+	steers []*steer.Steer
+	doors  map[track.InstanceID]*swap.Door
+	sets   []*metrics.Set
+}
+
+// counts follow a popularity that jumps after the given windows.
+type counts struct {
+	clock clockwork.Clock
+	start time.Time
+	jump  uint64
+}
+
+func (c *counts) Counts(context.Context) (track.ExpertCounts, error) {
+	window := uint64(c.clock.Since(c.start) / steer.Window)
+	seed := uint64(1)
+	if window >= c.jump {
+		seed = 2
+	}
+	rng := rand.New(rand.NewPCG(seed, 1))
+	tokens := expert.NewLoads(shape)
+	for layer := range tokens {
+		for e := range tokens[layer] {
+			tokens[layer][e] = math.Round(1000 * math.Exp(rng.NormFloat64()))
+		}
+	}
+	return track.ExpertCounts{Window: window, Tokens: tokens}, nil
+}
+
+func newGroup(jump uint64) *group {
+	g := &group{
+		clock: clockwork.NewFakeClock(),
+		ranks: ranks.New(ranks.Settings{Ranks: shape.Ranks, Map: expert.Uniform(shape).Map()}),
+		doors: map[track.InstanceID]*swap.Door{},
+	}
+	counter := &counts{clock: g.clock, start: g.clock.Now(), jump: jump}
+	for i := range 4 {
+		id := track.InstanceID(fmt.Sprintf("agent-%d", i))
+		g.agents = append(g.agents, track.Instance{ID: id, Group: "g", Ranks: 2})
+		g.doors[id] = swap.NewDoor(id, 1, g.ranks.Engines()[2*i:2*i+2], counter, g.clock)
+	}
+	for i, agent := range g.agents {
+		g.sets = append(g.sets, metrics.NewSet())
+		g.steers = append(g.steers, steer.New(steer.Options{
+			Self: agent.ID, Incarnation: 1, Door: g.doors[agent.ID],
+			Group:   func() []track.Instance { return g.agents },
+			Dial:    func(to track.Instance) (track.MapDoor, error) { return g.doors[to.ID], nil },
+			Policy:  func() track.ExpertPolicy { return track.ExpertPolicy{SkewWeight: 1, MoveWeight: 0.01} },
+			Store:   steer.Store{ExpertBytes: 1 << 20, BytesPerSecond: 1 << 30, StagedCopies: 100},
+			Default: expert.Uniform(shape).Map(),
+			Clock:   g.clock, Logger: zap.NewNop(), Metrics: g.sets[i],
+		}))
+	}
+	return g
+}
+
+// run advances the clock second by second while the given agents live.
+func (g *group) run(t *testing.T, seconds int, alive ...int) {
+	t.Helper()
+	for range seconds {
+		g.clock.Advance(time.Second)
+		for _, i := range alive {
+			g.steers[i].Tick(context.Background())
+		}
+		for range 20 {
+			g.ranks.Step()
+		}
+		assert.NilError(t, g.ranks.Broken())
+	}
+}
+
+func (g *group) driver() track.InstanceID {
+	state, _ := g.ranks.Rank(0).State(context.Background())
+	return state.Map.Version.Driver
+}
+
+func TestFirstAgentEvensTheGroupAfterAJump(t *testing.T) {
+	g := newGroup(20)
+	g.run(t, 90, 0, 1, 2, 3)
+	even := g.steers[0].Report()
+	assert.Equal(t, g.driver(), track.InstanceID("agent-0"))
+	assert.Assert(t, even.Skew < 1.1, "skew %v", even.Skew)
+	g.run(t, 30, 0, 1, 2, 3)
+	again := g.steers[0].Report()
+	assert.Assert(t, again.Skew < 1.1, "skew %v after the jump", again.Skew)
+	assert.Assert(t, again.Map.Version != even.Map.Version)
+	assert.Assert(t, g.sets[0].GetOrCreateCounter("filberttrack_expert_moved_bytes_total").Get() > 0)
+}
+
+func TestNextAgentTakesOver(t *testing.T) {
+	g := newGroup(1000)
+	g.run(t, 10, 1, 2, 3)
+	assert.Equal(t, g.driver(), track.InstanceID(""))
+	g.run(t, 30, 1, 2, 3)
+	assert.Equal(t, g.driver(), track.InstanceID("agent-1"))
+}
+
+func TestTwoDriversAtOnceAreHarmless(t *testing.T) {
+	g := newGroup(3)
+	for range 60 {
+		g.clock.Advance(time.Second)
+		var both sync.WaitGroup
+		for _, s := range g.steers[:2] {
+			both.Go(func() { s.Tick(context.Background()) })
+		}
+		both.Wait()
+		for range 20 {
+			g.ranks.Step()
+		}
+		assert.NilError(t, g.ranks.Broken())
+	}
+	before := g.ranks.Open()
+	g.run(t, 5, 0)
+	assert.Assert(t, g.ranks.Open() > before, "the group does not step")
+}
+
+func TestPausedAgentOnlyPlans(t *testing.T) {
+	g := newGroup(1000)
+	g.steers[0].Pause(true)
+	g.run(t, 20, 0)
+	report := g.steers[0].Report()
+	assert.Assert(t, report.Paused && len(report.Moves) > 0 && report.Bytes > 0, "%+v", report)
+	assert.Equal(t, g.driver(), track.InstanceID(""))
+	g.steers[0].Pause(false)
+	g.run(t, 20, 0)
+	assert.Equal(t, g.driver(), track.InstanceID("agent-0"))
+}
+
+func TestIncompleteGroupIsLeftAlone(t *testing.T) {
+	g := newGroup(1000)
+	g.agents = g.agents[:3]
+	g.run(t, 20, 0, 1, 2)
+	assert.Equal(t, g.driver(), track.InstanceID(""))
+}
+
+func TestBlankRankIsRestored(t *testing.T) {
+	g := newGroup(1000)
+	g.run(t, 20, 0, 1, 2, 3)
+	g.ranks.Rank(5).Restart()
+	g.run(t, 10, 1, 2, 3)
+	before := g.ranks.Open()
+	g.run(t, 2, 1, 2, 3)
+	assert.Assert(t, g.ranks.Open() > before, "the group does not step")
+}
--- a/swap/door.go
+++ b/swap/door.go
@@ -56,7 +56,15 @@
 	return d.heard
 }
 
-// State returns the state of the first rank behind the agent.
-func (d *Door) State(ctx context.Context) (track.RankState, error) {
-	return d.members[0].engine.State(ctx)
+// States returns the states of the ranks behind the agent.
+func (d *Door) States(ctx context.Context) ([]track.RankState, error) {
+	states := make([]track.RankState, len(d.members))
+	for i, m := range d.members {
+		state, err := m.engine.State(ctx)
+		if err != nil {
+			return nil, track.Fail("read rank state", Engine, err)
+		}
+		states[i] = state
+	}
+	return states, nil
 }
--- /dev/null
+++ b/wire/expert_test.go
@@ -0,0 +1,112 @@
+package wire_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"gotest.tools/v3/assert"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/orders"
+	"filberttrack.example/track/stand/ranks"
+	"filberttrack.example/track/swap"
+	"filberttrack.example/track/wire"
+)
+
+var baseMap = track.ExpertMap{Experts: 2, Slots: 1, Layers: [][]int32{{0, 1}, {1, 0}}}
+
+// doorOf returns the port to two ranks: gRPC to their agent, HTTP from there.
+func doorOf(t *testing.T, group *ranks.Group) track.MapDoor {
+	t.Helper()
+	clock := clockwork.NewFakeClock()
+	counter := ranks.NewCounter(clock, 1, func() [][]float64 { return [][]float64{{1, 2}, {3, 4}} })
+	clock.Advance(1)
+	engine := httptest.NewServer(orders.Handler(group.Engines(), counter))
+	t.Cleanup(engine.Close)
+	backend, err := url.Parse(engine.URL)
+	assert.NilError(t, err)
+	engines := []track.RankEngine{orders.NewClient(http.DefaultClient, backend, 0), orders.NewClient(http.DefaultClient, backend, 1)}
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := wire.NewServer()
+	wire.RegisterDoor(server, swap.NewDoor("a", 7, engines, orders.NewCounter(http.DefaultClient, backend), clock))
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(listener) }()
+	dialer := wire.NewDialer(grpc.WithTransportCredentials(insecure.NewCredentials()))
+	t.Cleanup(func() {
+		dialer.Close()
+		server.Stop()
+		assert.NilError(t, <-ended)
+	})
+	door, err := dialer.DialDoor(listener.Addr().String())
+	assert.NilError(t, err)
+	return door
+}
+
+// run carries out an attempt, letting the group step between orders.
+func run(t *testing.T, group *ranks.Group, door track.MapDoor, number uint64, next *track.ExpertMap) swap.Result {
+	t.Helper()
+	ids := []track.RankID{{Agent: "a", Rank: 0}, {Agent: "a", Rank: 1}}
+	plan := swap.Plan{Map: next, Default: baseMap}
+	d, pending := swap.NewDriver(track.Ballot{Number: number, Driver: "a", Incarnation: 7}, ids, plan)
+	for len(pending) > 0 {
+		r, err := door.Order(context.Background(), pending[0])
+		assert.NilError(t, err)
+		pending = append(pending[1:], d.Handle(r)...)
+	}
+	result, done := d.Result()
+	assert.Assert(t, done)
+	for range 10 {
+		group.Step()
+	}
+	assert.NilError(t, group.Broken())
+	return result
+}
+
+func TestChangeOverTheWire(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		group := ranks.New(ranks.Settings{Ranks: 2, Map: baseMap, ChecksFences: checks})
+		door := doorOf(t, group)
+		next := track.ExpertMap{Experts: 2, Slots: 1, Layers: [][]int32{{1, 0}, {0, 1}}}
+		assert.Equal(t, run(t, group, door, 1, &next).Outcome, swap.Switched)
+		state, err := group.Rank(1).State(context.Background())
+		assert.NilError(t, err)
+		assert.DeepEqual(t, state.Map.Layers, next.Layers)
+		assert.Equal(t, state.Map.Version, track.Ballot{Number: 1, Driver: "a", Incarnation: 7})
+
+		// A rank that restarts gets the map back over the same way.
+		group.Rank(0).Restart()
+		assert.Equal(t, run(t, group, door, 2, nil).Outcome, swap.Settled)
+		restored, err := group.Rank(0).State(context.Background())
+		assert.NilError(t, err)
+		assert.DeepEqual(t, restored.Map, state.Map)
+		assert.Equal(t, run(t, group, door, 1, nil).Outcome, swap.Outbid)
+	}
+}
+
+func TestCountsOverTheWire(t *testing.T) {
+	door := doorOf(t, ranks.New(ranks.Settings{Ranks: 2, Map: baseMap}))
+	counts, err := door.Counts(context.Background())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, counts, track.ExpertCounts{Window: 1, Tokens: [][]float64{{1, 2}, {3, 4}}})
+}
+
+func TestUnknownRankIsRefused(t *testing.T) {
+	door := doorOf(t, ranks.New(ranks.Settings{Ranks: 2, Map: baseMap}))
+	_, err := door.Order(context.Background(), track.MapOrder{Kind: track.OrderPromise, To: track.RankID{Agent: "a", Rank: 2}})
+	assert.Assert(t, track.IsKind(err, track.Invalid), "%v", err)
+	// Orders that lack what their kind needs are refused, not carried out.
+	for _, kind := range []track.MapOrderKind{track.OrderPrepare, track.OrderRestore} {
+		r, err := door.Order(context.Background(), track.MapOrder{Kind: kind, To: track.RankID{Agent: "a"}, Incarnation: 7})
+		assert.NilError(t, err)
+		assert.Equal(t, r.Refusal, track.RefusedRank)
+	}
+}
