--- a/steer/steer.go
+++ b/steer/steer.go
@@ -267,7 +267,7 @@
 		s.options.Logger.Warn("group incomplete", zap.Error(err))
 		return
 	}
-	s.highest++
+	s.highest = max(s.highest, s.options.Door.Highest()) + 1
 	ballot := track.Ballot{Number: s.highest, Driver: s.options.Self, Incarnation: s.options.Incarnation}
 	plan := swap.Plan{Map: next, Base: state.Map.Version, Default: s.options.Default}
 	driver, orders := swap.NewDriver(ballot, ranks, plan)
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -31,6 +31,25 @@
 	steers []*steer.Steer
 	doors  map[track.InstanceID]*swap.Door
 	sets   []*metrics.Set
+	// before, if set, is called before each order to another agent.
+	before func(track.MapOrder)
+}
+
+// hooked is the port to an agent, with the group's hook before each order.
+type hooked struct {
+	track.MapDoor
+	group *group
+}
+
+func (h hooked) Order(ctx context.Context, o track.MapOrder) (track.MapReply, error) {
+	if h.group.before != nil {
+		h.group.before(o)
+	}
+	return h.MapDoor.Order(ctx, o)
+}
+
+func (g *group) dial(to track.Instance) (track.MapDoor, error) {
+	return hooked{MapDoor: g.doors[to.ID], group: g}, nil
 }
 
 // counts follow a popularity that jumps after the given windows.
@@ -57,6 +76,10 @@
 }
 
 func newGroup(jump uint64) *group {
+	return newLoggedGroup(jump, func(*group, track.InstanceID) *zap.Logger { return zap.NewNop() })
+}
+
+func newLoggedGroup(jump uint64, logger func(*group, track.InstanceID) *zap.Logger) *group {
 	g := &group{
 		clock: clockwork.NewFakeClock(),
 		ranks: ranks.New(ranks.Settings{Ranks: shape.Ranks, Map: expert.Uniform(shape).Map()}),
@@ -73,11 +96,11 @@
 		g.steers = append(g.steers, steer.New(steer.Options{
 			Self: agent.ID, Incarnation: 1, Door: g.doors[agent.ID],
 			Group:   func() []track.Instance { return g.agents },
-			Dial:    func(to track.Instance) (track.MapDoor, error) { return g.doors[to.ID], nil },
+			Dial:    g.dial,
 			Policy:  func() track.ExpertPolicy { return track.ExpertPolicy{SkewWeight: 1, MoveWeight: 0.01} },
 			Store:   steer.Store{ExpertBytes: 1 << 20, BytesPerSecond: 1 << 30, StagedCopies: 100},
 			Default: expert.Uniform(shape).Map(),
-			Clock:   g.clock, Logger: zap.NewNop(), Metrics: g.sets[i],
+			Clock:   g.clock, Logger: logger(g, agent.ID), Metrics: g.sets[i],
 		}))
 	}
 	return g
--- a/swap/door.go
+++ b/swap/door.go
@@ -19,6 +19,8 @@
 
 	mu    sync.Mutex
 	heard time.Time
+	// highest is the highest ballot number in an order.
+	highest uint64
 }
 
 var _ track.MapDoor = (*Door)(nil)
@@ -40,6 +42,7 @@
 	}
 	d.mu.Lock()
 	d.heard = d.clock.Now()
+	d.highest = max(d.highest, o.Ballot.Number)
 	d.mu.Unlock()
 	return d.members[o.To.Rank].Order(ctx, o)
 }
@@ -56,6 +59,14 @@
 	return d.heard
 }
 
+// Highest returns the highest ballot number that an order carried, so that the
+// agent's own driver begins above it.
+func (d *Door) Highest() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.highest
+}
+
 // States returns the states of the ranks behind the agent.
 func (d *Door) States(ctx context.Context) ([]track.RankState, error) {
 	states := make([]track.RankState, len(d.members))
--- a/swap/driver.go
+++ b/swap/driver.go
@@ -186,7 +186,7 @@
 	reason := fmt.Sprintf("%s refused %s: %s %s", r.From, r.Kind, r.Refusal, r.Fault)
 	switch {
 	case r.Refusal == track.RefusedBallot:
-		return d.end(Outbid, reason)
+		return d.end(Outbid, fmt.Sprintf("%s has promised ballot %d", r.From, r.Promised.Number))
 	case d.phase == preparing, d.phase == arming:
 		return d.undo(reason)
 	}
