perf: rank states without map layers, eight steps from arming to switch

A change of 64 ranks read the whole map from each rank up to three times a phase: 2.0 s for a change over gRPC and HTTP on one machine.

--- a/expert.go
+++ b/expert.go
@@ -83,13 +83,25 @@
 	Fence uint64
 }
 
+// WithoutLayers returns the state with maps that are versions only.
+func (s RankState) WithoutLayers() RankState {
+	s.Map.Layers = nil
+	if s.Prepared != nil {
+		prepared := *s.Prepared
+		prepared.Layers = nil
+		s.Prepared = &prepared
+	}
+	return s
+}
+
 // RankEngine is the port by which an agent orders the ranks behind it.
 //
 // A fencing number accompanies each order; an engine may refuse an order whose
 // number is below the highest that it has seen, or ignore the number.
 type RankEngine interface {
-	// State returns the state of the rank.
-	State(ctx context.Context) (RankState, error)
+	// State returns the state of the rank. The layers of its maps are left out
+	// unless asked for.
+	State(ctx context.Context, layers bool) (RankState, error)
 	// Prepare fetches the weights that the map needs, at the weight store's rate,
 	// while the rank goes on with the map in use. It returns once the fetch has
 	// begun; State tells when the map is prepared.
--- a/orders/orders.go
+++ b/orders/orders.go
@@ -54,9 +54,9 @@
 }
 
 // State implements track.RankEngine.
-func (c *Client) State(ctx context.Context) (track.RankState, error) {
+func (c *Client) State(ctx context.Context, layers bool) (track.RankState, error) {
 	var state track.RankState
-	err := call(ctx, c.http, http.MethodGet, c.url(opState), nil, &state)
+	err := call(ctx, c.http, http.MethodGet, c.url(opState)+"?layers="+strconv.FormatBool(layers), nil, &state)
 	return state, err
 }
 
@@ -160,7 +160,7 @@
 			answer(w, struct{}{}, err)
 			return
 		}
-		state, err := rank.State(r.Context())
+		state, err := rank.State(r.Context(), r.URL.Query().Get("layers") == "true")
 		answer(w, state, err)
 	})
 	mux.HandleFunc("POST /ranks/{rank}/{op}", func(w http.ResponseWriter, r *http.Request) {
--- a/stand/ranks/ranks.go
+++ b/stand/ranks/ranks.go
@@ -200,7 +200,7 @@
 }
 
 // State implements track.RankEngine.
-func (r *Rank) State(context.Context) (track.RankState, error) {
+func (r *Rank) State(_ context.Context, layers bool) (track.RankState, error) {
 	r.group.mu.Lock()
 	defer r.group.mu.Unlock()
 	s := r.state
@@ -208,6 +208,9 @@
 		armed := *s.Armed
 		s.Armed = &armed
 	}
+	if !layers {
+		s = s.WithoutLayers()
+	}
 	return s, nil
 }
 
--- a/steer/report.go
+++ b/steer/report.go
@@ -29,9 +29,12 @@
 }
 
 // note records a plan for operators and reports whether changes are paused.
-func (s *Steer) note(now expert.Placement, plan expert.Plan, loads expert.Loads) bool {
+func (s *Steer) note(now expert.Placement, version track.Ballot, plan expert.Plan, loads expert.Loads) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.report.Group = s.group()
+	s.report.Map = now.Map()
+	s.report.Map.Version = version
 	s.report.Planned = s.options.Clock.Now()
 	s.report.Skew, s.report.Expected, s.report.LowerBound = plan.Skew, plan.Expected, 1
 	if loads != nil {
@@ -49,12 +52,17 @@
 	return s.paused
 }
 
-// follow records the map in use, whoever drives.
-func (s *Steer) follow(state track.RankState) {
+// reasonOther is the reason of an agent that leaves planning to another.
+const reasonOther = "AnotherAgentPlans"
+
+// yield records that an agent before this one plans.
+func (s *Steer) yield(turn int) {
+	if turn == 0 {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.report.Group = s.group()
-	s.report.Map = state.Map
+	s.report.Group, s.report.Reason = s.group(), reasonOther
 }
 
 func (s *Steer) group() string {
--- a/steer/session_test.go
+++ b/steer/session_test.go
@@ -53,7 +53,7 @@
 	for second := range 40 {
 		jumped = second >= 20
 		g.run(t, 1, 0, 1, 2, 3)
-		state, err := g.ranks.Rank(0).State(context.Background())
+		state, err := g.ranks.Rank(0).State(context.Background(), true)
 		assert.NilError(t, err)
 		now := g.ranks.Open()
 		if state.Map.Version != version || now-open != 20 {
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -107,19 +107,26 @@
 		s.options.Logger.Warn("rank state unknown", zap.Error(err))
 		return
 	}
-	// A blank rank has no map to plan from.
-	state := states[max(0, slices.IndexFunc(states, func(r track.RankState) bool { return !r.Blank }))]
-	s.follow(state)
 	turn := s.turn()
-	if s.held(states, now, turn) {
-		s.attempt(ctx, nil, state)
+	held := s.held(states, now, turn)
+	mine := !now.Before(s.due) && now.Sub(s.options.Door.Heard()) >= time.Duration(turn)*silence
+	if !held && !mine {
+		s.yield(turn)
 		return
 	}
-	if now.Before(s.due) || now.Sub(s.options.Door.Heard()) < time.Duration(turn)*silence {
+	// A blank rank has no map to plan from.
+	rank := max(0, slices.IndexFunc(states, func(r track.RankState) bool { return !r.Blank }))
+	state, err := s.options.Door.State(ctx, rank)
+	if err != nil {
+		s.options.Logger.Warn("rank state unknown", zap.Error(err))
 		return
 	}
-	s.due = now.Add(Window)
-	s.attempt(ctx, s.plan(ctx, state), state)
+	var next *track.ExpertMap
+	if !held {
+		s.due = now.Add(Window)
+		next = s.plan(ctx, state)
+	}
+	s.attempt(ctx, next, state)
 }
 
 // turn returns this agent's place in the order in which agents drive.
@@ -165,7 +172,7 @@
 		s.options.Logger.Error("no plan", zap.Error(err))
 		return nil
 	}
-	paused := s.note(now, plan, s.planner.Loads())
+	paused := s.note(now, state.Map.Version, plan, s.planner.Loads())
 	s.options.Logger.Info("expert placement",
 		zap.String("Reason", string(plan.Reason)),
 		zap.Float64("Skew", plan.Skew),
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -122,7 +122,7 @@
 }
 
 func (g *group) driver() track.InstanceID {
-	state, _ := g.ranks.Rank(0).State(context.Background())
+	state, _ := g.ranks.Rank(0).State(context.Background(), true)
 	return state.Map.Version.Driver
 }
 
--- a/swap/door.go
+++ b/swap/door.go
@@ -67,11 +67,12 @@
 	return d.highest
 }
 
-// States returns the states of the ranks behind the agent.
+// States returns the states of the ranks behind the agent, without the layers of
+// maps.
 func (d *Door) States(ctx context.Context) ([]track.RankState, error) {
 	states := make([]track.RankState, len(d.members))
 	for i, m := range d.members {
-		state, err := m.engine.State(ctx)
+		state, err := m.engine.State(ctx, false)
 		if err != nil {
 			return nil, track.Fail("read rank state", Engine, err)
 		}
@@ -79,3 +80,12 @@
 	}
 	return states, nil
 }
+
+// State returns the state of a rank with the layers of its maps.
+func (d *Door) State(ctx context.Context, rank int) (track.RankState, error) {
+	state, err := d.members[rank].engine.State(ctx, true)
+	if err != nil {
+		return state, track.Fail("read rank state", Engine, err)
+	}
+	return state, nil
+}
--- a/swap/driver.go
+++ b/swap/driver.go
@@ -53,7 +53,7 @@
 
 // armAhead is the number of steps between the furthest rank and the step of a
 // switch; orders have that long to arrive before a rank holds.
-const armAhead = 4
+const armAhead = 8
 
 // Plan is what a driver is to do once the group is settled.
 type Plan struct {
--- a/swap/member.go
+++ b/swap/member.go
@@ -46,29 +46,14 @@
 		}
 	}
 	reply.Promised = m.promised
-	state, err := m.engine.State(ctx)
+	state, err := m.engine.State(ctx, o.Maps)
 	if err != nil {
 		return track.MapReply{}, track.Fail("read rank state", Engine, err)
 	}
-	if !o.Maps {
-		state = withoutLayers(state)
-	}
 	reply.State = state
 	return reply, nil
 }
 
-// withoutLayers returns the state with maps that are versions only, which is
-// what most replies need.
-func withoutLayers(s track.RankState) track.RankState {
-	s.Map.Layers = nil
-	if s.Prepared != nil {
-		prepared := *s.Prepared
-		prepared.Layers = nil
-		s.Prepared = &prepared
-	}
-	return s
-}
-
 // start takes over a rank that is armed or blank from an earlier incarnation, or
 // after an order to the engine whose end is not known: once the rank is claimed
 // under a new ID, late orders to the engine find nothing to act on.
@@ -76,7 +61,7 @@
 	if m.ready {
 		return nil
 	}
-	state, err := m.engine.State(ctx)
+	state, err := m.engine.State(ctx, false)
 	if err != nil {
 		return track.Fail("read rank state", Engine, err)
 	}
@@ -146,7 +131,7 @@
 }
 
 func (m *Member) arm(ctx context.Context, fence uint64, s track.MapSwitch) error {
-	state, err := m.engine.State(ctx)
+	state, err := m.engine.State(ctx, false)
 	switch {
 	case err != nil:
 		return err
@@ -157,7 +142,7 @@
 }
 
 func (m *Member) commit(ctx context.Context, fence uint64, s track.MapSwitch) error {
-	state, err := m.engine.State(ctx)
+	state, err := m.engine.State(ctx, false)
 	switch {
 	case err != nil:
 		return err
@@ -172,7 +157,7 @@
 }
 
 func (m *Member) disarm(ctx context.Context, fence uint64, s track.MapSwitch) error {
-	state, err := m.engine.State(ctx)
+	state, err := m.engine.State(ctx, false)
 	switch {
 	case err != nil:
 		return err
--- a/swap/world_test.go
+++ b/swap/world_test.go
@@ -145,7 +145,7 @@
 	w.used[ballot] = true
 	plan := swap.Plan{Default: baseMap}
 	if change {
-		state, _ := a.rank.State(context.Background())
+		state, _ := a.rank.State(context.Background(), true)
 		m := baseMap
 		plan.Map, plan.Base = &m, state.Map.Version
 	}
--- a/wire/expert_test.go
+++ b/wire/expert_test.go
@@ -22,8 +22,8 @@
 
 var baseMap = track.ExpertMap{Experts: 2, Slots: 1, Layers: [][]int32{{0, 1}, {1, 0}}}
 
-// doorOf returns the port to two ranks: gRPC to their agent, HTTP from there.
-func doorOf(t *testing.T, group *ranks.Group) track.MapDoor {
+// doorOf returns the port to the ranks of a group: gRPC to their agent, HTTP from there.
+func doorOf(t testing.TB, group *ranks.Group) track.MapDoor {
 	t.Helper()
 	clock := clockwork.NewFakeClock()
 	counter := ranks.NewCounter(clock, 1, func() [][]float64 { return [][]float64{{1, 2}, {3, 4}} })
@@ -32,7 +32,10 @@
 	t.Cleanup(engine.Close)
 	backend, err := url.Parse(engine.URL)
 	assert.NilError(t, err)
-	engines := []track.RankEngine{orders.NewClient(http.DefaultClient, backend, 0), orders.NewClient(http.DefaultClient, backend, 1)}
+	var engines []track.RankEngine
+	for i := range group.Engines() {
+		engines = append(engines, orders.NewClient(http.DefaultClient, backend, i))
+	}
 
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -77,7 +80,7 @@
 		door := doorOf(t, group)
 		next := track.ExpertMap{Experts: 2, Slots: 1, Layers: [][]int32{{1, 0}, {0, 1}}}
 		assert.Equal(t, run(t, group, door, 1, &next).Outcome, swap.Switched)
-		state, err := group.Rank(1).State(context.Background())
+		state, err := group.Rank(1).State(context.Background(), true)
 		assert.NilError(t, err)
 		assert.DeepEqual(t, state.Map.Layers, next.Layers)
 		assert.Equal(t, state.Map.Version, track.Ballot{Number: 1, Driver: "a", Incarnation: 7})
@@ -85,7 +88,7 @@
 		// A rank that restarts gets the map back over the same way.
 		group.Rank(0).Restart()
 		assert.Equal(t, run(t, group, door, 2, nil).Outcome, swap.Settled)
-		restored, err := group.Rank(0).State(context.Background())
+		restored, err := group.Rank(0).State(context.Background(), true)
 		assert.NilError(t, err)
 		assert.DeepEqual(t, restored.Map, state.Map)
 		assert.Equal(t, run(t, group, door, 1, nil).Outcome, swap.Outbid)
