--- a/boot/session_test.go
+++ b/boot/session_test.go
@@ -181,6 +181,10 @@
 	for _, f := range fields {
 		f.AddTo(encoder)
 	}
+	// The ID of the first change is a hash of the example settings.
+	if id, ok := encoder.Fields["Change"].(string); ok && strings.HasPrefix(id, "seed-") {
+		encoder.Fields["Change"] = "seed"
+	}
 	text, err := json.Marshal(encoder.Fields)
 	if err != nil {
 		return err
