--- a/expert/plan.go
+++ b/expert/plan.go
@@ -54,6 +54,11 @@
 	MovesPerRank int
 }
 
+// DefaultPolicy returns the weights for a model whose profile names none.
+func DefaultPolicy() track.ExpertPolicy {
+	return track.ExpertPolicy{SkewWeight: 1, MoveWeight: 0.05}
+}
+
 // Planner follows the load of a group and proposes changes to its placement.
 // It is not safe for concurrent use.
 type Planner struct {
@@ -81,6 +86,11 @@
 	}, nil
 }
 
+// Shape returns the shape of the group.
+func (p *Planner) Shape() Shape {
+	return p.shape
+}
+
 // Observe takes the tokens counted for each layer and expert in one window. A
 // window without counts is ignored.
 func (p *Planner) Observe(counts Loads) error {
