--- a/boot/once_test.go
+++ b/boot/once_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"filberttrack.example/track/ledger"
 )
 
 const (
@@ -20,6 +22,7 @@
 // told honestly.
 func TestSessionAtMostOnce(t *testing.T) {
 	play(t, "session-at-most-once", 2, func(_ context.Context, x *session) {
+		x.pass(2 * ledger.Defaults().DispatchWindow)
 		x.book(0, booking, "friday")
 		x.pass(time.Second)
 		x.book(1, booking, "friday")
--- a/claims/index.go
+++ b/claims/index.go
@@ -37,6 +37,9 @@
 // keyHash identifies a key.
 type keyHash [16]byte
 
+// bodyHash identifies the hash of a body.
+type bodyHash [16]byte
+
 // place is an incarnation of an agent; the index keeps each of them once.
 type place struct {
 	agent       track.InstanceID
@@ -50,10 +53,11 @@
 	hidden bool
 	offset uint64
 	// latest is the log time of the claim that holds the key or, where the key
-	// is hidden, of its last claim.
-	latest  time.Time
-	readAt  time.Time
-	body    [sha256.Size]byte
+	// is hidden, of its last claim; in nanoseconds since the Unix epoch.
+	latest int64
+	// readAt is the time of reading, in nanoseconds since the Unix epoch.
+	readAt  int64
+	body    bodyHash
 	attempt track.AttemptID
 	place   *place
 	stamp   track.Stamp
@@ -61,8 +65,9 @@
 
 // due names a key that may be forgotten once its time has passed.
 type due struct {
-	key  keyHash
-	time time.Time
+	key keyHash
+	// time is in nanoseconds since the Unix epoch.
+	time int64
 }
 
 // Index replays the stream of claims. Two indexes that have read to the same
@@ -171,8 +176,8 @@
 		hidden = held.hidden
 	}
 	held = &holding{
-		state: Held, hidden: hidden, offset: offset, readAt: readAt,
-		body: sha256.Sum256([]byte(c.BodySHA256)), attempt: c.Attempt, place: x.place(c), stamp: c.Stamp,
+		state: Held, hidden: hidden, offset: offset, readAt: readAt.UnixNano(),
+		body: hashOf(c.BodySHA256), attempt: c.Attempt, place: x.place(c), stamp: c.Stamp,
 	}
 	x.keys[hash] = held
 	x.extend(hash, held)
@@ -205,7 +210,7 @@
 	return View{
 		State:  held.state,
 		Offset: held.offset,
-		ReadAt: held.readAt,
+		ReadAt: time.Unix(0, held.readAt),
 		Claim: Claim{
 			Key: key, Attempt: held.attempt, Stamp: held.stamp,
 			Agent: held.place.agent, Address: held.place.address, Incarnation: held.place.incarnation,
@@ -216,7 +221,7 @@
 // SameBody reports whether the claim that holds the key has the given hash.
 func (x *Index) SameBody(key Key, bodySHA256 string) bool {
 	held := x.recall(key.hash())
-	return held != nil && held.body == sha256.Sum256([]byte(bodySHA256))
+	return held != nil && held.body == hashOf(bodySHA256)
 }
 
 // covers reports whether the index has read each claim of a key that counts at
@@ -237,25 +242,30 @@
 // recall returns the state of a key unless it has to be forgotten.
 func (x *Index) recall(hash keyHash) *holding {
 	held := x.keys[hash]
-	if held == nil || x.now.Sub(held.latest) > x.settings.memory() {
+	if held == nil || x.since(held.latest) > x.settings.memory() {
 		return nil
 	}
 	return held
 }
 
 func (x *Index) extend(hash keyHash, held *holding) {
-	held.latest = x.now
-	x.dues = append(x.dues, due{key: hash, time: x.now})
+	held.latest = x.now.UnixNano()
+	x.dues = append(x.dues, due{key: hash, time: held.latest})
+}
+
+// since returns the log time that has passed since then.
+func (x *Index) since(then int64) time.Duration {
+	return time.Duration(x.now.UnixNano() - then)
 }
 
 // forget frees the memory of keys whose time has passed.
 func (x *Index) forget() {
 	gone := 0
 	for _, d := range x.dues {
-		if x.now.Sub(d.time) <= x.settings.memory() {
+		if x.since(d.time) <= x.settings.memory() {
 			break
 		}
-		if held := x.keys[d.key]; held != nil && held.latest.Equal(d.time) {
+		if held := x.keys[d.key]; held != nil && held.latest == d.time {
 			delete(x.keys, d.key)
 		}
 		gone++
@@ -272,6 +282,11 @@
 	return &p
 }
 
+func hashOf(bodySHA256 string) bodyHash {
+	digest := sha256.Sum256([]byte(bodySHA256))
+	return bodyHash(digest[:16])
+}
+
 func (k Key) hash() keyHash {
 	h := sha256.New()
 	for _, part := range []string{k.Account, k.Service, k.Name} {
--- a/claims/world_test.go
+++ b/claims/world_test.go
@@ -96,15 +96,17 @@
 	appends  *chaos
 	pending  sync.WaitGroup
 
-	mu      sync.Mutex
-	away    bool
-	lag     time.Duration
-	oldest  uint64
-	records []track.Record
-	agents  []*agent
-	entries []*entry
-	runs    []run
-	asked   map[string]int
+	mu     sync.Mutex
+	away   bool
+	lag    time.Duration
+	oldest uint64
+	// appended counts the calls of the log that add records.
+	appended int
+	records  []track.Record
+	agents   []*agent
+	entries  []*entry
+	runs     []run
+	asked    map[string]int
 }
 
 func newWorld(t assert.TestingT, entries, agents int, seed uint64) *world {
@@ -144,6 +146,7 @@
 	time.Sleep(w.appends.upTo(10 * time.Millisecond))
 	w.mu.Lock()
 	away := w.away
+	w.appended++
 	w.mu.Unlock()
 	switch {
 	case away || f == refused:
@@ -417,6 +420,8 @@
 	// pause holds the entry up between claim and dispatch.
 	pause  time.Duration
 	failed []track.InstanceID
+	// dispatched is called before each dispatch, if set.
+	dispatched func()
 }
 
 // Choose implements claims.Runner.
@@ -438,6 +443,9 @@
 	var d track.Dispatch
 	t.Fill(&d)
 	r.failed = append(r.failed, d.Agent)
+	if r.dispatched != nil {
+		r.dispatched()
+	}
 	w := r.entry.world
 	pause := r.pause
 	if w.calls.befalls(r.pauseShare) {
--- a/frames/resume_test.go
+++ b/frames/resume_test.go
@@ -209,3 +209,16 @@
 		}
 	})
 }
+
+// BenchmarkRelay gives the cost of following one chunk of a stream.
+func BenchmarkRelay(b *testing.B) {
+	transcript, err := frames.NewTranscript([]byte(`{"messages":[]}`), false)
+	assert.NilError(b, err)
+	chunk := []byte(`{"id":"c","created":1,"model":"m","choices":[{"index":0,"delta":{"content":"word "},"finish_reason":null}]}`)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := transcript.Relay(chunk); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -198,3 +198,14 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(got), 1)
 }
+
+// BenchmarkAdmit gives the cost of an attempt without a key, at the bound of
+// the ledger.
+func BenchmarkAdmit(b *testing.B) {
+	l := ledger.New("a1", 7, clockwork.NewRealClock(), ledger.Defaults())
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		d := track.Dispatch{ID: track.AttemptID{Request: "r", Number: uint32(i)}, Agent: "a1", Incarnation: 7, Stamp: l.Stamp()}
+		l.Admit(d, "").Attempt.Done()
+	}
+}
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -20,6 +20,19 @@
 	track.Agent
 	dispatch track.Dispatch
 	frames   []track.Frame
+	refs     []track.AttemptRef
+}
+
+// Bar implements track.Agent.
+func (e *echo) Bar(_ context.Context, ref track.AttemptRef) (track.AttemptState, error) {
+	e.refs = append(e.refs, ref)
+	return track.AttemptStarted, nil
+}
+
+// Replay implements track.Agent.
+func (e *echo) Replay(_ context.Context, ref track.AttemptRef, send track.FrameFunc) error {
+	e.refs = append(e.refs, ref)
+	return send(e.frames[0])
 }
 
 // Run implements track.Agent.
@@ -54,7 +67,8 @@
 	sent := track.Dispatch{
 		ID: id, Agent: "agent-1", Incarnation: 7, Kind: track.Plain, Target: "pickup-desk", Method: "POST",
 		Path: "/bookings", Query: "a=b", Header: http.Header{"Accept": {"text/plain"}}, Body: []byte("{}"),
-		Timeout: 3 * time.Second, Priority: track.PriorityInteractive, Fingerprint: 9,
+		Timeout: 3 * time.Second, Priority: track.PriorityInteractive, Fingerprint: 9, Stamp: 5,
+		Claim: &track.Claim{Account: "mill", Service: "desk", IdempotencyKey: "k", BodySHA256: "ab", Offset: 4},
 	}
 	var received []track.Frame
 	err = port.Run(context.Background(), sent, func(f track.Frame) error {
@@ -65,6 +79,18 @@
 	assert.DeepEqual(t, agent.dispatch, sent)
 	assert.DeepEqual(t, received, agent.frames)
 
+	state, err := port.Bar(context.Background(), sent.Ref())
+	assert.NilError(t, err)
+	assert.Equal(t, state, track.AttemptStarted)
+	received = nil
+	err = port.Replay(context.Background(), sent.Ref(), func(f track.Frame) error {
+		received = append(received, f)
+		return nil
+	})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, received, agent.frames[:1])
+	assert.DeepEqual(t, agent.refs, []track.AttemptRef{sent.Ref(), sent.Ref()})
+
 	server.Stop()
 	assert.NilError(t, <-served)
 	dialer.Close()
