--- a/plat/log.go
+++ b/plat/log.go
@@ -42,13 +42,17 @@
 	if len(data) == 0 || len(data) > MaxRecords {
 		return 0, track.Fail(opAppend, track.Invalid, errRecords)
 	}
+	size := 0
+	for _, d := range data {
+		size += len(d)
+	}
+	if size > MaxRecordBytes {
+		return 0, track.Fail(opAppend, track.Invalid, errTooLarge)
+	}
 	body, err := json.Marshal(AppendRequest{Data: data})
 	if err != nil {
 		return 0, track.Fail(opAppend, track.Invalid, err)
 	}
-	if len(body) > MaxRequestBytes {
-		return 0, track.Fail(opAppend, track.Invalid, errTooLarge)
-	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, l.records(stream).String(), bytes.NewReader(body))
 	if err != nil {
 		return 0, track.Fail(opAppend, track.Invalid, err)
@@ -107,5 +111,19 @@
 		return
 	}
 	page, err := h.log.Read(r.Context(), r.PathValue("stream"), from, min(limit, MaxRecords))
+	page.Records = bounded(page.Records)
 	answer(w, opRead, page, err)
 }
+
+// bounded returns as many of the first records as fit into a page, and at least
+// one.
+func bounded(records []track.Record) []track.Record {
+	size := 0
+	for i, r := range records {
+		size += len(r.Data)
+		if i > 0 && size > MaxPageBytes {
+			return records[:i]
+		}
+	}
+	return records
+}
