--- a/boot/once_test.go
+++ b/boot/once_test.go
@@ -4,8 +4,11 @@
 	"context"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"filberttrack.example/track/ledger"
 )
 
@@ -22,7 +25,6 @@
 // told honestly.
 func TestSessionAtMostOnce(t *testing.T) {
 	play(t, "session-at-most-once", 2, func(_ context.Context, x *session) {
-		x.pass(2 * ledger.Defaults().DispatchWindow)
 		x.book(0, booking, "friday")
 		x.pass(time.Second)
 		x.book(1, booking, "friday")
@@ -39,6 +41,18 @@
 	})
 }
 
+// Entries learn new stamps as time passes, so that dispatches stay welcome.
+func TestBookingAfterTheDispatchWindow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		x := newSession(ctx, t, 1)
+		x.pass(2 * ledger.Defaults().DispatchWindow)
+		x.book(0, booking, "friday")
+		assert.Assert(t, strings.Contains(x.transcript.String(), "< 201 Completed"), x.transcript.String())
+	})
+}
+
 // The agent dies after the booking; nobody can tell what became of it, and it
 // does not run again.
 func TestSessionAgentRestarted(t *testing.T) {
