--- a/boot/session_test.go
+++ b/boot/session_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -103,6 +104,7 @@
 		Dialer:   x.network.From(track.InstanceID(id)),
 		Client:   x.transport.Client(),
 		Clock:    x.clock,
+		Guard:    guardOperators,
 		Logger:   zap.New(x.transcript.core(x.start)).Named(id),
 		NewID: func() track.RequestID {
 			x.requests++
@@ -149,10 +151,13 @@
 
 // transcript collects what happened, in order.
 type transcript struct {
+	mu sync.Mutex
 	bytes.Buffer
 }
 
 func (r *transcript) add(at time.Duration, line string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	fmt.Fprintf(r, "%8s %s\n", at, strings.TrimSpace(line))
 }
 
