--- /dev/null
+++ b/config/traffic_test.go
@@ -0,0 +1,141 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/change"
+)
+
+// The allowance for control at the size to design for, and the rate of changes.
+const (
+	allowedBytesPerSecond = 20_000
+	allowedAppends        = 200
+	changesPerDay         = 2400
+	day                   = 24 * time.Hour
+)
+
+// sizes returns the deployments to measure: entries, with agents in the ratio of
+// the size to design for. FILBERTTRACK_SIZES is the number of doublings.
+func sizes() [][2]int {
+	doublings, _ := strconv.Atoi(os.Getenv("FILBERTTRACK_SIZES"))
+	var all [][2]int
+	for i := 0; i <= doublings; i++ {
+		all = append(all, [2]int{9 << i, 39 << i})
+	}
+	return all
+}
+
+// TestTraffic measures messages and bytes a second at a steady rate of changes.
+func TestTraffic(t *testing.T) {
+	for _, size := range sizes() {
+		t.Run(fmt.Sprintf("%d entries, %d agents", size[0], size[1]), func(t *testing.T) {
+			withFleet(t, size[0], size[1], func(ctx context.Context, t *testing.T, f *fleet) {
+				const changes = 4
+				logged, calls, bytes := f.log.Counts(), f.calls.Load(), f.bytes.Load()
+				started := time.Now()
+				for i := range changes {
+					publish(ctx, t, f.live()[i], draft(fmt.Sprint("c", i), editProfile("lunch", time.Duration(i+1)*time.Second, uint64(i))))
+					time.Sleep(day / changesPerDay)
+				}
+				seconds := time.Since(started).Seconds()
+				now := f.log.Counts()
+				instances := float64(size[0] + size[1])
+				perInstance := (float64(f.bytes.Load()-bytes)*2 + float64(now.BytesRead-logged.BytesRead)) / seconds / instances
+				busiest := uint64(0)
+				for _, n := range f.live() {
+					busiest = max(busiest, n.served.Load())
+				}
+				t.Logf("log: %.2f reads/s, %.0f B/s, %d appends; peers: %.2f questions/s; per instance %.0f B/s, busiest answers %.0f B/s",
+					float64(now.Reads-logged.Reads)/seconds, float64(now.BytesRead-logged.BytesRead)/seconds, now.Appends-logged.Appends,
+					float64(f.calls.Load()-calls)/seconds, perInstance, float64(busiest)/(seconds+10))
+				assert.Assert(t, perInstance <= allowedBytesPerSecond)
+				assert.Assert(t, float64(now.Appends-logged.Appends)/seconds <= allowedAppends)
+			})
+		})
+	}
+}
+
+// stateOf returns a state with the given number of client accounts, made by
+// changes of 256 edits.
+func stateOf(tb testing.TB, accounts int) *change.State {
+	s := change.New()
+	var edits []change.Edit
+	for i := range accounts {
+		name := fmt.Sprintf("account-%05d", i)
+		edits = append(edits, change.Edit{Key: change.Key{Kind: change.AccountKind, Name: name}, Value: encode(track.ClientAccount{
+			Name: name, TokenSHA256: change.Sum([]byte(name)), Weight: 1, RequestsPerSecond: 10,
+		})})
+		if len(edits) == change.MaxEdits || i == accounts-1 {
+			d := s.Apply(change.Change{ID: name, Operator: "maria", Seen: s.Seq(), Edits: edits})
+			assert.Assert(tb, d.Verdict.Accepted, d.Verdict.Detail)
+			edits = nil
+		}
+	}
+	return s
+}
+
+// partedAccounts is a number of client accounts whose state takes several parts.
+const partedAccounts = 3000
+
+// A whole state passes between instances in parts.
+func TestWholeStateInParts(t *testing.T) {
+	f := newFleet(newFakeClock(), 1)
+	source, target := f.add(track.RoleEntry), f.add(track.RoleAgent)
+	source.state = stateOf(t, partedAccounts)
+	source.publish()
+	target.ask(t.Context(), target.contact(source))
+	assert.Equal(t, target.Status().Version, source.Status().Version)
+	assert.Equal(t, target.stateBytes(), source.stateBytes())
+	assert.Assert(t, f.calls.Load() > 1)
+	t.Logf("%d bytes in %d answers", f.bytes.Load(), f.calls.Load())
+	// One more change travels as a record.
+	before := f.bytes.Load()
+	source.mu.Lock()
+	source.decide(change.Change{ID: "one", Seen: source.state.Seq(), Edits: []change.Edit{editProfile("lunch", time.Second, 0)}})
+	source.publish()
+	source.mu.Unlock()
+	target.ask(t.Context(), target.contact(source))
+	assert.Equal(t, target.timeout("lunch"), time.Second)
+	assert.Assert(t, f.bytes.Load()-before < 2000)
+}
+
+func BenchmarkState(b *testing.B) {
+	for _, accounts := range []int{1000, 5000, 21_000} {
+		s := stateOf(b, accounts)
+		data, err := s.Marshal()
+		assert.NilError(b, err)
+		live := NewLive(s.Config(), nil)
+		n := 0
+		run := func(name string, f func()) {
+			b.Run(fmt.Sprintf("%s/%d", name, accounts), func(b *testing.B) {
+				for b.Loop() {
+					f()
+				}
+				b.ReportMetric(float64(len(data)), "state-bytes")
+			})
+		}
+		key := change.Key{Kind: change.AccountKind, Name: "account-00000"}
+		run("apply", func() {
+			n++
+			item, _ := s.Item(key)
+			s.Apply(change.Change{ID: fmt.Sprint("bench", n), Seen: s.Seq(), Edits: []change.Edit{{Key: key, Replaces: item.Version, Value: item.Value}}})
+		})
+		run("index", func() { NewLive(s.Config(), nil) })
+		run("clone", func() { s.Clone() })
+		run("checksum", func() {
+			data, _ := s.Marshal()
+			change.Sum(data)
+		})
+		run("take over", func() { _, _ = change.Unmarshal(data) })
+		token := change.Sum([]byte("account-00000"))
+		run("look-up", func() { live.Account(token) })
+	}
+}
