--- a/boot/config.go
+++ b/boot/config.go
@@ -7,6 +7,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/certs"
+	"filberttrack.example/track/conf"
 )
 
 // noPeers is the view of an instance that knows no other.
@@ -15,6 +17,18 @@
 // Contacts implements track.ConfigPeers.
 func (noPeers) Contacts() []track.ConfigContact { return nil }
 
+// adminToken returns the guard of calls that change something.
+func adminToken(o conf.Operators) (*certs.Token, error) {
+	switch {
+	case o.TokenFile != "":
+		return certs.ReadToken(o.TokenFile)
+	case o.TokenSHA256 != "":
+		return certs.ParseTokenHash(o.TokenSHA256)
+	default:
+		return certs.NoToken(), nil
+	}
+}
+
 // randomSeed returns a seed that differs between instances and starts.
 func randomSeed(id track.InstanceID, started time.Time) uint64 {
 	return xxhash.Sum64String(fmt.Sprint(id, started.UnixNano()))
--- a/boot/entry.go
+++ b/boot/entry.go
@@ -32,8 +32,13 @@
 
 // StartEntry starts an entry. It is ready when the function returns.
 func StartEntry(ctx context.Context, s conf.Settings, platform Platform, logger *zap.Logger) (*Entry, error) {
+	token, err := adminToken(s.Operators)
+	if err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	ports, dialer := realPorts(platform, logger)
+	ports.Guard = token.Guard
 	e := &Entry{
 		EntryCore: NewEntryCore(s, ports),
 		logger:    logger,
@@ -41,7 +46,7 @@
 		cancel:    cancel,
 	}
 	e.duties = e.Start(ctx)
-	err := e.listen(ctx, s.Entry)
+	err = e.listen(ctx, s.Entry)
 	if err != nil {
 		cancel()
 		return nil, err
--- a/cmd/filberttrack/config.go
+++ b/cmd/filberttrack/config.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
 	"text/tabwriter"
 	"time"
 
@@ -44,9 +43,9 @@
 		return err
 	}
 	if c.Bool("json") {
-		return printJSON(os.Stdout, value)
+		return printJSON(c.Root().Writer, value)
 	}
-	return table(os.Stdout, value)
+	return table(c.Root().Writer, value)
 }
 
 func showHistory(ctx context.Context, c *cli.Command) error {
--- a/cmd/filberttrack/objects.go
+++ b/cmd/filberttrack/objects.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"os"
 	"strings"
 	"text/tabwriter"
 
@@ -97,9 +96,9 @@
 		return err
 	}
 	if c.Bool("json") {
-		return printJSON(os.Stdout, items)
+		return printJSON(c.Root().Writer, items)
 	}
-	return k.print(os.Stdout, items)
+	return k.print(c.Root().Writer, items)
 }
 
 func (k objectKind[T]) print(w io.Writer, items []change.Item) error {
@@ -136,7 +135,7 @@
 	if err != nil {
 		return err
 	}
-	return printJSON(os.Stdout, item)
+	return printJSON(c.Root().Writer, item)
 }
 
 func (k objectKind[T]) delete(ctx context.Context, c *cli.Command) error {
--- a/cmd/filberttrack/publish.go
+++ b/cmd/filberttrack/publish.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"fmt"
 	"io"
-	"os"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -38,8 +37,8 @@
 // publishEdits publishes a change with the edits and prints the verdict.
 func publishEdits(ctx context.Context, c *cli.Command, changed []change.Edit) error {
 	if len(changed) == 0 {
-		fmt.Println("nothing to change")
-		return nil
+		_, err := fmt.Fprintln(c.Root().Writer, "nothing to change")
+		return err
 	}
 	id := c.String("id")
 	if id == "" {
@@ -53,9 +52,9 @@
 		return fmt.Errorf("publish change %s: %w", id, err)
 	}
 	if c.Bool("json") {
-		err = printJSON(os.Stdout, published)
+		err = printJSON(c.Root().Writer, published)
 	} else {
-		err = printPublished(os.Stdout, published)
+		err = printPublished(c.Root().Writer, published)
 	}
 	if err != nil {
 		return err
--- a/cmd/filberttrack/status.go
+++ b/cmd/filberttrack/status.go
@@ -78,6 +78,9 @@
 
 // answerError returns the failure that an operators' listener reported.
 func answerError(address string, response *http.Response) error {
+	if response.StatusCode == http.StatusUnauthorized {
+		return fmt.Errorf("%s: the admin token is missing or wrong; see --token-file", address)
+	}
 	var failure admin.Failure
 	err := json.NewDecoder(response.Body).Decode(&failure)
 	if err != nil {
--- a/conf/check.go
+++ b/conf/check.go
@@ -51,6 +51,7 @@
 		return
 	}
 	c.logging(s.Logging)
+	c.operators(s.Operators)
 	c.profiles(s.Profile)
 	c.models(s)
 	c.accounts(s.Account)
@@ -118,6 +119,15 @@
 	c.oneOf("Logging.Format", l.Format, "json", "console")
 }
 
+func (c *checker) operators(o Operators) {
+	if o.TokenFile != "" && o.TokenSHA256 != "" {
+		c.fault("Operators.TokenSHA256", "must not be given beside Operators.TokenFile")
+	}
+	if o.TokenSHA256 != "" && len(o.TokenSHA256) != tokenDigestLength {
+		c.fault("Operators.TokenSHA256", "must be the SHA-256 of the token, %d hexadecimal digits", tokenDigestLength)
+	}
+}
+
 func (c *checker) platform(p Platform) {
 	c.baseURL("Platform.LogURL", p.LogURL)
 	c.baseURL("Platform.ListURL", p.ListURL)
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -15,6 +15,8 @@
 	Entry    Entry
 	Agent    Agent
 	Logging  Logging
+	// Operators says who may change something through the operators' listener.
+	Operators Operators
 	// Zone lists the availability zones of stand-ins, with their replicas.
 	Zone    []Zone
 	Standin Standin
@@ -75,6 +77,15 @@
 	StopTimeout time.Duration
 }
 
+// Operators holds the admin token's file or its hash, never the token. With
+// neither, nothing can be changed through the operators' listener.
+type Operators struct {
+	// TokenFile names a file with the admin token.
+	TokenFile string
+	// TokenSHA256 is the hexadecimal SHA-256 of the admin token.
+	TokenSHA256 string
+}
+
 // Logging says how a process logs.
 type Logging struct {
 	// Level is debug, info, warn or error.
--- a/config/property_test.go
+++ b/config/property_test.go
@@ -274,6 +274,7 @@
 }
 
 func TestNothingRevertsOrIsLost(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		s := newSchedule(rt)
 		for range scheduleLength {
