--- a/agent/forward.go
+++ b/agent/forward.go
@@ -23,6 +23,9 @@
 	id   track.AttemptID
 	seq  uint64
 	send track.FrameFunc
+	// neverStarted is set once it is certain that the backend server received
+	// nothing.
+	neverStarted bool
 }
 
 func (o *output) frame(f track.Frame) error {
@@ -41,10 +44,12 @@
 func (a *Agent) forward(ctx context.Context, d track.Dispatch, out *output) error {
 	request, err := a.request(ctx, d)
 	if err != nil {
+		out.neverStarted = true
 		return out.final(track.Frame{Outcome: track.NotRun, Refusal: track.RefusedWrongTarget, Fault: err.Error()})
 	}
 	response, err := a.options.Client.Do(request)
 	if err != nil {
+		out.neverStarted = neverSent(err)
 		return out.final(a.failure(ctx, err))
 	}
 	defer response.Body.Close()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,9 +14,11 @@
 	"go.uber.org/zap"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/claims"
 	"filberttrack.example/track/entry/flow"
 	"filberttrack.example/track/entry/parse"
 	"filberttrack.example/track/entry/relay"
+	"filberttrack.example/track/frames"
 )
 
 // Options holds what an entry is made of.
@@ -33,6 +35,10 @@
 	// Parse and Relay bound what callers send and receive.
 	Parse parse.Limits
 	Relay relay.Limits
+	// Claims runs calls that must not be repeated.
+	Claims *claims.Book
+	// Drops counts frames out of sequence.
+	Drops *frames.Drops
 	// LogDecisions turns on a log line for each routing decision.
 	LogDecisions bool
 }
@@ -132,6 +138,10 @@
 	outcome := x.Writer.Header().Get(flow.HeaderOutcome)
 	if err != nil {
 		refusal := refusalOf(err)
+		if refusal.Outcome == track.NotRun && transient(refusal.Status) && x.MayHaveRun() {
+			// The caller takes NotRun for the work, not for this request alone.
+			refusal.Outcome = track.Unknown
+		}
 		outcome = refusal.Outcome.String()
 		writeError(x.Writer, refusal)
 	}
@@ -140,6 +150,12 @@
 		Update(e.options.Clock.Since(x.Call.Arrived).Seconds())
 }
 
+// transient reports whether a request refused with the status may have been
+// taken at another time.
+func transient(status int) bool {
+	return status == http.StatusTooManyRequests || status >= http.StatusInternalServerError
+}
+
 // refusalOf returns the refusal that the error is, or stands for.
 func refusalOf(err error) *flow.RefusalError {
 	var refusal *flow.RefusalError
--- a/stand/local/network.go
+++ b/stand/local/network.go
@@ -176,18 +176,18 @@
 }
 
 // Replay implements track.Agent.
-func (p *port) Replay(ctx context.Context, id track.AttemptID, send track.FrameFunc) error {
+func (p *port) Replay(ctx context.Context, ref track.AttemptRef, send track.FrameFunc) error {
 	return p.call(ctx, "replay", func(ctx context.Context, a track.Agent) error {
-		return a.Replay(ctx, id, p.guard(ctx, send))
+		return a.Replay(ctx, ref, p.guard(ctx, send))
 	})
 }
 
 // Bar implements track.Agent.
-func (p *port) Bar(ctx context.Context, id track.AttemptID) (track.AttemptState, error) {
+func (p *port) Bar(ctx context.Context, ref track.AttemptRef) (track.AttemptState, error) {
 	state := track.AttemptForgotten
 	err := p.call(ctx, "bar", func(ctx context.Context, a track.Agent) error {
 		var err error
-		state, err = a.Bar(ctx, id)
+		state, err = a.Bar(ctx, ref)
 		return err
 	})
 	return state, err
