test: wait for the reader before its values are read

Cause: a data race in the test, seen in about one run of 50 under load. Change: synctest.Wait before the loop. Conclusion: the check itself is unchanged.

--- a/tail/tail_test.go
+++ b/tail/tail_test.go
@@ -102,6 +102,7 @@
 		appended := time.Now()
 		log.SetAway(false)
 		appendAll(ctx, t, log, "e")
+		synctest.Wait()
 		for len(c.values) < 5 {
 			time.Sleep(10 * time.Millisecond)
 			synctest.Wait()
