--- a/boot/agent.go
+++ b/boot/agent.go
@@ -48,6 +48,9 @@
 	}
 	wire.RegisterAgent(a.server, core.Port())
 	wire.RegisterPeer(a.server, core.Members(), trust.identify)
+	if core.door != nil {
+		wire.RegisterDoor(a.server, core.door)
+	}
 	a.duties = append(trust.start(ctx), serveGRPC(ctx, listener, a.server))
 	err = a.listen(ctx, s.Agent)
 	if err != nil {
@@ -56,6 +59,7 @@
 		return nil, err
 	}
 	a.duties = append(a.duties, a.Start(ctx)...)
+	logger.Info("agent ready", zap.String("Listen", a.instance.Address), zap.String("Admin", a.AdminAddr()))
 	return a, nil
 }
 
--- a/boot/agentcore.go
+++ b/boot/agentcore.go
@@ -17,6 +17,8 @@
 	"filberttrack.example/track/drain"
 	"filberttrack.example/track/duty"
 	"filberttrack.example/track/ledger"
+	"filberttrack.example/track/steer"
+	"filberttrack.example/track/swap"
 )
 
 // AgentCore is an agent without its listeners: all its parts, joined.
@@ -28,6 +30,9 @@
 	agent    *agent.Agent
 	members  *beat.Exchange
 	admin    *admin.Handler
+	// steer and door are nil for an agent without ranks.
+	steer *steer.Steer
+	door  *swap.Door
 }
 
 // NewAgentCore joins the parts of an agent.
@@ -58,15 +63,19 @@
 	})
 	c.members = newExchange(c.instance, c.started, ports, c.metrics, c.local, nil)
 	c.admin = admin.New(admin.Options{Status: c.Status, Metrics: c.metrics, Profiling: s.Logging.Profiling})
-	return c, nil
+	return c, c.joinRanks(s, backend)
 }
 
 // Start starts the duties of the agent.
 func (c *AgentCore) Start(ctx context.Context) []*duty.Duty {
-	return []*duty.Duty{
+	duties := []*duty.Duty{
 		duty.Start(ctx, "probe backend server", c.agent.Probe),
 		duty.Start(ctx, "exchange heartbeats", c.members.Run),
 	}
+	if c.steer != nil {
+		duties = append(duties, duty.Start(ctx, "steer experts", c.steer.Run))
+	}
+	return duties
 }
 
 // Port returns the port through which entries reach the agent.
--- a/boot/ports.go
+++ b/boot/ports.go
@@ -28,6 +28,9 @@
 	Peers track.PeerDialer
 	// Address is where other instances reach this one.
 	Address string
+	// Ranks opens the ports to the ranks behind an agent; nil if the process
+	// does not steer a rank group.
+	Ranks RankPorts
 	// Client reaches the backend server of an agent.
 	Client *http.Client
 	Clock  clockwork.Clock
@@ -48,6 +51,7 @@
 		Peers:    dialer,
 		Address:  address,
 		Guard:    t.token.Guard,
+		Ranks:    httpRanks,
 		Client:   backendClient(),
 		Clock:    clockwork.NewRealClock(),
 		Logger:   logger,
--- a/boot/session_test.go
+++ b/boot/session_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"regexp"
 	"strings"
 	"sync"
 	"testing"
@@ -50,7 +51,8 @@
 }
 
 // newSession starts a deployment of two engines and one desk in one zone, and
-// the given number of entries.
+// the given number of entries. The list lacks the entries, so that they learn of
+// each other's work through the log and the agents only, in one order.
 func newSession(ctx context.Context, t *testing.T, entries int) *session {
 	s, err := conf.Parse("aserrin.toml", sample.Aserrin, conf.UseDev)
 	assert.NilError(t, err)
@@ -75,11 +77,6 @@
 		x.pass(stagger)
 		x.addEntry(ctx, fmt.Sprintf("entry-%d", i+1))
 	}
-	// Entries get to know each other only now, so that each takes the first
-	// configuration from the log and not, at the same instant, from a peer.
-	for _, core := range x.entries {
-		x.list.Put(core.Instance())
-	}
 	return x
 }
 
@@ -114,6 +111,7 @@
 		Address:  id,
 		Client:   x.transport.Client(),
 		Clock:    x.clock,
+		Guard:    guardOperators,
 		Logger:   zap.New(x.transcript.core(x.start)).Named(id),
 		NewID: func() track.RequestID {
 			x.requests++
@@ -168,10 +166,14 @@
 	bytes.Buffer
 }
 
+// seedID matches the ID of the first change, a hash of the example settings.
+var seedID = regexp.MustCompile(`seed-[0-9a-f]{32}`)
+
 func (r *transcript) add(at time.Duration, line string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintf(&r.Buffer, "%8s %s\n", at, strings.TrimSpace(line))
+	line = seedID.ReplaceAllString(strings.TrimSpace(line), "seed")
+	fmt.Fprintf(&r.Buffer, "%8s %s\n", at, line)
 }
 
 // core returns a logging core that adds decisions to the transcript.
--- a/boot/trust.go
+++ b/boot/trust.go
@@ -28,16 +28,13 @@
 
 // newTrust reads the files that the settings name.
 func newTrust(s conf.Settings, zone track.AvailabilityZone, logger *zap.Logger) (*trust, error) {
-	t := &trust{token: certs.NoToken(), metrics: metrics.NewSet()}
-	var err error
-	switch {
-	case s.Operator.TokenFile != "":
-		t.token, err = certs.ReadToken(s.Operator.TokenFile)
-	case s.Operator.TokenSHA256 != "":
-		t.token, err = certs.ParseTokenHash(s.Operator.TokenSHA256)
+	token, err := adminToken(s.Operators)
+	if err != nil {
+		return nil, err
 	}
-	if err != nil || s.TLS == (conf.TLS{}) {
-		return t, err
+	t := &trust{token: token, metrics: metrics.NewSet()}
+	if s.TLS == (conf.TLS{}) {
+		return t, nil
 	}
 	t.store, err = certs.New(certs.Files(s.TLS), zone, clockwork.NewRealClock(), logger, t.metrics)
 	return t, err
--- a/swap/member.go
+++ b/swap/member.go
@@ -10,7 +10,7 @@
 
 // Member guards the rank behind an agent. It is safe for concurrent use.
 type Member struct {
-	id          track.InstanceID
+	id          track.RankID
 	incarnation track.Incarnation
 	engine      track.RankEngine
 
@@ -26,7 +26,7 @@
 var _ track.MapMember = (*Member)(nil)
 
 // NewMember returns the member of an agent that has just started.
-func NewMember(id track.InstanceID, incarnation track.Incarnation, engine track.RankEngine) *Member {
+func NewMember(id track.RankID, incarnation track.Incarnation, engine track.RankEngine) *Member {
 	return &Member{id: id, incarnation: incarnation, engine: engine}
 }
 
@@ -46,29 +46,14 @@
 		}
 	}
 	reply.Promised = m.promised
-	state, err := m.engine.State(ctx)
+	state, err := m.engine.State(ctx, o.Maps)
 	if err != nil {
 		return track.MapReply{}, track.Fail("read rank state", Engine, err)
 	}
-	if !o.Maps {
-		state = withoutLayers(state)
-	}
 	reply.State = state
 	return reply, nil
 }
 
-// withoutLayers returns the state with maps that are versions only, which is
-// what most replies need.
-func withoutLayers(s track.RankState) track.RankState {
-	s.Map.Layers = nil
-	if s.Prepared != nil {
-		prepared := *s.Prepared
-		prepared.Layers = nil
-		s.Prepared = &prepared
-	}
-	return s
-}
-
 // start takes over a rank that is armed or blank from an earlier incarnation, or
 // after an order to the engine whose end is not known: once the rank is claimed
 // under a new ID, late orders to the engine find nothing to act on.
@@ -76,7 +61,7 @@
 	if m.ready {
 		return nil
 	}
-	state, err := m.engine.State(ctx)
+	state, err := m.engine.State(ctx, false)
 	if err != nil {
 		return track.Fail("read rank state", Engine, err)
 	}
@@ -114,7 +99,10 @@
 	return ""
 }
 
-var errOtherSwitch = errors.New("rank is not armed for this switch")
+var (
+	errOtherSwitch = errors.New("rank is not armed for this switch")
+	errIncomplete  = errors.New("order lacks a map or a state")
+)
 
 // obey carries out an admitted order. Orders that were carried out before do
 // nothing.
@@ -122,10 +110,16 @@
 	fence := o.Ballot.Number
 	switch o.Kind {
 	case track.OrderPrepare:
+		if o.Map == nil {
+			return errIncomplete
+		}
 		return m.engine.Prepare(ctx, fence, *o.Map)
 	case track.OrderArm:
 		return m.arm(ctx, fence, o.Switch)
 	case track.OrderRestore:
+		if o.State == nil {
+			return errIncomplete
+		}
 		return m.restore(ctx, fence, *o.State)
 	case track.OrderCommit:
 		return m.commit(ctx, fence, o.Switch)
@@ -137,7 +131,7 @@
 }
 
 func (m *Member) arm(ctx context.Context, fence uint64, s track.MapSwitch) error {
-	state, err := m.engine.State(ctx)
+	state, err := m.engine.State(ctx, false)
 	switch {
 	case err != nil:
 		return err
@@ -148,7 +142,7 @@
 }
 
 func (m *Member) commit(ctx context.Context, fence uint64, s track.MapSwitch) error {
-	state, err := m.engine.State(ctx)
+	state, err := m.engine.State(ctx, false)
 	switch {
 	case err != nil:
 		return err
@@ -163,7 +157,7 @@
 }
 
 func (m *Member) disarm(ctx context.Context, fence uint64, s track.MapSwitch) error {
-	state, err := m.engine.State(ctx)
+	state, err := m.engine.State(ctx, false)
 	switch {
 	case err != nil:
 		return err
