--- a/tail/tail_test.go
+++ b/tail/tail_test.go
@@ -25,6 +25,7 @@
 
 // collector is a Follower that keeps all it is handed.
 type collector struct {
+	mu      sync.Mutex
 	next    uint64
 	values  []string
 	refused []uint64
@@ -32,10 +33,28 @@
 	faults  int
 }
 
-func (c *collector) Position() uint64 { return c.next }
-func (c *collector) Failed(error)     { c.faults++ }
+func (c *collector) Position() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.next
+}
+
+func (c *collector) Failed(error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.faults++
+}
+
+// count returns the number of values so far, also while the reader runs.
+func (c *collector) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.values)
+}
 
 func (c *collector) Handle(b tail.Batch[string]) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if b.Gap() {
 		c.gaps++
 	}
@@ -102,8 +121,7 @@
 		appended := time.Now()
 		log.SetAway(false)
 		appendAll(ctx, t, log, "e")
-		synctest.Wait()
-		for len(c.values) < 5 {
+		for c.count() < 5 {
 			time.Sleep(10 * time.Millisecond)
 			synctest.Wait()
 		}
