--- a/cmd/filberttrack/main.go
+++ b/cmd/filberttrack/main.go
@@ -38,7 +38,7 @@
 		Suggest:               true,
 		// main prints the error and chooses the exit code.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
-		Commands: []*cli.Command{
+		Commands: append(objectCommands(),
 			devCommand(),
 			entryCommand(),
 			agentCommand(),
@@ -46,7 +46,8 @@
 			checkCommand(),
 			statusCommand(),
 			expertsCommand(),
-		},
+			configCommand(),
+		),
 	}
 }
 
--- a/conf/check.go
+++ b/conf/check.go
@@ -25,6 +25,8 @@
 	maxAttemptsAllowed     = 10
 	tokenDigestLength      = 64
 	maxBodyLimitBytes      = 1 << 30
+	minKeyRetention        = time.Minute
+	maxKeyRetention        = 30 * 24 * time.Hour
 )
 
 // checker collects the faults of a file.
@@ -50,6 +52,11 @@
 }
 
 func (c *checker) check(s *Settings, use Use) {
+	if use == UseObjects {
+		c.profiles(s.Profile)
+		c.accounts(s.Account)
+		return
+	}
 	c.logging(s.Logging)
 	c.profiles(s.Profile)
 	c.models(s)
@@ -138,6 +145,7 @@
 	inRange(c, "Entry.MaxTimeout", e.MaxTimeout, minTimeout, longestTimeout)
 	inRange(c, "Entry.BalancerDelay", e.BalancerDelay, 0, longestTimeout)
 	inRange(c, "Entry.StopTimeout", e.StopTimeout, minTimeout, longestTimeout)
+	inRange(c, "Entry.Claims.KeyRetention", e.Claims.KeyRetention, minKeyRetention, maxKeyRetention)
 }
 
 func (c *checker) agent(a Agent) {
--- a/conf/defaults.go
+++ b/conf/defaults.go
@@ -1,6 +1,10 @@
 package conf
 
-import "time"
+import (
+	"time"
+
+	"filberttrack.example/track/claims"
+)
 
 // Defaults of the settings.
 const (
@@ -41,6 +45,7 @@
 	setDefault(&s.Entry.MaxTimeout, defaultMaxTimeout)
 	setDefault(&s.Entry.BalancerDelay, defaultBalancerDelay)
 	setDefault(&s.Entry.StopTimeout, defaultStopTimeout)
+	setDefault(&s.Entry.Claims.KeyRetention, claims.Defaults().KeyRetention)
 	setDefault(&s.Agent.StopTimeout, defaultStopTimeout)
 	setDefault(&s.Agent.Experts.Layers, defaultLayers)
 	setDefault(&s.Agent.Experts.PerLayer, defaultExperts)
--- a/entry/plan.go
+++ b/entry/plan.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"filberttrack.example/track/entry/claim"
 	"filberttrack.example/track/entry/flow"
 	"filberttrack.example/track/entry/ident"
 	"filberttrack.example/track/entry/models"
@@ -25,6 +26,7 @@
 	return []flow.Step{
 		ident.New(o.Directory),
 		parse.NewPlain(o.Directory, o.Parse),
+		claimStep(o),
 		sendStep(o),
 	}
 }
@@ -42,6 +44,18 @@
 	return []flow.Step{notFound{}}
 }
 
+func claimStep(o Options) flow.Step {
+	return claim.New(claim.Options{
+		Book:         o.Claims,
+		Router:       o.Router,
+		Dialer:       o.Dialer,
+		Clock:        o.Clock,
+		Logger:       o.Logger,
+		Limits:       o.Relay,
+		LogDecisions: o.LogDecisions,
+	})
+}
+
 func sendStep(o Options) flow.Step {
 	return send.New(send.Options{
 		Router:       o.Router,
@@ -49,6 +63,7 @@
 		Clock:        o.Clock,
 		Logger:       o.Logger,
 		Limits:       o.Relay,
+		Drops:        o.Drops,
 		LogDecisions: o.LogDecisions,
 	})
 }
