perf: send a change of the map as its differences

A Prepare carried the whole map to each rank, about 11.5 KB at 64 ranks and 60 layers; it carries the slots that change, and the rank's agent applies them to the map in use, which the order names.

--- a/expert.go
+++ b/expert.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -54,6 +55,43 @@
 	Layers [][]int32
 }
 
+// SlotChange puts another expert into a slot of a layer.
+type SlotChange struct {
+	Layer int32
+	// Slot is the index into the layer of the map.
+	Slot   int32
+	Expert int32
+}
+
+// MapChange describes a new map by its difference from the map in use.
+type MapChange struct {
+	// Version is that of the new map, Base that of the map it differs from.
+	Version Ballot
+	Base    Ballot
+	Slots   []SlotChange
+}
+
+// Apply returns the map after the change. It returns an error if the map is not
+// the base of the change or lacks a slot.
+func (m ExpertMap) Apply(c MapChange) (ExpertMap, error) {
+	if m.Version != c.Base {
+		return m, Fail("change map", Refused, fmt.Errorf("in use is map %v, the change is to map %v", m.Version, c.Base))
+	}
+	next := m
+	next.Version = c.Version
+	next.Layers = make([][]int32, len(m.Layers))
+	for i, layer := range m.Layers {
+		next.Layers[i] = slices.Clone(layer)
+	}
+	for _, s := range c.Slots {
+		if s.Layer < 0 || int(s.Layer) >= len(next.Layers) || s.Slot < 0 || int(s.Slot) >= len(next.Layers[s.Layer]) {
+			return m, Fail("change map", Invalid, fmt.Errorf("no slot %d in layer %d", s.Slot, s.Layer))
+		}
+		next.Layers[s.Layer][s.Slot] = s.Expert
+	}
+	return next, nil
+}
+
 // MapSwitch orders that a prepared map replaces the map in use from a step on.
 type MapSwitch struct {
 	Version Ballot
@@ -150,8 +188,8 @@
 	// Maps is set on a Promise whose reply is to hold the layers of the maps;
 	// other replies leave them out.
 	Maps bool
-	// Map is set on Prepare.
-	Map *ExpertMap
+	// Change is set on Prepare.
+	Change *MapChange
 	// State is set on Restore.
 	State *RankState
 }
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -121,12 +121,12 @@
 		s.options.Logger.Warn("rank state unknown", zap.Error(err))
 		return
 	}
-	var next *track.ExpertMap
+	var change *track.MapChange
 	if !held {
 		s.due = now.Add(Window)
-		next = s.plan(ctx, state)
+		change = s.plan(ctx, state)
 	}
-	s.attempt(ctx, next, state)
+	s.attempt(ctx, change, state)
 }
 
 // turn returns this agent's place in the order in which agents drive.
@@ -154,8 +154,8 @@
 	return now.Sub(s.heldSince) >= time.Duration(1+turn)*watchInterval
 }
 
-// plan returns the map to change to, or nil.
-func (s *Steer) plan(ctx context.Context, state track.RankState) *track.ExpertMap {
+// plan returns the change to carry out, or nil.
+func (s *Steer) plan(ctx context.Context, state track.RankState) *track.MapChange {
 	now, err := expert.FromMap(state.Map)
 	if err != nil {
 		return nil
@@ -185,8 +185,13 @@
 	if paused || len(plan.Moves) == 0 {
 		return nil
 	}
-	next := now.Apply(plan.Moves).Map()
-	return &next
+	change := track.MapChange{Base: state.Map.Version}
+	for _, m := range plan.Moves {
+		change.Slots = append(change.Slots, track.SlotChange{
+			Layer: int32(m.Layer), Slot: int32(m.Rank*now.Slots + m.Slot), Expert: int32(m.To),
+		})
+	}
+	return &change
 }
 
 func (s *Steer) bytes(plan expert.Plan) int64 {
@@ -266,9 +271,9 @@
 	return true
 }
 
-// attempt runs one driver: it settles what is half done and, given a map,
-// changes to it.
-func (s *Steer) attempt(ctx context.Context, next *track.ExpertMap, state track.RankState) {
+// attempt runs one driver: it settles what is half done and, given a change,
+// carries it out.
+func (s *Steer) attempt(ctx context.Context, change *track.MapChange, state track.RankState) {
 	ranks, err := s.ranks(state)
 	if err != nil {
 		s.options.Logger.Warn("group incomplete", zap.Error(err))
@@ -276,14 +281,14 @@
 	}
 	s.highest = max(s.highest, s.options.Door.Highest()) + 1
 	ballot := track.Ballot{Number: s.highest, Driver: s.options.Self, Incarnation: s.options.Incarnation}
-	plan := swap.Plan{Map: next, Base: state.Map.Version, Default: s.options.Default}
+	plan := swap.Plan{Change: change, Default: s.options.Default}
 	driver, orders := swap.NewDriver(ballot, ranks, plan)
 	result, err := s.runner.Run(ctx, driver, orders)
 	if err != nil {
 		return
 	}
 	s.highest = max(s.highest, result.Highest)
-	s.settled(result, next != nil)
+	s.settled(result, change != nil)
 	if result.Outcome == swap.Idle && result.Reason == "" {
 		return
 	}
--- a/swap/driver.go
+++ b/swap/driver.go
@@ -57,12 +57,9 @@
 
 // Plan is what a driver is to do once the group is settled.
 type Plan struct {
-	// Map is the map to change to; nil to settle only. Its version is set by the
-	// driver.
-	Map *track.ExpertMap
-	// Base is the version that the map was planned from; the change is not begun
-	// if the group uses another.
-	Base track.Ballot
+	// Change is the change of the map; nil to settle only. It is not begun if the
+	// group uses another map than its base. Its version is set by the driver.
+	Change *track.MapChange
 	// Default is the map for a group whose ranks are all blank.
 	Default track.ExpertMap
 }
@@ -247,19 +244,20 @@
 }
 
 func (d *Driver) prepare(states map[track.RankID]track.RankState) []track.MapOrder {
-	if d.plan.Map == nil {
+	if d.plan.Change == nil {
 		return d.end(Idle, "")
 	}
-	if base := states[d.members[0]].Map.Version; base != d.plan.Base {
-		return d.end(Idle, fmt.Sprintf("planned from map %v, in use is %v", d.plan.Base, base))
+	if base := states[d.members[0]].Map.Version; base != d.plan.Change.Base {
+		return d.end(Idle, fmt.Sprintf("planned from map %v, in use is %v", d.plan.Change.Base, base))
 	}
 	for _, member := range d.members {
 		if states[member].Armed != nil {
 			return d.end(Idle, "a committed switch waits for its step")
 		}
 	}
-	d.plan.Map.Version = d.ballot
-	return d.enter(preparing, everyone(track.MapOrder{Kind: track.OrderPrepare, Map: d.plan.Map}))
+	change := *d.plan.Change
+	change.Version = d.ballot
+	return d.enter(preparing, everyone(track.MapOrder{Kind: track.OrderPrepare, Change: &change}))
 }
 
 // arm names a step that no rank has entered yet.
--- a/swap/member.go
+++ b/swap/member.go
@@ -110,10 +110,7 @@
 	fence := o.Ballot.Number
 	switch o.Kind {
 	case track.OrderPrepare:
-		if o.Map == nil {
-			return errIncomplete
-		}
-		return m.engine.Prepare(ctx, fence, *o.Map)
+		return m.prepare(ctx, fence, o.Change)
 	case track.OrderArm:
 		return m.arm(ctx, fence, o.Switch)
 	case track.OrderRestore:
@@ -130,6 +127,21 @@
 	return nil
 }
 
+func (m *Member) prepare(ctx context.Context, fence uint64, change *track.MapChange) error {
+	if change == nil {
+		return errIncomplete
+	}
+	state, err := m.engine.State(ctx, true)
+	if err != nil {
+		return err
+	}
+	next, err := state.Map.Apply(*change)
+	if err != nil {
+		return err
+	}
+	return m.engine.Prepare(ctx, fence, next)
+}
+
 func (m *Member) arm(ctx context.Context, fence uint64, s track.MapSwitch) error {
 	state, err := m.engine.State(ctx, false)
 	switch {
--- a/swap/member_test.go
+++ b/swap/member_test.go
@@ -61,8 +61,7 @@
 func (p *pairOf) driver(number uint64, change bool) (*swap.Driver, []track.MapOrder) {
 	plan := swap.Plan{Default: baseMap}
 	if change {
-		m := baseMap
-		plan.Map = &m
+		plan.Change = &track.MapChange{}
 	}
 	return swap.NewDriver(track.Ballot{Number: number, Driver: "a"}, []track.RankID{rankA, rankB}, plan)
 }
--- a/swap/world_test.go
+++ b/swap/world_test.go
@@ -146,8 +146,7 @@
 	plan := swap.Plan{Default: baseMap}
 	if change {
 		state, _ := a.rank.State(context.Background(), true)
-		m := baseMap
-		plan.Map, plan.Base = &m, state.Map.Version
+		plan.Change = &track.MapChange{Base: state.Map.Version}
 	}
 	d, orders := swap.NewDriver(ballot, w.ids, plan)
 	w.drivers = append(w.drivers, &driver{Driver: d, owner: owner, incarnation: a.incarnation, ballot: ballot})
--- a/wire/expert_test.go
+++ b/wire/expert_test.go
@@ -55,10 +55,10 @@
 }
 
 // run carries out an attempt, letting the group step between orders.
-func run(t *testing.T, group *ranks.Group, door track.MapDoor, number uint64, next *track.ExpertMap) swap.Result {
+func run(t *testing.T, group *ranks.Group, door track.MapDoor, number uint64, change *track.MapChange) swap.Result {
 	t.Helper()
 	ids := []track.RankID{{Agent: "a", Rank: 0}, {Agent: "a", Rank: 1}}
-	plan := swap.Plan{Map: next, Default: baseMap}
+	plan := swap.Plan{Change: change, Default: baseMap}
 	d, pending := swap.NewDriver(track.Ballot{Number: number, Driver: "a", Incarnation: 7}, ids, plan)
 	for len(pending) > 0 {
 		r, err := door.Order(context.Background(), pending[0])
@@ -78,11 +78,11 @@
 	for _, checks := range []bool{true, false} {
 		group := ranks.New(ranks.Settings{Ranks: 2, Map: baseMap, ChecksFences: checks})
 		door := doorOf(t, group)
-		next := track.ExpertMap{Experts: 2, Slots: 1, Layers: [][]int32{{1, 0}, {0, 1}}}
-		assert.Equal(t, run(t, group, door, 1, &next).Outcome, swap.Switched)
+		change := track.MapChange{Slots: []track.SlotChange{{Layer: 0, Slot: 0, Expert: 1}, {Layer: 0, Slot: 1, Expert: 0}}}
+		assert.Equal(t, run(t, group, door, 1, &change).Outcome, swap.Switched)
 		state, err := group.Rank(1).State(context.Background(), true)
 		assert.NilError(t, err)
-		assert.DeepEqual(t, state.Map.Layers, next.Layers)
+		assert.DeepEqual(t, state.Map.Layers, [][]int32{{1, 0}, {1, 0}})
 		assert.Equal(t, state.Map.Version, track.Ballot{Number: 1, Driver: "a", Incarnation: 7})
 
 		// A rank that restarts gets the map back over the same way.
@@ -106,6 +106,12 @@
 	door := doorOf(t, ranks.New(ranks.Settings{Ranks: 2, Map: baseMap}))
 	_, err := door.Order(context.Background(), track.MapOrder{Kind: track.OrderPromise, To: track.RankID{Agent: "a", Rank: 2}})
 	assert.Assert(t, track.IsKind(err, track.Invalid), "%v", err)
+	// So is a change to a slot that the map does not have.
+	bad := track.MapOrder{Kind: track.OrderPrepare, To: track.RankID{Agent: "a"}, Incarnation: 7}
+	bad.Change = &track.MapChange{Slots: []track.SlotChange{{Layer: 2}}}
+	refused, err := door.Order(context.Background(), bad)
+	assert.NilError(t, err)
+	assert.Equal(t, refused.Refusal, track.RefusedRank)
 	// Orders that lack what their kind needs are refused, not carried out.
 	for _, kind := range []track.MapOrderKind{track.OrderPrepare, track.OrderRestore} {
 		r, err := door.Order(context.Background(), track.MapOrder{Kind: kind, To: track.RankID{Agent: "a"}, Incarnation: 7})
--- a/wire/expertbench_test.go
+++ b/wire/expertbench_test.go
@@ -43,9 +43,8 @@
 	number, version := uint64(0), track.Ballot{}
 	for b.Loop() {
 		number++
-		next := base
 		ballot := track.Ballot{Number: number, Driver: "a", Incarnation: 7}
-		d, first := swap.NewDriver(ballot, ids, swap.Plan{Map: &next, Base: version, Default: base})
+		d, first := swap.NewDriver(ballot, ids, swap.Plan{Change: &track.MapChange{Base: version}, Default: base})
 		result, err := runner.Run(context.Background(), d, first)
 		assert.NilError(b, err)
 		assert.Equal(b, result.Outcome, swap.Switched, result.Reason)
--- a/wire/expertcodec.go
+++ b/wire/expertcodec.go
@@ -62,6 +62,28 @@
 	return out
 }
 
+func changeToWire(c *track.MapChange) *wirepb.MapChange {
+	if c == nil {
+		return nil
+	}
+	out := &wirepb.MapChange{Version: ballotToWire(c.Version), Base: ballotToWire(c.Base)}
+	for _, s := range c.Slots {
+		out.Slots = append(out.Slots, &wirepb.SlotChange{Layer: s.Layer, Slot: s.Slot, Expert: s.Expert})
+	}
+	return out
+}
+
+func changeFromWire(c *wirepb.MapChange) *track.MapChange {
+	if c == nil {
+		return nil
+	}
+	out := &track.MapChange{Version: ballotFromWire(c.GetVersion()), Base: ballotFromWire(c.GetBase())}
+	for _, s := range c.GetSlots() {
+		out.Slots = append(out.Slots, track.SlotChange{Layer: s.GetLayer(), Slot: s.GetSlot(), Expert: s.GetExpert()})
+	}
+	return out
+}
+
 func switchToWire(s *track.MapSwitch) *wirepb.MapSwitch {
 	if s == nil {
 		return nil
@@ -121,7 +143,7 @@
 		Incarnation: uint64(o.Incarnation),
 		Switch:      switchToWire(&o.Switch),
 		Maps:        o.Maps,
-		Map:         mapToWire(o.Map),
+		Change:      changeToWire(o.Change),
 		State:       stateToWire(o.State),
 	}
 }
@@ -133,7 +155,7 @@
 		To:          rankFromWire(o.GetTo()),
 		Incarnation: track.Incarnation(o.GetIncarnation()),
 		Maps:        o.GetMaps(),
-		Map:         mapFromWire(o.GetMap()),
+		Change:      changeFromWire(o.GetChange()),
 		State:       stateFromWire(o.GetState()),
 	}
 	if s := switchFromWire(o.GetSwitch()); s != nil {
