--- a/cmd/filberttrack/main.go
+++ b/cmd/filberttrack/main.go
@@ -45,8 +45,8 @@
 			standinCommand(),
 			checkCommand(),
 			statusCommand(),
-			expertsCommand(),
 			configCommand(),
+			expertsCommand(),
 		),
 	}
 }
--- a/conf/check.go
+++ b/conf/check.go
@@ -22,6 +22,8 @@
 	maxFetchBytesPerSecond = 1 << 40
 	minTimeout             = time.Millisecond
 	longestTimeout         = time.Hour
+	minKeyRetention        = time.Minute
+	maxKeyRetention        = 30 * 24 * time.Hour
 	maxAttemptsAllowed     = 10
 	tokenDigestLength      = 64
 	maxBodyLimitBytes      = 1 << 30
