--- a/conf/check.go
+++ b/conf/check.go
@@ -27,8 +27,6 @@
 	maxAttemptsAllowed     = 10
 	tokenDigestLength      = 64
 	maxBodyLimitBytes      = 1 << 30
-	minKeyRetention        = time.Minute
-	maxKeyRetention        = 30 * 24 * time.Hour
 )
 
 // checker collects the faults of a file.
