--- a/boot/agent.go
+++ b/boot/agent.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
+	"filberttrack.example/track"
 	"filberttrack.example/track/conf"
 	"filberttrack.example/track/duty"
 	"filberttrack.example/track/wire"
@@ -16,20 +17,22 @@
 	*AgentCore
 	logger *zap.Logger
 	server *grpc.Server
+	dialer *wire.Dialer
 	admin  *httpServer
 	duties []*duty.Duty
 	cancel context.CancelFunc
 }
 
 // StartAgent starts an agent. It takes work when the function returns.
-func StartAgent(ctx context.Context, s conf.Settings, logger *zap.Logger) (*Agent, error) {
-	ports, _ := realPorts(Platform{}, logger)
+func StartAgent(ctx context.Context, s conf.Settings, platform Platform, logger *zap.Logger) (*Agent, error) {
+	ports, dialer := realPorts(platform, logger)
+	ports.DialDoor = func(to track.Instance) (track.MapDoor, error) { return dialer.DialDoor(to.Address) }
 	core, err := NewAgentCore(s, ports)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	a := &Agent{AgentCore: core, logger: logger, cancel: cancel, server: wire.NewServer()}
+	a := &Agent{AgentCore: core, logger: logger, cancel: cancel, dialer: dialer, server: wire.NewServer()}
 	wire.RegisterAgent(a.server, core.Port())
 	if core.door != nil {
 		wire.RegisterDoor(a.server, core.door)
@@ -80,6 +83,7 @@
 	}
 	a.server.Stop()
 	a.cancel()
+	a.dialer.Close()
 	a.ports.Client.CloseIdleConnections()
 	return duty.Wait(a.logger, a.duties...)
 }
--- a/boot/agentcore.go
+++ b/boot/agentcore.go
@@ -30,6 +30,8 @@
 	// steer and door are nil for an agent without ranks.
 	steer *steer.Steer
 	door  *swap.Door
+	// roster is nil unless the group spans several agents.
+	roster *steer.Roster
 }
 
 // NewAgentCore joins the parts of an agent.
@@ -69,6 +71,9 @@
 	if c.steer != nil {
 		duties = append(duties, duty.Start(ctx, "steer experts", c.steer.Run))
 	}
+	if c.roster != nil {
+		duties = append(duties, duty.Start(ctx, "follow rank group", c.roster.Run))
+	}
 	return duties
 }
 
--- a/boot/dev.go
+++ b/boot/dev.go
@@ -94,11 +94,12 @@
 	s.Agent.BackendURL = "http://" + server.Addr()
 	s.Agent.Serves = replicas.Target
 	s.Agent.Ranks = replicas.Ranks
+	s.Agent.GroupRanks = replicas.Ranks
 	if replicas.Ranks > 0 {
 		s.Agent.Admin = loopbackAny
 		s.Agent.Group = string(id)
 	}
-	agent, err := StartAgent(ctx, s, logger.Named(string(id)))
+	agent, err := StartAgent(ctx, s, Platform{Log: d.Log, List: d.List}, logger.Named(string(id)))
 	if err != nil {
 		return err
 	}
--- a/boot/ports.go
+++ b/boot/ports.go
@@ -29,6 +29,8 @@
 	// Ranks opens the ports to the ranks behind an agent; nil if the process
 	// does not steer a rank group.
 	Ranks RankPorts
+	// DialDoor opens the port to the ranks behind another agent.
+	DialDoor func(track.Instance) (track.MapDoor, error)
 	// Client reaches the backend server of an agent.
 	Client *http.Client
 	Clock  clockwork.Clock
--- a/boot/ranks.go
+++ b/boot/ranks.go
@@ -31,13 +31,12 @@
 	return engines, orders.NewCounter(client, backend)
 }
 
-// joinRanks adds the door to the ranks and the duty that steers them, for an
-// agent with a whole group behind it.
+// joinRanks adds the door to the ranks and the duty that steers their group.
 func (c *AgentCore) joinRanks(s conf.Settings, backend *url.URL) error {
 	if s.Agent.Ranks == 0 || c.ports.Ranks == nil {
 		return nil
 	}
-	shape := shapeOf(s.Agent.Experts, s.Agent.Ranks)
+	shape := shapeOf(s.Agent.Experts, s.Agent.GroupRanks)
 	if err := shape.Check(); err != nil {
 		return err
 	}
@@ -48,11 +47,12 @@
 		Self:        c.instance.ID,
 		Incarnation: incarnation,
 		Door:        c.door,
-		Group:       func() []track.Instance { return []track.Instance{c.instance} },
+		Group:       c.group(s.Agent),
+		Dial:        c.ports.DialDoor,
 		Policy:      func() track.ExpertPolicy { return policyOf(s, s.Agent.Serves) },
 		Store: steer.Store{
 			ExpertBytes:    s.Agent.Experts.Bytes,
-			BytesPerSecond: s.Agent.Experts.FetchBytesPerSecond * int64(s.Agent.Ranks),
+			BytesPerSecond: s.Agent.Experts.FetchBytesPerSecond * int64(s.Agent.GroupRanks),
 			StagedCopies:   s.Agent.Experts.StagedCopies,
 		},
 		Default: expert.Uniform(shape).Map(),
@@ -64,6 +64,17 @@
 	return nil
 }
 
+// group returns how the agents of the group are known. Only a group that spans
+// several agents needs the platform's list.
+func (c *AgentCore) group(a conf.Agent) func() []track.Instance {
+	if a.GroupRanks == a.Ranks || c.ports.Platform.List == nil {
+		return func() []track.Instance { return []track.Instance{c.instance} }
+	}
+	self := func() track.Instance { return c.instance }
+	c.roster = steer.NewRoster(c.ports.Platform.List, self, a.GroupRanks, c.ports.Clock, c.ports.Logger)
+	return c.roster.Agents
+}
+
 func shapeOf(e conf.Experts, ranks int) expert.Shape {
 	return expert.Shape{Ranks: ranks, Layers: e.Layers, Experts: e.PerLayer, Slots: e.Slots}
 }
--- a/cmd/capacity/rig.go
+++ b/cmd/capacity/rig.go
@@ -91,7 +91,7 @@
 	s.Agent.Listen = loopback
 	s.Agent.BackendURL = url
 	s.Agent.Serves = rigModel
-	agent, err := boot.StartAgent(ctx, s, zap.NewNop())
+	agent, err := boot.StartAgent(ctx, s, boot.Platform{}, zap.NewNop())
 	if err != nil {
 		return err
 	}
--- a/cmd/filberttrack/agent.go
+++ b/cmd/filberttrack/agent.go
@@ -27,7 +27,11 @@
 }
 
 func startAgent(ctx context.Context, s conf.Settings, l *zap.Logger) (stopper, string, error) {
-	a, err := boot.StartAgent(ctx, s, l)
+	platform, err := platformOf(s.Platform)
+	if err != nil {
+		return nil, "", err
+	}
+	a, err := boot.StartAgent(ctx, s, platform, l)
 	if err != nil {
 		return nil, "", err
 	}
--- a/conf/check.go
+++ b/conf/check.go
@@ -156,6 +156,7 @@
 	c.baseURL("Agent.BackendURL", a.BackendURL)
 	inRange(c, "Agent.Ranks", a.Ranks, 0, maxRanks)
 	if a.Ranks > 0 {
+		inRange(c, "Agent.GroupRanks", a.GroupRanks, a.Ranks, maxRanks)
 		c.experts(a.Experts)
 	}
 	inRange(c, "Agent.StopTimeout", a.StopTimeout, minTimeout, longestTimeout)
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -80,8 +80,12 @@
 	BackendURL string
 	// Serves names the model or service of the backend server.
 	Serves string
-	Group  string
-	Ranks  int
+	// Group names the rank group that the backend server belongs to.
+	Group string
+	// Ranks is the number of ranks behind the agent, GroupRanks that of the whole
+	// group; 0 if all its ranks are behind the agent.
+	Ranks      int
+	GroupRanks int
 	// Experts describes the experts of the ranks.
 	Experts Experts
 	// StopTimeout bounds a planned stop.
--- a/expert/estimate.go
+++ b/expert/estimate.go
@@ -30,9 +30,9 @@
 	// to the mean load, before the layer is changed again.
 	minHysteresis = 0.01
 	maxHysteresis = 0.25
-	// noiseHysteresis is the multiple of the estimate's relative error that a rise
-	// must exceed.
-	noiseHysteresis = 2
+	// noiseHysteresis is the multiple of the relative error of a rank's load that a
+	// rise must exceed: the most loaded of many ranks is several errors off.
+	noiseHysteresis = 3.5
 	// hysteresisMoves is the movement on each rank that a rise must outweigh.
 	hysteresisMoves = 0.5
 	// maxSmoothing and minSmoothing bound the weight of the newest window in the
--- a/expert/plan.go
+++ b/expert/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 
 	"filberttrack.example/track"
@@ -169,7 +170,7 @@
 		p.state.reset(layer, now.Layer(layer), tokens)
 	}
 	p.search(&lp, nil)
-	if lp.before <= roughPeak && lp.after > stuckPeak+p.estimate.Noise() {
+	if lp.before <= roughPeak && lp.after > stuckPeak+p.noise() {
 		p.rebuild(&lp, now, tokens)
 	}
 	if lp.net < p.hysteresis()*p.policy.SkewWeight {
@@ -247,10 +248,16 @@
 	if p.policy.SkewWeight <= 0 {
 		return maxHysteresis
 	}
-	h := max(minHysteresis, p.policy.MoveWeight/p.policy.SkewWeight*hysteresisMoves, noiseHysteresis*p.estimate.Noise())
+	h := max(minHysteresis, p.policy.MoveWeight/p.policy.SkewWeight*hysteresisMoves, noiseHysteresis*p.noise())
 	return min(maxHysteresis, h)
 }
 
+// noise is the relative error of a rank's estimated load: the errors of its
+// experts partly cancel out.
+func (p *Planner) noise() float64 {
+	return p.estimate.Noise() / math.Sqrt(float64(p.shape.Slots))
+}
+
 // net weighs a fall of the peak against moves. Ranks fetch side by side, so a
 // move costs the group its share of one fetch on every rank.
 func (p *Planner) net(fall float64, moves int) float64 {
