--- a/bench/skew/trace.go
+++ b/bench/skew/trace.go
@@ -36,12 +36,15 @@
 	Lunch Kind = "lunch"
 	// Noise is drift with jitter, noisy counts and lost counts.
 	Noise Kind = "noise"
+	// Jitter is drift with the jitter of Noise, but counts as good as those of
+	// Drift. It tells the part of jitter from that of bad counts.
+	Jitter Kind = "jitter"
 	// Exact is drift without jitter.
 	Exact Kind = "exact"
 )
 
 // jitters are the standard deviations of an expert's load from window to window.
-var jitters = map[Kind]float64{Drift: 0.01, Lunch: 0.01, Noise: 0.02}
+var jitters = map[Kind]float64{Drift: 0.01, Lunch: 0.01, Noise: 0.02, Jitter: 0.02}
 
 // Trace is the load of a group over a day. Windows must be asked for in order.
 type Trace struct {
--- a/cmd/expertlab/main.go
+++ b/cmd/expertlab/main.go
@@ -72,23 +72,31 @@
 func list(layers int, only string) []*labCase {
 	var out []*labCase
 	for _, d := range skew.Deployments() {
-		for _, kind := range []skew.Kind{skew.Drift, skew.Lunch, skew.Noise} {
+		for _, kind := range []skew.Kind{skew.Drift, skew.Lunch, skew.Noise, skew.Jitter} {
 			for _, shape := range skew.Shapes(layers) {
-				for _, placer := range []string{"static", "full repack", "policy"} {
+				for _, placer := range placers(kind) {
 					c := &labCase{deployment: d, shape: shape, kind: kind, placer: placer}
 					if strings.Contains(c.String(), only) {
 						out = append(out, c)
 					}
 				}
-				if c := (&labCase{deployment: d, shape: shape, kind: kind, placer: "oracle"}); kind == skew.Noise && strings.Contains(c.String(), only) {
-					out = append(out, c)
-				}
 			}
 		}
 	}
 	return out
 }
 
+// placers returns the ways of placement that are compared on a kind of trace.
+func placers(kind skew.Kind) []string {
+	switch kind {
+	case skew.Noise:
+		return []string{"static", "full repack", "policy", "oracle"}
+	case skew.Jitter:
+		return []string{"full repack", "policy"}
+	}
+	return []string{"static", "full repack", "policy"}
+}
+
 func (c *labCase) run(seed uint64) error {
 	trace := skew.NewTrace(c.shape, c.kind, c.deployment.Jumps, seed)
 	target := c.deployment.Target
