--- a/expert/estimate.go
+++ b/expert/estimate.go
@@ -10,6 +10,8 @@
 const (
 	// minPenaltyGain ends the search for changes of a layer.
 	minPenaltyGain = 1e-4
+	// rounding is above the rounding errors of a gain.
+	rounding = 1e-6
 	// coolRanks is the number of least loaded ranks weighed as targets.
 	coolRanks = 12
 	// hotRanks is the number of most loaded ranks whose experts are weighed for
--- a/expert/layer.go
+++ b/expert/layer.go
@@ -258,7 +258,8 @@
 		if st.copies[a] < 2 {
 			continue
 		}
-		if relief+st.penalty[rank]-penalty(st.ranks[rank]-st.share[a]+newB) <= best.gain {
+		bound := relief + st.penalty[rank] - penalty(st.ranks[rank]-st.share[a]+newB)
+		if st.outweighed(slot, b, bound-best.gain) {
 			continue
 		}
 		if gain := st.replaceGain(slot, b); gain > best.gain {
@@ -267,6 +268,33 @@
 	}
 }
 
+// outweighed reports whether the loss of the copy in a slot exceeds what a
+// further copy of expert b may gain at most, up to rounding.
+func (st *layerState) outweighed(slot int, b int32, gain float64) bool {
+	if gain <= 0 {
+		return true
+	}
+	a := st.slots[slot]
+	rank := int32(slot / st.Slots)
+	rise := st.load[a]/float64(st.copies[a]-1) - st.share[a]
+	fall := st.share[b] - st.load[b]/float64(st.copies[b]+1)
+	for _, r := range st.holders[a] {
+		if r == rank {
+			continue
+		}
+		x, before := st.ranks[r], st.penalty[r]
+		if st.holds[int(r)*st.Experts+int(b)] {
+			x -= fall
+			before = penalty(x)
+		}
+		gain -= penalty(x+rise) - before
+		if gain < -rounding {
+			return true
+		}
+	}
+	return false
+}
+
 // trySwaps weighs exchanges between the hot rank and cool ranks.
 func (st *layerState) trySwaps(hot, cool int, best *candidate) {
 	for _, rank := range st.order[:min(cool, st.Ranks-1)] {
