--- /dev/null
+++ b/cmd/capacity/agents.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"runtime"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/gauge"
+	"filberttrack.example/track/ledger"
+)
+
+func agentSubjects() []subject {
+	memory := ledger.Defaults().Memory.Seconds()
+	keyed := ledger.Defaults().KeyMemory.Seconds()
+	return []subject{{
+		name: "agent, ledger of attempts", variable: "attempts",
+		sizes: []int{2_000, 5_000, 10_000, 20_000},
+		costs: []cost{
+			{name: "heap", unit: "KB", today: todayAttempts * memory, planned: plannedAttempts * memory},
+			{name: "admit and end, a second", unit: "processor us", today: todayAttempts, planned: plannedAttempts, rate: true},
+		},
+		measure: measureLedger(false),
+	}, {
+		name: "agent, ledger of keyed attempts with answers", variable: "attempts",
+		sizes: []int{2_000, 5_000, 10_000, 20_000},
+		costs: []cost{
+			{name: "heap", unit: "KB", today: todayKeyed * keyed, planned: plannedKeyed * keyed},
+			{name: "admit and end, a second", unit: "processor us", today: todayKeyed, planned: plannedKeyed, rate: true},
+		},
+		measure: measureLedger(true),
+	}}
+}
+
+// measureLedger returns the measurement of a ledger that runs attempts, with or
+// without a key and a stored answer of 1 KB.
+func measureLedger(keyed bool) func(context.Context, int) ([]float64, error) {
+	return func(_ context.Context, attempts int) ([]float64, error) {
+		clock := clockwork.NewFakeClock()
+		before := gauge.HeapBytes()
+		l := ledger.New("agent-1", 1, clock, ledger.Defaults())
+		clock.Advance(time.Second)
+		used, err := processorMicros(func() error {
+			for i := range attempts {
+				if err := runAttempt(l, i, keyed); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+		if err != nil {
+			return nil, err
+		}
+		if l.Len() != attempts {
+			return nil, fmt.Errorf("the ledger holds %d attempts of %d", l.Len(), attempts)
+		}
+		heap := heapKB(before)
+		runtime.KeepAlive(l)
+		return []float64{heap, used}, nil
+	}
+}
+
+func runAttempt(l *ledger.Ledger, number int, keyed bool) error {
+	d := track.Dispatch{
+		ID:    track.AttemptID{Request: track.RequestID(fmt.Sprintf("%032x", number)), Number: 1},
+		Agent: "agent-1", Incarnation: 1, Stamp: l.Stamp(),
+	}
+	if keyed {
+		d.Claim = &track.Claim{Account: "account-1", Service: "pickup-desk", IdempotencyKey: fmt.Sprintf("%036x", number), BodySHA256: fmt.Sprintf("%064x", number)}
+	}
+	verdict := l.Admit(d, "")
+	if verdict.Attempt == nil {
+		return fmt.Errorf("attempt refused: %s", verdict.Refusal)
+	}
+	if keyed {
+		verdict.Attempt.Keep(track.Frame{ID: d.ID, Kind: track.FrameHeader, Status: http.StatusCreated})
+		verdict.Attempt.Keep(track.Frame{ID: d.ID, Seq: 1, Kind: track.FrameData, Data: make([]byte, 1000)})
+		verdict.Attempt.Keep(track.Frame{ID: d.ID, Seq: 2, Kind: track.FrameFinal, Outcome: track.Completed})
+	}
+	verdict.Attempt.Done()
+	return nil
+}
--- a/cmd/capacity/control.go
+++ b/cmd/capacity/control.go
@@ -68,7 +68,10 @@
 
 // subjects lists all parts that are measured.
 func subjects() []subject {
-	return slices.Concat(configSubjects(), memberSubjects(), entrySubjects(), expertSubjects(), pathSubjects())
+	return slices.Concat(
+		claimSubjects(), configSubjects(), memberSubjects(), entrySubjects(),
+		agentSubjects(), expertSubjects(), pathSubjects(),
+	)
 }
 
 func measureControl(ctx context.Context, out io.Writer, all []subject, only string) error {
--- a/cmd/capacity/sizes.go
+++ b/cmd/capacity/sizes.go
@@ -49,3 +49,22 @@
 	plannedCalls = 27 + 2*(plannedZoneEntries-1) + 8
 	todayCalls   = todayZoneAgents + 2*(todayZoneEntries-1) + 2
 )
+
+// Calls that must not repeat. Their share of all requests is assumed, and so is
+// the number of agents beside plain services at the planned size.
+const (
+	assumedClaimShare    = 0.01
+	plannedServiceAgents = 300
+	todayServiceAgents   = 3
+
+	plannedClaims = assumedClaimShare * plannedRequests
+	todayClaims   = assumedClaimShare * todayRequests
+	plannedKeyed  = plannedClaims / plannedServiceAgents
+	todayKeyed    = todayClaims / todayServiceAgents
+)
+
+// Attempts that an agent runs in a second.
+const (
+	plannedAttempts = float64(plannedRequests) / plannedAgents
+	todayAttempts   = float64(todayRequests) / todayAgents
+)
