--- a/cmd/capacity/control.go
+++ b/cmd/capacity/control.go
@@ -70,7 +70,7 @@
 func subjects() []subject {
 	return slices.Concat(
 		claimSubjects(), configSubjects(), memberSubjects(), entrySubjects(),
-		agentSubjects(), expertSubjects(), pathSubjects(),
+		agentSubjects(), expertSubjects(), platformSubjects(), pathSubjects(),
 	)
 }
 
--- a/cmd/capacity/settings.go
+++ b/cmd/capacity/settings.go
@@ -8,6 +8,7 @@
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/change"
+	"filberttrack.example/track/config"
 	"filberttrack.example/track/gauge"
 )
 
@@ -26,7 +27,7 @@
 		sizes: []int{2_500, 5_000, 10_000, 21_000},
 		costs: []cost{
 			size("heap", "KB"), size("snapshot", "bytes"), size("apply a change", "processor us"),
-			size("config of a change", "processor us"), size("encode a snapshot", "processor us"),
+			size("index after a change", "processor us"), size("index", "KB"), size("encode a snapshot", "processor us"),
 			size("record of a change", "bytes"),
 		},
 		measure: measureConfig,
@@ -49,7 +50,10 @@
 	if err != nil {
 		return nil, err
 	}
-	var apply, config float64
+	before = gauge.HeapBytes()
+	live := config.NewLive(state.Config(), nil)
+	indexHeap := heapKB(before)
+	var apply, index float64
 	recordBytes := 0
 	for i := range measuredChanges {
 		c, err := accountChange(state, i)
@@ -67,16 +71,17 @@
 		}
 		apply += used
 		used, err = processorMicros(func() error {
-			runtime.KeepAlive(state.Config())
+			live = config.NewLive(state.Config(), live)
 			return nil
 		})
 		if err != nil {
 			return nil, err
 		}
-		config += used
+		index += used
 	}
+	runtime.KeepAlive(live)
 	return []float64{
-		heap, float64(len(snapshot)), apply / measuredChanges, config / measuredChanges, encode,
+		heap, float64(len(snapshot)), apply / measuredChanges, index / measuredChanges, indexHeap, encode,
 		float64(recordBytes) / measuredChanges,
 	}, nil
 }
