--- a/boot/agent.go
+++ b/boot/agent.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
+	"filberttrack.example/track"
 	"filberttrack.example/track/conf"
 	"filberttrack.example/track/drain"
 	"filberttrack.example/track/duty"
@@ -37,6 +38,7 @@
 		return nil, err
 	}
 	ports, dialer := realPorts(platform, trust, listener.Addr().String(), logger)
+	ports.DialDoor = func(to track.Instance) (track.MapDoor, error) { return dialer.DialDoor(to) }
 	core, err := NewAgentCore(s, ports)
 	if err != nil {
 		return nil, errors.Join(err, listener.Close())
