--- a/boot/config.go
+++ b/boot/config.go
@@ -11,12 +11,6 @@
 	"filberttrack.example/track/conf"
 )
 
-// noPeers is the view of an instance that knows no other.
-type noPeers struct{}
-
-// Contacts implements track.ConfigPeers.
-func (noPeers) Contacts() []track.ConfigContact { return nil }
-
 // adminToken returns the guard of calls that change something.
 func adminToken(o conf.Operators) (*certs.Token, error) {
 	switch {
--- a/boot/dev.go
+++ b/boot/dev.go
@@ -51,6 +51,7 @@
 	}
 	s.Entry.ID = "entry-1"
 	s.Entry.Zone = s.Zone[0].Name
+	s.Entry.Peer = loopbackAny
 	d.Entry, err = StartEntry(ctx, s, Platform{Log: d.Log, List: d.List}, logger.Named(string(s.Entry.ID)))
 	if err != nil {
 		d.stopAgents(ctx)
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -14,6 +14,7 @@
 	Platform Platform
 	Entry    Entry
 	Agent    Agent
+	TLS      TLS
 	Logging  Logging
 	// Operators says who may change something through the operators' listener.
 	Operators Operators
@@ -94,6 +95,16 @@
 	StopTimeout time.Duration
 }
 
+// TLS names the files for mutual TLS between own processes. All are set, or none.
+type TLS struct {
+	// Certificate holds the certificate of this process in PEM form.
+	Certificate string
+	// Key holds its private key.
+	Key string
+	// Authority holds the certificates that sign those of other processes.
+	Authority string
+}
+
 // Experts describes the experts of a rank group and the fetching of their
 // weights.
 type Experts struct {
