--- a/admit/window.go
+++ b/admit/window.go
@@ -11,12 +11,15 @@
 	initialWindow = 16
 	minWindow     = 1
 	maxWindow     = 1024
-	// decrease is the factor of a window after a sign of overload. It takes the
-	// window down by more than congested, so that the latency at rest is seen
-	// between two cuts and the best latency never drifts upwards.
-	decrease = 0.45
-	// congested is the ratio of recent to best latency that counts as overload.
-	congested = 2
+	// decrease is the factor of a window after a sign of overload. It is mild, as
+	// all entries see the sign at about the same time.
+	decrease = 0.7
+	// congested is the ratio of recent to best latency that counts as overload, if
+	// the recent one is above acceptable.
+	congested  = 2
+	acceptable = 400 * time.Millisecond
+	// bestFor is how long the best latency holds at least.
+	bestFor = 30 * time.Second
 	// minWeight and maxWeight bound the weight of one answer in the recent
 	// latency, which is averaged over one window of answers.
 	minWeight = 0.05
@@ -24,8 +27,6 @@
 	// minIncrease is the least growth of a window after a good answer. It lets a
 	// wide window grow past congestion before the best latency is forgotten.
 	minIncrease = 0.02
-	// bestFor is how long the best latency holds at least.
-	bestFor = 30 * time.Second
 )
 
 // Window is the adaptive concurrency limit of one replica. It is not safe for
@@ -66,14 +67,17 @@
 	FirstByte time.Duration
 	// Overloaded is set if the replica declined or missed the deadline.
 	Overloaded bool
+	// Roomy is set if the replica reports that nothing waits for a slot. Its
+	// latency then has other causes than this entry's concurrency.
+	Roomy bool
 }
 
 // Observe learns from the end of an attempt.
 func (w *Window) Observe(s Sample, now time.Time) {
 	slow := w.learn(s.FirstByte.Seconds(), now)
 	switch {
-	case s.Overloaded || slow:
-		w.Shrink(now)
+	case s.Overloaded || slow && !s.Roomy:
+		w.shrink(now)
 	case 2*s.InFlight >= w.Limit():
 		w.limit = min(w.limit+max(1/w.limit, minIncrease), w.most)
 	}
@@ -93,12 +97,11 @@
 		w.older, w.best, w.period = w.best, w.recent, now
 	}
 	w.best = min(w.best, w.recent)
-	return w.recent > congested*min(w.best, w.older)
+	return w.recent > max(congested*min(w.best, w.older), acceptable.Seconds())
 }
 
-// Shrink cuts the window, at most once in the time of an answer. It is called
-// when the replica itself reports that work queues up.
-func (w *Window) Shrink(now time.Time) {
+// shrink cuts the window, at most once in the time of an answer.
+func (w *Window) shrink(now time.Time) {
 	if now.Sub(w.cut).Seconds() < w.recent {
 		return
 	}
--- a/router/policy.go
+++ b/router/policy.go
@@ -17,9 +17,9 @@
 	// reportHalfLife is the age at which a reported load counts half, against the
 	// mean of the zone.
 	reportHalfLife = 2 * time.Second
-	// affinityBound is the multiple of the mean load up to which a replica is
-	// taken for its cached prefix.
-	affinityBound = 1.25
+	// affinitySlack is the part of the mean load by which a replica that is taken
+	// for its cached prefix may exceed it in an idle zone.
+	affinitySlack = 0.5
 	// homeDepth is the number of prompt blocks whose hash names a prompt's home.
 	homeDepth = 4
 	// maxLookups and maxRecorded bound the prefixes of one request.
@@ -30,10 +30,8 @@
 	// ringPoints is the number of points of a replica on the ring of homes.
 	ringPoints = 8
 
-	// spillAt is the use of the local zone's windows above which others are weighed.
-	spillAt = 0.9
-	// spillGain is how much less used another zone must be.
-	spillGain = 0.1
+	// spillAt is the use of the local zone's slots above which others are weighed.
+	spillAt = 0.7
 
 	// slowStart is the time over which a fresh replica takes up its full load, and
 	// startShare the share that it begins with.
@@ -55,15 +53,16 @@
 
 	// latencyWeight is the weight of one first byte in the average.
 	latencyWeight = 0.1
-	// minLatency and maxLatency bound the factor of a replica's latency.
-	minLatency = 0.5
-	maxLatency = 4.0
+	// usualLatency is the ratio of a replica's first byte to its pool's above which
+	// it counts, and maxLatency bounds what it counts.
+	usualLatency = 1.5
+	maxLatency   = 4.0
 
-	// ownShare is the weight of a replica's own load beside its group's greatest.
-	ownShare = 0.5
-	// queuedShare is the ratio of queued to running attempts that a replica
-	// reports above which its window is cut.
-	queuedShare = 0.25
+	// groupShare is the weight of a group's greatest load beside the replica's own.
+	groupShare = 0.5
+	// roomyShare is the ratio of queued attempts to capacity up to which latency
+	// cuts no window.
+	roomyShare = 1
 
 	// slotsAge is how long the sum of windows is used before it is taken anew.
 	slotsAge = 100 * time.Millisecond
--- a/router/pool.go
+++ b/router/pool.go
@@ -14,6 +14,14 @@
 type pool struct {
 	areas     []*area
 	firstByte float64
+	// tokens is the mean number of tokens of an attempt.
+	tokens float64
+}
+
+// weigh returns an amount of work in attempts of mean size: half by number, half
+// by tokens.
+func (p *pool) weigh(a amount) float64 {
+	return (a.attempts + a.tokens/max(p.tokens, 1)) / 2
 }
 
 // area holds the replicas of one target in one zone.
@@ -23,10 +31,9 @@
 	replicas []*replica
 	groups   []*group
 	ring     []point
-	// own, foreign and inFlight are sums over the replicas.
-	own      float64
-	foreign  float64
-	inFlight int
+	// own and foreign are sums over the replicas.
+	own     amount
+	foreign amount
 	// slots is the sum of the windows that are in, as of slotsAt.
 	slots   int
 	slotsAt time.Time
@@ -69,12 +76,12 @@
 	return float64(out) <= maxEjectedShare*float64(all)
 }
 
-func (a *area) meanForeign() float64 {
-	return a.foreign / float64(max(len(a.replicas), 1))
+func (a *area) meanForeign() amount {
+	return amount{}.plus(a.foreign, 1/float64(max(len(a.replicas), 1)))
 }
 
 func (a *area) meanLoad() float64 {
-	return (a.own + a.foreign) / float64(max(len(a.replicas), 1))
+	return a.pool.weigh(a.own.plus(a.foreign, 1)) / float64(max(len(a.replicas), 1))
 }
 
 // use returns the part of the area's slots that is taken, as seen here or as
@@ -84,7 +91,7 @@
 	if slots == 0 {
 		return 1
 	}
-	return max(float64(a.inFlight)/float64(slots), a.reported)
+	return max(a.own.attempts/float64(slots), a.reported)
 }
 
 // sumSlots returns the sum of the windows that are in, not older than slotsAge.
@@ -129,13 +136,12 @@
 
 // sum takes the sums over the replicas anew.
 func (a *area) sum() {
-	a.own, a.foreign, a.inFlight = 0, 0, 0
+	a.own, a.foreign = amount{}, amount{}
 	a.slotsAt = time.Time{}
 	busy, capacity := 0, 0
 	for _, r := range a.replicas {
-		a.own += r.own
-		a.foreign += r.foreign
-		a.inFlight += r.inFlight
+		a.own = a.own.plus(r.own, 1)
+		a.foreign = a.foreign.plus(r.foreign, 1)
 		busy += r.server.Load.Running + r.server.Load.Queued
 		capacity += r.server.Load.Capacity
 	}
--- a/router/replica.go
+++ b/router/replica.go
@@ -17,11 +17,13 @@
 	since time.Time
 	gone  bool
 
-	// own is the tokens in flight from this entry, inFlight the attempts.
-	own      float64
-	inFlight int
-	// foreign is the reported load less the own part of it.
-	foreign float64
+	// own is the work in flight from this entry.
+	own amount
+	// earlier is the own work when the report before the latest arrived. The
+	// latest one was made about then.
+	earlier amount
+	// foreign is the reported work less the own part of it.
+	foreign amount
 	// suspect is set while an isolated attempt holds the replica.
 	suspect bool
 
@@ -33,12 +35,23 @@
 	ejectedUntil time.Time
 }
 
+// amount is an amount of work: a replica's slots are taken by attempts, and its
+// memory and the time of its steps by tokens.
+type amount struct {
+	attempts float64
+	tokens   float64
+}
+
+func (a amount) plus(b amount, factor float64) amount {
+	return amount{a.attempts + factor*b.attempts, a.tokens + factor*b.tokens}
+}
+
 func newReplica(server track.BackendServer) *replica {
 	return &replica{server: server, window: admit.NewWindow(server.Load.Capacity), since: server.Joined}
 }
 
 // report takes in the replica's latest state; its load only if that is new.
-func (r *replica) report(server track.BackendServer, now time.Time) {
+func (r *replica) report(server track.BackendServer) {
 	if server.Load.Capacity != r.server.Load.Capacity {
 		r.window = admit.NewWindow(server.Load.Capacity)
 	}
@@ -47,35 +60,32 @@
 		return
 	}
 	r.server = server
-	r.setForeign(max(work(server.Load)-r.own, 0))
-	if float64(server.Load.Queued) > queuedShare*float64(server.Load.Running) {
-		r.window.Shrink(now)
-	}
+	reported := work(server.Load)
+	r.setForeign(amount{max(reported.attempts-r.earlier.attempts, 0), max(reported.tokens-r.earlier.tokens, 0)})
+	r.earlier = r.own
 }
 
-func (r *replica) setForeign(foreign float64) {
-	r.area.foreign += foreign - r.foreign
+func (r *replica) setForeign(foreign amount) {
+	r.area.foreign = r.area.foreign.plus(foreign, 1).plus(r.foreign, -1)
 	r.foreign = foreign
 }
 
-// work returns a reported load in tokens; in attempts for a plain service.
-func work(load track.Load) float64 {
-	if load.TokensInFlight > 0 {
-		return float64(load.TokensInFlight)
-	}
-	return float64(load.Running + load.Queued)
+func work(load track.Load) amount {
+	return amount{float64(load.Running + load.Queued), float64(load.TokensInFlight)}
 }
 
-// load estimates the tokens in flight: the own ones exactly, the others as
-// reported, drawn towards the zone's mean as the report ages.
+// load estimates the work in flight, in attempts of a mean number of tokens: the
+// own ones exactly, the others as reported, drawn towards the zone's mean as the
+// report ages.
 func (r *replica) load(now time.Time) float64 {
 	mean := r.area.meanForeign()
-	if r.server.Reported.IsZero() {
-		return r.own + mean
+	total := r.own.plus(mean, 1)
+	if !r.server.Reported.IsZero() {
+		age := max(now.Sub(r.server.Reported), 0)
+		trust := float64(reportHalfLife) / float64(reportHalfLife+age)
+		total = total.plus(r.foreign, trust).plus(mean, -trust)
 	}
-	age := max(now.Sub(r.server.Reported), 0)
-	trust := float64(reportHalfLife) / float64(reportHalfLife+age)
-	return r.own + mean + trust*(r.foreign-mean)
+	return r.area.pool.weigh(total)
 }
 
 // ramp returns the share of the full load that the replica may take.
@@ -89,7 +99,7 @@
 }
 
 func (r *replica) full(now time.Time) bool {
-	return r.inFlight >= r.slots(now)
+	return int(r.own.attempts) >= r.slots(now)
 }
 
 // latency returns the factor by which the replica is slower than its pool.
@@ -98,31 +108,26 @@
 	if r.firstByte == 0 || pool == 0 {
 		return 1
 	}
-	return min(max(r.firstByte/pool, minLatency), maxLatency)
+	return min(max(r.firstByte/pool/usualLatency, 1), maxLatency)
 }
 
 func (r *replica) ejected(now time.Time) bool {
 	return now.Before(r.ejectedUntil)
 }
 
-func (r *replica) charge(tokens int) {
-	r.own += float64(tokens)
-	r.inFlight++
-	r.area.own += float64(tokens)
-	r.area.inFlight++
-}
-
-func (r *replica) release(tokens int) {
-	r.own -= float64(tokens)
-	r.inFlight--
-	r.area.own -= float64(tokens)
-	r.area.inFlight--
+// charge adds an attempt; with a factor of -1 it takes it back.
+func (r *replica) charge(tokens int, factor float64) {
+	attempt := amount{1, float64(tokens)}
+	r.own = r.own.plus(attempt, factor)
+	r.area.own = r.area.own.plus(attempt, factor)
 }
 
 // learn takes in the result of an attempt.
 func (r *replica) learn(result track.Result, now time.Time) {
+	load := r.server.Load
 	r.window.Observe(admit.Sample{
-		InFlight: r.inFlight, FirstByte: result.FirstByte, Overloaded: result.Overloaded,
+		InFlight: int(r.own.attempts), FirstByte: result.FirstByte, Overloaded: result.Overloaded,
+		Roomy: load.Capacity > 0 && load.Queued <= roomyShare*load.Capacity,
 	}, now)
 	if result.FirstByte > 0 {
 		seconds := result.FirstByte.Seconds()
--- a/router/router.go
+++ b/router/router.go
@@ -45,7 +45,7 @@
 	if !ok {
 		return track.Choice{}, errNoReplica
 	}
-	s := search{router: r, query: &q, now: r.clock.Now()}
+	s := search{router: r, query: &q, pool: p, now: r.clock.Now()}
 	if q.Isolated {
 		return s.take(s.isolated(p))
 	}
@@ -64,14 +64,13 @@
 		chosen.suspect = false
 	}
 	chosen.learn(result, r.clock.Now())
-	chosen.release(c.Tokens)
+	chosen.charge(c.Tokens, -1)
 }
 
 // Update implements track.Router.
 func (r *Router) Update(servers []track.BackendServer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.clock.Now()
 	changed := r.drop(servers)
 	for _, server := range servers {
 		known, ok := r.replicas[server.Agent]
@@ -80,7 +79,7 @@
 			changed = true
 			continue
 		}
-		known.report(server, now)
+		known.report(server)
 		r.learnPrefixes(known)
 	}
 	for _, p := range r.pools {
--- a/router/search.go
+++ b/router/search.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math"
 	"time"
 
 	"filberttrack.example/track"
@@ -9,10 +10,14 @@
 // samples bounds the draws for the two choices before all replicas are scanned.
 const samples = 6
 
+// choices is the number of groups that are weighed.
+const choices = 3
+
 // search is one routing decision.
 type search struct {
 	router  *Router
 	query   *track.Query
+	pool    *pool
 	now     time.Time
 	weighed int
 }
@@ -28,12 +33,18 @@
 	return max(s.query.Tokens, 1)
 }
 
+// size returns the weight of the attempt, in attempts of mean size.
+func (s *search) size() float64 {
+	return s.pool.weigh(amount{1, float64(s.tokens())})
+}
+
 // take charges the attempt to the replica that was found.
 func (s *search) take(f found) (track.Choice, error) {
 	if f.replica == nil {
 		return track.Choice{}, s.none()
 	}
-	f.replica.charge(s.tokens())
+	f.replica.charge(s.tokens(), 1)
+	f.replica.area.pool.tokens = average(f.replica.area.pool.tokens, float64(s.tokens()))
 	if f.isolated {
 		f.replica.suspect = true
 	}
@@ -80,7 +91,7 @@
 // nearlyIdle reports whether the area certainly needs no help: less than half
 // used as reported, and less than one attempt a replica from here.
 func (a *area) nearlyIdle() bool {
-	return a.reported < spillAt/2 && a.inFlight < len(a.replicas)
+	return a.reported < spillAt/2 && int(a.own.attempts) < len(a.replicas)
 }
 
 // nearest chooses a replica of the local zone; of another one if the local zone
@@ -115,24 +126,31 @@
 	return a.zone == s.router.zone || !s.router.reach.CutOff(a.zone)
 }
 
-// spill returns the least used zone within reach if the local one is short.
+// spill returns the least used zone within reach, if the attempt is to go there.
+// While the local zone is short, it is the part of the attempts that would bring
+// the two zones level; all of them at once would only move the shortage.
 func (s *search) spill(p *pool, local *area) *area {
-	use := 1 + spillGain
-	if local != nil && s.usableArea(local) {
+	usable := local != nil && s.usableArea(local)
+	use := math.Inf(1)
+	if usable {
 		use = local.use(s.now)
 	}
 	if use < spillAt {
 		return nil
 	}
 	var best *area
+	least := use
 	for _, a := range p.areas {
 		if a == local || !s.usableArea(a) || !s.reachable(a) {
 			continue
 		}
-		if u := a.use(s.now); u <= use-spillGain {
-			best, use = a, u+spillGain
+		if u := a.use(s.now); u < least {
+			best, least = a, u
 		}
 	}
+	if usable && s.router.rng.Float64() >= (use-least)/(2*use) {
+		return nil
+	}
 	return best
 }
 
@@ -154,7 +172,7 @@
 		return found{}
 	}
 	held, covered := s.router.prefixes.find(s.query)
-	saved := covered * float64(s.tokens())
+	saved := covered * s.size()
 	if r := s.lighter(a, held[0], held[1], saved); r != nil {
 		return found{replica: r, reason: ReasonCached}
 	}
@@ -166,9 +184,11 @@
 }
 
 // lighter returns the less loaded of two replicas, if its load is within the
-// bound for affinity.
+// bound for affinity. The bound tightens as the zone fills up: a cached prefix
+// saves a fixed time, while the wait for a slot grows without limit.
 func (s *search) lighter(a *area, x, y *replica, saved float64) *replica {
-	bound := affinityBound*a.meanLoad() + saved
+	spare := max(1-a.use(s.now), 0)
+	bound := (1+affinitySlack*spare)*a.meanLoad() + spare*saved
 	var best *replica
 	for _, r := range [...]*replica{x, y} {
 		if !s.usable(r) || r.area != a {
@@ -199,7 +219,7 @@
 		if best == nil || score < bestScore {
 			best, bestScore = r, score
 		}
-		if drawn++; drawn == 2 {
+		if drawn++; drawn == choices {
 			break
 		}
 	}
@@ -207,8 +227,8 @@
 }
 
 // score returns a group's least loaded usable replica, and the cost of placing
-// the attempt there: the load of the slowest member, at whose pace all advance,
-// and a share of the replica's own.
+// the attempt there: the replica's load after that, and a share of the slowest
+// member's, at whose pace all advance.
 func (s *search) score(g *group) (*replica, float64) {
 	var best *replica
 	var least, greatest float64
@@ -226,8 +246,8 @@
 	if best == nil {
 		return nil, 0
 	}
-	after := best.load(s.now) + float64(s.tokens())
-	return best, (max(greatest, after) + ownShare*after) * best.latency() / best.ramp(s.now)
+	after := best.load(s.now) + s.size()
+	return best, (after + groupShare*max(greatest, after)) * best.latency() / best.ramp(s.now)
 }
 
 // scan returns the least loaded replica that has room, when sampling found none.
@@ -251,7 +271,7 @@
 
 // penalty ranks the replicas that are not usable behind all that are.
 func (s *search) penalty(r *replica, a *area) float64 {
-	worst := 1 + 2*(a.own+a.foreign)
+	worst := 1 + 2*a.pool.weigh(a.own.plus(a.foreign, 1))
 	penalty := 0.0
 	if s.excluded(r) {
 		penalty += worst
@@ -305,5 +325,5 @@
 
 // busy returns the attempts in flight, from here or as reported.
 func (r *replica) busy() int {
-	return max(r.inFlight, r.server.Load.Running)
+	return max(int(r.own.attempts), r.server.Load.Running)
 }
