--- a/agent.go
+++ b/agent.go
@@ -13,13 +13,15 @@
 	// other process refuses it.
 	Agent       InstanceID
 	Incarnation Incarnation
-	Kind        CallKind
-	Target      string
-	Method      string
-	Path        string
-	Query       string
-	Header      http.Header
-	Body        []byte
+	// Stamp is the agent's time as the entry knew it when it formed the attempt.
+	Stamp  Stamp
+	Kind   CallKind
+	Target string
+	Method string
+	Path   string
+	Query  string
+	Header http.Header
+	Body   []byte
 	// Timeout is the time left until the caller's deadline when the dispatch was
 	// sent. It is relative, so that clocks need not agree.
 	Timeout  time.Duration
@@ -116,9 +118,9 @@
 	Run(ctx context.Context, d Dispatch, send FrameFunc) error
 	// Bar makes sure that an attempt which has not started never will, and
 	// returns the state it found.
-	Bar(ctx context.Context, id AttemptID) (AttemptState, error)
+	Bar(ctx context.Context, ref AttemptRef) (AttemptState, error)
 	// Replay waits for the attempt and hands over its stored answer.
-	Replay(ctx context.Context, id AttemptID, send FrameFunc) error
+	Replay(ctx context.Context, ref AttemptRef, send FrameFunc) error
 	// Report returns the agent's state, for membership and routing.
 	Report(ctx context.Context) (Report, error)
 }
@@ -138,6 +140,8 @@
 
 // Load is the load of a backend server as its agent measures it.
 type Load struct {
+	// Stamp is the agent's time at which the load was measured.
+	Stamp Stamp
 	// Running is the number of attempts in progress.
 	Running int
 	// Queued is the number of attempts waiting inside the backend server.
--- a/crash/crash_test.go
+++ b/crash/crash_test.go
@@ -24,16 +24,16 @@
 
 // bus is a gossip between trackers that holds digests back until told.
 type bus struct {
-	handlers []func(track.Digest)
-	held     []track.Digest
+	handlers []func(track.Notice)
+	held     []track.Notice
 }
 
-func (b *bus) Publish(d track.Digest) {
+func (b *bus) Publish(d track.Notice) {
 	d.Data = bytes.Clone(d.Data)
 	b.held = append(b.held, d)
 }
 
-func (b *bus) Subscribe(_ track.Topic, handle func(track.Digest)) {
+func (b *bus) Subscribe(_ track.Topic, handle func(track.Notice)) {
 	b.handlers = append(b.handlers, handle)
 }
 
@@ -261,7 +261,7 @@
 	f.Add(make([]byte, 24))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		entries, b, _ := newZone(1)
-		b.handlers[0](track.Digest{Data: data})
+		b.handlers[0](track.Notice{Data: data})
 		for _, e := range entries[0].List() {
 			assert.Assert(t, e.Left > 0 && e.Left <= crash.DefaultPolicy().QuarantineFor)
 		}
--- a/crash/digest.go
+++ b/crash/digest.go
@@ -52,7 +52,7 @@
 			t.logger.Error("encoding a quarantine digest", zap.Error(err))
 			return
 		}
-		t.gossip.Publish(track.Digest{Topic: track.TopicQuarantine, From: t.self, Data: data})
+		t.gossip.Publish(track.Notice{Topic: track.TopicQuarantine, From: t.self, Data: data})
 	}
 }
 
@@ -82,7 +82,7 @@
 }
 
 // receive merges the digest of another entry.
-func (t *Tracker) receive(d track.Digest) {
+func (t *Tracker) receive(d track.Notice) {
 	rows, err := decode(d.Data)
 	if err != nil {
 		t.logger.Warn("quarantine digest refused", zap.String("from", string(d.From)), zap.Error(err))
--- a/entry/send/transfer.go
+++ b/entry/send/transfer.go
@@ -8,6 +8,7 @@
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/entry/relay"
+	"filberttrack.example/track/frames"
 )
 
 // maxErrorBytes bounds what is kept of an error answer of an engine.
@@ -20,11 +21,13 @@
 	started   time.Time
 	firstByte time.Duration
 
-	next      uint64
-	status    int
-	errorBody []byte
-	final     *track.Frame
-	err       error
+	checker *frames.Checker
+	// transcript follows a streamed generation; nil for other calls.
+	transcript *frames.Transcript
+	status     int
+	errorBody  []byte
+	final      *track.Frame
+	err        error
 	// callerErr is set if the caller's connection failed.
 	callerErr error
 	neverSent bool
@@ -32,6 +35,12 @@
 
 // run dispatches the attempt and relays its frames.
 func (t *transfer) run(ctx context.Context, r *run, choice track.Choice) {
+	server, err := Stamped(ctx, r.step.options.Dialer, choice.Server)
+	if err != nil {
+		t.err = err
+		t.neverSent = true
+		return
+	}
 	agent, err := r.step.options.Dialer.Dial(track.Instance{
 		ID:      choice.Server.Agent,
 		Zone:    choice.Server.Zone,
@@ -42,16 +51,26 @@
 		t.neverSent = true
 		return
 	}
-	t.err = agent.Run(ctx, dispatchOf(r, choice, t.clock.Now()), t.frame)
+	t.err = agent.Run(ctx, dispatchOf(r, server, t.clock.Now()), t.frame)
 	t.neverSent = t.err != nil && track.IsKind(t.err, track.Unavailable)
 }
 
-func dispatchOf(r *run, choice track.Choice, now time.Time) track.Dispatch {
-	call := &r.exchange.Call
+// dispatchOf returns the dispatch of the call's present attempt.
+func dispatchOf(r *run, server track.BackendServer, now time.Time) track.Dispatch {
+	d := DispatchOf(&r.exchange.Call, now)
+	d.ID = track.AttemptID{Request: r.exchange.Call.ID, Number: r.number}
+	d.Agent = server.Agent
+	d.Incarnation = server.Incarnation
+	d.Stamp = server.Load.Stamp
+	if r.body != nil {
+		d.Body = r.body
+	}
+	return d
+}
+
+// DispatchOf returns a dispatch of the call that names no attempt and no agent.
+func DispatchOf(call *track.Call, now time.Time) track.Dispatch {
 	return track.Dispatch{
-		ID:          track.AttemptID{Request: call.ID, Number: r.number},
-		Agent:       choice.Server.Agent,
-		Incarnation: choice.Server.Incarnation,
 		Kind:        call.Kind,
 		Target:      call.Target,
 		Method:      call.Method,
@@ -67,10 +86,9 @@
 
 // frame takes one frame of the attempt. Frames out of sequence are dropped.
 func (t *transfer) frame(f track.Frame) error {
-	if f.Seq != t.next || t.final != nil {
+	if !t.checker.Accept(f) {
 		return nil
 	}
-	t.next++
 	switch f.Kind {
 	case track.FrameHeader:
 		t.status = f.Status
@@ -96,6 +114,12 @@
 	if t.status >= errorStatus && !t.relaysErrors() {
 		return nil
 	}
+	if t.transcript != nil && t.status < errorStatus {
+		var err error
+		if data, err = t.transcript.Relay(data); err != nil || len(data) == 0 {
+			return err
+		}
+	}
 	err := t.answer.Data(data)
 	if err != nil {
 		t.callerErr = err
@@ -108,6 +132,12 @@
 	return t.final != nil && t.err == nil
 }
 
+// cutOff reports whether the final frame ends an answer that is not whole. Only
+// an error status leaves the outcome of a whole answer open.
+func (t *transfer) cutOff() bool {
+	return t.final.Crashed || (t.final.Outcome != track.Completed && t.status < serverErrorStatus)
+}
+
 // provenNotRun reports whether the attempt certainly never ran and never will.
 func (t *transfer) provenNotRun() bool {
 	return t.neverSent || (t.final != nil && t.final.Outcome == track.NotRun)
--- a/limit/digest.go
+++ b/limit/digest.go
@@ -44,7 +44,7 @@
 		l.logger.Error("encoding a usage digest", zap.Error(err))
 		return
 	}
-	l.gossip.Publish(track.Digest{Topic: track.TopicUsage, From: l.self, Data: data})
+	l.gossip.Publish(track.Notice{Topic: track.TopicUsage, From: l.self, Data: data})
 }
 
 // refresh forgets idle accounts, sets the local rates, and returns the rows to
@@ -101,7 +101,7 @@
 	return sums
 }
 
-func (l *Limiter) receive(d track.Digest) {
+func (l *Limiter) receive(d track.Notice) {
 	rows, err := decode(d.Data)
 	if err != nil {
 		l.logger.Warn("usage digest refused", zap.String("from", string(d.From)), zap.Error(err))
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -26,19 +26,19 @@
 
 // bus delivers digests late and loses some.
 type bus struct {
-	handlers []func(track.Digest)
-	held     []track.Digest
+	handlers []func(track.Notice)
+	held     []track.Notice
 	lost     func() bool
 	bytes    int
 }
 
-func (b *bus) Publish(d track.Digest) {
+func (b *bus) Publish(d track.Notice) {
 	b.bytes += len(d.Data)
 	d.Data = bytes.Clone(d.Data)
 	b.held = append(b.held, d)
 }
 
-func (b *bus) Subscribe(_ track.Topic, handle func(track.Digest)) {
+func (b *bus) Subscribe(_ track.Topic, handle func(track.Notice)) {
 	b.handlers = append(b.handlers, handle)
 }
 
@@ -253,7 +253,7 @@
 		l := newEntries(1, clock, b)[0]
 		client := track.ClientAccount{Name: "a", RequestsPerSecond: 10}
 		l.Admit(client, 1)
-		b.handlers[0](track.Digest{From: "other", Data: data})
+		b.handlers[0](track.Notice{From: "other", Data: data})
 		clock.Advance(limit.Interval)
 		l.Publish()
 		clock.Advance(time.Minute)
--- a/route.go
+++ b/route.go
@@ -16,6 +16,8 @@
 	// Joined is the time at which the replica was first seen live.
 	Joined time.Time
 	Load   Load
+	// Suspect is set while the agent has not been heard for some intervals.
+	Suspect bool
 	// Reported is the time at which Load arrived here; zero if none did.
 	Reported time.Time
 }
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -48,6 +48,25 @@
 	return track.AttemptID{Request: track.RequestID(ref.GetRequest()), Number: ref.GetNumber()}
 }
 
+func refToWire(ref track.AttemptRef) *wirepb.AttemptRef {
+	m := attemptToWire(ref.ID)
+	m.Agent = string(ref.Agent)
+	m.Incarnation = uint64(ref.Incarnation)
+	m.StampNs = int64(ref.Stamp)
+	m.Keyed = ref.Keyed
+	return m
+}
+
+func refFromWire(m *wirepb.AttemptRef) track.AttemptRef {
+	return track.AttemptRef{
+		ID:          attemptFromWire(m),
+		Agent:       track.InstanceID(m.GetAgent()),
+		Incarnation: track.Incarnation(m.GetIncarnation()),
+		Stamp:       track.Stamp(m.GetStampNs()),
+		Keyed:       m.GetKeyed(),
+	}
+}
+
 func claimToWire(c *track.Claim) *wirepb.Claim {
 	if c == nil {
 		return nil
@@ -79,6 +98,7 @@
 		Attempt:     attemptToWire(d.ID),
 		Agent:       string(d.Agent),
 		Incarnation: uint64(d.Incarnation),
+		StampNs:     int64(d.Stamp),
 		Kind:        int32(d.Kind),
 		Target:      d.Target,
 		Method:      d.Method,
@@ -98,6 +118,7 @@
 		ID:          attemptFromWire(d.GetAttempt()),
 		Agent:       track.InstanceID(d.GetAgent()),
 		Incarnation: track.Incarnation(d.GetIncarnation()),
+		Stamp:       track.Stamp(d.GetStampNs()),
 		Kind:        track.CallKind(d.GetKind()),
 		Target:      d.GetTarget(),
 		Method:      d.GetMethod(),
--- a/wire/server.go
+++ b/wire/server.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
 	"filberttrack.example/track"
@@ -16,6 +17,13 @@
 // MaxMessageBytes bounds one message between own processes.
 const MaxMessageBytes = 32 << 20
 
+// Flow-control windows. Fixed ones save the pings by which gRPC estimates the
+// bandwidth, which would accompany most tokens.
+const (
+	streamWindowBytes = 256 << 10
+	connWindowBytes   = 16 << 20
+)
+
 // agentServer exposes a track.Agent over gRPC.
 type agentServer struct {
 	wirepb.UnimplementedAgentServer
@@ -31,7 +39,12 @@
 func NewServer(options ...grpc.ServerOption) *grpc.Server {
 	limits := []grpc.ServerOption{
 		grpc.MaxRecvMsgSize(MaxMessageBytes),
+		grpc.StaticStreamWindowSize(streamWindowBytes),
+		grpc.StaticConnWindowSize(connWindowBytes),
 		grpc.MaxSendMsgSize(MaxMessageBytes),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
+			MinTime: keepaliveInterval / 2, PermitWithoutStream: true,
+		}),
 	}
 	return grpc.NewServer(append(limits, options...)...)
 }
@@ -45,12 +58,12 @@
 // Replay implements wirepb.AgentServer.
 func (s *agentServer) Replay(ref *wirepb.AttemptRef, stream grpc.ServerStreamingServer[wirepb.Frame]) error {
 	send := func(f track.Frame) error { return stream.Send(frameToWire(f)) }
-	return toStatus(s.agent.Replay(stream.Context(), attemptFromWire(ref), send))
+	return toStatus(s.agent.Replay(stream.Context(), refFromWire(ref), send))
 }
 
 // Bar implements wirepb.AgentServer.
 func (s *agentServer) Bar(ctx context.Context, ref *wirepb.AttemptRef) (*wirepb.BarReply, error) {
-	state, err := s.agent.Bar(ctx, attemptFromWire(ref))
+	state, err := s.agent.Bar(ctx, refFromWire(ref))
 	if err != nil {
 		return nil, toStatus(err)
 	}
