--- a/admin/admin.go
+++ b/admin/admin.go
@@ -84,6 +84,16 @@
 	_ = json.NewEncoder(w).Encode(value)
 }
 
+// ReadJSON reads a value from the JSON body of a request. Unknown fields are
+// refused.
+func ReadJSON[T any](body io.Reader) (T, error) {
+	var value T
+	decoder := json.NewDecoder(body)
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(&value)
+	return value, err
+}
+
 // Failure is the body of an answer that tells an operator what went wrong.
 type Failure struct {
 	Code    string
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -42,6 +42,8 @@
 	up      atomic.Bool
 	running atomic.Int64
 	seq     atomic.Uint64
+	// isolated is set while a suspect of a crash runs.
+	isolated atomic.Bool
 
 	loadMu sync.Mutex
 	load   track.Load
@@ -60,7 +62,9 @@
 // Run implements track.Agent.
 func (a *Agent) Run(ctx context.Context, d track.Dispatch, send track.FrameFunc) error {
 	out := &output{id: d.ID, send: send}
-	verdict := a.ledger.Admit(d, a.refusal(d))
+	refusal, release := a.isolate(d, a.refusal(d))
+	defer release()
+	verdict := a.ledger.Admit(d, refusal)
 	if verdict.Attempt == nil {
 		a.decide(d, "refused", string(verdict.Refusal))
 		return out.final(track.Frame{Outcome: verdict.Outcome, Refusal: verdict.Refusal})
@@ -89,6 +93,18 @@
 	return err
 }
 
+// isolate makes sure that one isolated attempt runs at a time. The function
+// returned ends the attempt's hold.
+func (a *Agent) isolate(d track.Dispatch, refusal track.Refusal) (track.Refusal, func()) {
+	if refusal != "" || !d.Isolated {
+		return refusal, func() {}
+	}
+	if !a.isolated.CompareAndSwap(false, true) {
+		return track.RefusedFull, func() {}
+	}
+	return "", func() { a.isolated.Store(false) }
+}
+
 // refusal returns why the dispatch must not start here, or "".
 func (a *Agent) refusal(d track.Dispatch) track.Refusal {
 	switch {
--- a/boot/entrycore.go
+++ b/boot/entrycore.go
@@ -10,17 +10,21 @@
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/admin"
+	"filberttrack.example/track/admit"
 	"filberttrack.example/track/claims"
 	"filberttrack.example/track/conf"
 	"filberttrack.example/track/config"
+	"filberttrack.example/track/crash"
 	"filberttrack.example/track/duty"
 	"filberttrack.example/track/edits"
 	"filberttrack.example/track/entry"
 	"filberttrack.example/track/entry/parse"
 	"filberttrack.example/track/entry/relay"
 	"filberttrack.example/track/frames"
-	"filberttrack.example/track/pick"
+	"filberttrack.example/track/limit"
 	"filberttrack.example/track/poll"
+	"filberttrack.example/track/retry"
+	"filberttrack.example/track/router"
 )
 
 // EntryCore is an entry without its listeners: all its parts, joined.
@@ -33,7 +37,10 @@
 	admin    *admin.Handler
 	config   *config.Store
 	seed     track.Config
-	router   track.Router
+	router   *router.Router
+	limiter  *limit.Limiter
+	gates    *admit.Gates
+	crashes  *crash.Tracker
 	poller   *poll.Poller
 	claims   *claims.Book
 }
@@ -48,8 +55,8 @@
 		},
 		metrics: metrics.NewSet(),
 		seed:    s.Config(),
-		router:  pick.New(),
 	}
+	c.joinPolicies()
 	c.config = config.New(config.Options{
 		Self: c.instance, Log: ports.Platform.Log, Peers: noPeers{}, Clock: ports.Clock,
 		Logger: ports.Logger, Metrics: c.metrics, Seed: randomSeed(c.instance.ID, c.started),
@@ -78,9 +85,15 @@
 		Relay:        relay.Limits{MaxAnswerBytes: s.Entry.MaxAnswerBytes},
 		LogDecisions: s.Logging.Decisions,
 		Claims:       c.claims,
+		Limiter:      c.limiter,
+		Gates:        c.gates,
+		Capacity:     c.router,
+		Retries:      retry.New(ports.Clock, c.random("retry")),
+		Crashes:      c.crashes,
 		Drops:        drops,
 	})
 	c.admin = admin.New(admin.Options{Status: c.Status, Metrics: c.metrics, Profiling: s.Logging.Profiling})
+	c.crashes.Register(c.admin, ports.Guard)
 	edits.New(edits.Options{
 		Store: c.config, Guard: ports.Guard, Clock: ports.Clock, Logger: ports.Logger,
 	}).Register(c.admin)
@@ -97,6 +110,9 @@
 	c.poller.Round(ctx)
 	duties := append(c.config.Start(ctx), duty.Start(ctx, "poll agents", c.poller.Run))
 	duties = append(duties, c.claims.Start(ctx)...)
+	duties = append(duties,
+		duty.Start(ctx, "refresh admission", c.gates.Run),
+		duty.Start(ctx, "share usage and quarantine", c.share))
 	seeded := make(chan struct{})
 	duties = append(duties, duty.Start(ctx, "seed configuration", func(ctx context.Context) error {
 		defer close(seeded)
--- /dev/null
+++ b/boot/policies.go
@@ -0,0 +1,64 @@
+package boot
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"github.com/cespare/xxhash/v2"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/admit"
+	"filberttrack.example/track/crash"
+	"filberttrack.example/track/limit"
+	"filberttrack.example/track/router"
+)
+
+// joinPolicies makes the parts of an entry that route, limit and admit requests.
+func (c *EntryCore) joinPolicies() {
+	p := c.ports
+	gossip, reach := p.Gossip, p.Reach
+	if gossip == nil {
+		gossip = silent{}
+	}
+	if reach == nil {
+		reach = allReachable{}
+	}
+	c.router = router.New(p.Clock, c.random("route"), c.instance.Zone, reach)
+	c.limiter = limit.New(p.Clock, c.instance.ID, gossip, p.Logger, c.metrics)
+	c.gates = admit.NewGates(p.Clock, c.random("admit"), c.router, c.metrics)
+	c.crashes = crash.New(p.Clock, crash.DefaultPolicy(), c.instance.ID, gossip, p.Logger, c.metrics)
+}
+
+// random returns a source of random numbers that differs between instances and
+// purposes.
+func (c *EntryCore) random(purpose string) *rand.Rand {
+	return rand.New(rand.NewPCG(randomSeed(c.instance.ID, c.started), xxhash.Sum64String(purpose)))
+}
+
+// share publishes the demand of accounts and the standing of crashing requests
+// at each interval. It is a duty of an entry.
+func (c *EntryCore) share(ctx context.Context) error {
+	ticker := c.ports.Clock.NewTicker(limit.Interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-ticker.Chan():
+			c.limiter.Publish()
+			c.crashes.Publish()
+		}
+	}
+}
+
+// silent is the gossip of an entry that hears no other entry.
+type silent struct{}
+
+func (silent) Publish(track.Notice) {}
+
+func (silent) Subscribe(track.Topic, func(track.Notice)) {}
+
+// allReachable is the view of an entry that knows of no partition.
+type allReachable struct{}
+
+func (allReachable) CutOff(track.AvailabilityZone) bool { return false }
--- a/boot/ports.go
+++ b/boot/ports.go
@@ -33,6 +33,10 @@
 	// Guard lets only those operators through that may change something; nil
 	// lets nobody through.
 	Guard func(http.Handler) http.Handler
+	// Gossip reaches the other entries of the zone; nil if there is none.
+	Gossip track.Gossip
+	// Reach tells which zones are cut off; nil if that is not known.
+	Reach track.Reachability
 	// NewID returns a request ID that no other instance returns.
 	NewID func() track.RequestID
 }
--- a/cmd/filberttrack/main.go
+++ b/cmd/filberttrack/main.go
@@ -46,6 +46,7 @@
 			checkCommand(),
 			statusCommand(),
 			configCommand(),
+			quarantineCommand(),
 		),
 	}
 }
--- a/crash/crash.go
+++ b/crash/crash.go
@@ -55,6 +55,8 @@
 	Barred bool
 	// RetryAfter tells the caller when to come back, if barred.
 	RetryAfter time.Duration
+	// Busy is set if another run bars it; it is closed when that ends.
+	Busy <-chan struct{}
 }
 
 // Entry is one remembered fingerprint, for operators.
@@ -83,7 +85,13 @@
 
 	mu      sync.Mutex
 	records map[uint64]*record
-	running map[uint64]int
+	running map[uint64]*runs
+}
+
+// runs are the attempts at one fingerprint that are in progress here.
+type runs struct {
+	count int
+	ended chan struct{}
 }
 
 // record is the state of one fingerprint. A cleared or released fingerprint
@@ -103,7 +111,7 @@
 		crashes:     set.GetOrCreateCounter("filberttrack_crash_charges_total"),
 		convictions: set.GetOrCreateCounter("filberttrack_crash_quarantines_total"),
 		records:     make(map[uint64]*record),
-		running:     make(map[uint64]int),
+		running:     make(map[uint64]*runs),
 	}
 	gossip.Subscribe(track.TopicQuarantine, t.receive)
 	return t
@@ -115,12 +123,25 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	v := t.verdict(fingerprint)
-	if !v.Barred {
-		t.running[fingerprint]++
+	if v.Barred {
+		return v
+	}
+	r, ok := t.running[fingerprint]
+	if !ok {
+		r = &runs{ended: make(chan struct{})}
+		t.running[fingerprint] = r
 	}
+	r.count++
 	return v
 }
 
+// Check returns the verdict on a fingerprint without a run.
+func (t *Tracker) Check(fingerprint uint64) Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.verdict(fingerprint)
+}
+
 func (t *Tracker) verdict(fingerprint uint64) Verdict {
 	now := t.clock.Now()
 	r := t.live(fingerprint, now)
@@ -131,8 +152,8 @@
 	switch {
 	case r.standing == Quarantined:
 		v.Barred, v.RetryAfter = true, r.until.Sub(now)
-	case t.running[fingerprint] > 0:
-		v.Barred, v.RetryAfter = true, busyRetryAfter
+	case t.running[fingerprint] != nil:
+		v.Barred, v.RetryAfter, v.Busy = true, busyRetryAfter, t.running[fingerprint].ended
 	}
 	return v
 }
@@ -159,9 +180,7 @@
 func (t *Tracker) settle(fingerprint uint64, e End) (Standing, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.running[fingerprint]--; t.running[fingerprint] <= 0 {
-		delete(t.running, fingerprint)
-	}
+	t.leave(fingerprint)
 	now := t.clock.Now()
 	r := t.live(fingerprint, now)
 	switch {
@@ -177,6 +196,18 @@
 	return Clear, false
 }
 
+// leave takes back one run, and tells those who wait for the last.
+func (t *Tracker) leave(fingerprint uint64) {
+	r, ok := t.running[fingerprint]
+	if !ok {
+		return
+	}
+	if r.count--; r.count == 0 {
+		close(r.ended)
+		delete(t.running, fingerprint)
+	}
+}
+
 // charge holds a crash against a fingerprint. Only a suspect that ran isolated
 // is convicted.
 func (t *Tracker) charge(fingerprint uint64, r *record, isolated bool, now time.Time) Standing {
--- a/crash/crash_test.go
+++ b/crash/crash_test.go
@@ -103,6 +103,9 @@
 	copied := entries[0].Begin(culprit)
 	assert.Assert(t, copied.Barred)
 	assert.Assert(t, copied.RetryAfter > 0 && copied.RetryAfter < time.Minute)
+	entries[0].End(culprit, crash.End{Completed: true, Isolated: true})
+	<-copied.Busy
+	assert.Equal(t, entries[0].Begin(culprit), crash.Verdict{})
 }
 
 func TestCrowdedCrashDoesNotConvict(t *testing.T) {
--- a/entry/claim/claim.go
+++ b/entry/claim/claim.go
@@ -15,18 +15,21 @@
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/claims"
+	"filberttrack.example/track/crash"
 	"filberttrack.example/track/entry/flow"
 	"filberttrack.example/track/entry/relay"
 )
 
 // Options holds what the step is made of.
 type Options struct {
-	Book   *claims.Book
-	Router track.Router
-	Dialer track.AgentDialer
-	Clock  clockwork.Clock
-	Logger *zap.Logger
-	Limits relay.Limits
+	Book *claims.Book
+	// Crashes keeps requests that crash backend servers apart.
+	Crashes *crash.Tracker
+	Router  track.Router
+	Dialer  track.AgentDialer
+	Clock   clockwork.Clock
+	Logger  *zap.Logger
+	Limits  relay.Limits
 	// LogDecisions turns on a log line for each routing decision.
 	LogDecisions bool
 }
--- a/entry/claim/runner.go
+++ b/entry/claim/runner.go
@@ -7,6 +7,7 @@
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/claims"
+	"filberttrack.example/track/crash"
 	"filberttrack.example/track/entry/send"
 )
 
@@ -24,7 +25,12 @@
 func (r *runner) Choose(ctx context.Context) (track.BackendServer, error) {
 	o := r.step.options
 	r.release(track.Result{Outcome: track.NotRun})
-	choice, err := o.Router.Pick(track.Query{Request: r.call.ID, Target: r.call.Target, Excluded: r.excluded})
+	// A booking that crashed a backend server is not repeated, but one with the
+	// same content under another key is a suspect.
+	isolated := o.Crashes.Check(r.call.Fingerprint).Standing == crash.Suspect
+	choice, err := o.Router.Pick(track.Query{
+		Request: r.call.ID, Target: r.call.Target, Excluded: r.excluded, Isolated: isolated,
+	})
 	if o.LogDecisions {
 		o.Logger.Info("route",
 			zap.String("RequestID", string(r.call.ID)),
@@ -53,6 +59,13 @@
 	started := o.Clock.Now()
 	d := send.DispatchOf(r.call, started)
 	t.Fill(&d)
+	verdict := o.Crashes.Begin(r.call.Fingerprint)
+	if verdict.Barred {
+		return track.Fail("run suspect of a crash", track.Unavailable, nil)
+	}
+	d.Isolated = verdict.Standing == crash.Suspect
+	end := crash.End{Isolated: d.Isolated && r.choice != nil && r.choice.Isolated}
+	defer func() { o.Crashes.End(r.call.Fingerprint, end) }()
 	result := track.Result{}
 	err = agent.Run(ctx, d, func(f track.Frame) error {
 		if result.FirstByte == 0 {
@@ -60,6 +73,7 @@
 		}
 		if f.Kind == track.FrameFinal {
 			result.Outcome = f.Outcome
+			end.Crashed, end.Completed = f.Crashed, f.Outcome == track.Completed
 			result.Failed = f.Crashed || f.Refusal == track.RefusedDown
 		}
 		return relay(f)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,11 +14,15 @@
 	"go.uber.org/zap"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/admit"
 	"filberttrack.example/track/claims"
+	"filberttrack.example/track/crash"
 	"filberttrack.example/track/entry/flow"
 	"filberttrack.example/track/entry/parse"
 	"filberttrack.example/track/entry/relay"
 	"filberttrack.example/track/frames"
+	"filberttrack.example/track/limit"
+	"filberttrack.example/track/retry"
 )
 
 // Options holds what an entry is made of.
@@ -39,6 +43,13 @@
 	Claims *claims.Book
 	// Drops counts frames out of sequence.
 	Drops *frames.Drops
+	// Limiter holds accounts to their limits, Gates admit requests to the Capacity,
+	// Retries bounds retries, and Crashes keeps crashing requests apart.
+	Limiter  *limit.Limiter
+	Gates    *admit.Gates
+	Capacity admit.Capacity
+	Retries  *retry.Retrier
+	Crashes  *crash.Tracker
 	// LogDecisions turns on a log line for each routing decision.
 	LogDecisions bool
 }
--- a/entry/flow/flow.go
+++ b/entry/flow/flow.go
@@ -24,6 +24,9 @@
 	HeaderReplayed = "Filberttrack-Replayed"
 )
 
+// StatusClientClosed is the customary status for a caller that went away.
+const StatusClientClosed = 499
+
 // Exchange is one request of a caller and its answer.
 type Exchange struct {
 	Writer  http.ResponseWriter
@@ -31,6 +34,8 @@
 	Call    track.Call
 	// Judged is set once the outcome speaks of the idempotency key too.
 	Judged bool
+	// Tokens counts the tokens that were generated for the caller.
+	Tokens int
 	// Answered is set once the caller has the whole answer.
 	Answered bool
 
--- a/entry/plan.go
+++ b/entry/plan.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"filberttrack.example/track/entry/claim"
 	"filberttrack.example/track/entry/flow"
 	"filberttrack.example/track/entry/ident"
 	"filberttrack.example/track/entry/models"
 	"filberttrack.example/track/entry/parse"
+	"filberttrack.example/track/entry/queue"
+	"filberttrack.example/track/entry/quota"
+	"filberttrack.example/track/entry/screen"
 	"filberttrack.example/track/entry/send"
 )
 
@@ -17,6 +21,9 @@
 	return []flow.Step{
 		ident.New(o.Directory),
 		parse.NewChat(o.Directory, o.Parse),
+		screen.New(o.Crashes, o.Logger),
+		quota.New(o.Limiter, o.Logger),
+		queue.New(o.Gates, o.Capacity, o.Logger),
 		sendStep(o),
 	}
 }
@@ -26,6 +33,9 @@
 	return []flow.Step{
 		ident.New(o.Directory),
 		parse.NewPlain(o.Directory, o.Parse),
+		screen.New(o.Crashes, o.Logger),
+		quota.New(o.Limiter, o.Logger),
+		queue.New(o.Gates, o.Capacity, o.Logger),
 		claimStep(o),
 		sendStep(o),
 	}
@@ -47,6 +57,7 @@
 func claimStep(o Options) flow.Step {
 	return claim.New(claim.Options{
 		Book:         o.Claims,
+		Crashes:      o.Crashes,
 		Router:       o.Router,
 		Dialer:       o.Dialer,
 		Clock:        o.Clock,
@@ -64,6 +75,9 @@
 		Logger:       o.Logger,
 		Limits:       o.Relay,
 		Drops:        o.Drops,
+		Retries:      o.Retries,
+		Crashes:      o.Crashes,
+		Expected:     func(target string) time.Duration { return o.Gates.For(target).Expected() },
 		LogDecisions: o.LogDecisions,
 	})
 }
--- /dev/null
+++ b/entry/send/attempt.go
@@ -0,0 +1,226 @@
+package send
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/crash"
+	"filberttrack.example/track/duty"
+	"filberttrack.example/track/entry/flow"
+	"filberttrack.example/track/entry/screen"
+	"filberttrack.example/track/frames"
+	"filberttrack.example/track/retry"
+)
+
+// attempt runs one attempt, and a second one beside it if the first is slow and
+// the profile allows that. It returns nil if the caller has the whole answer;
+// otherwise the refusal to give and whether another replica may do better.
+func (r *run) attempt(ctx context.Context) (*flow.RefusalError, bool) {
+	first, refusal := r.prepare(ctx)
+	if refusal != nil {
+		return refusal, false
+	}
+	last := r.race(ctx, first)
+	r.latest = last
+	return r.judge(ctx, last.choice, last)
+}
+
+// prepare chooses a replica for the next attempt.
+func (r *run) prepare(ctx context.Context) (*transfer, *flow.RefusalError) {
+	call := &r.exchange.Call
+	v := r.begin(ctx)
+	if v.Barred {
+		outcome := track.NotRun
+		if r.tainted {
+			outcome = track.Unknown
+		}
+		return nil, screen.Refusal(call.Fingerprint, v.RetryAfter, outcome)
+	}
+	choice, err := r.pick(v.Standing == crash.Suspect)
+	if err != nil {
+		r.step.options.Crashes.End(call.Fingerprint, crash.End{})
+		return nil, r.noServer(err)
+	}
+	return &transfer{
+		answer:     r.answer,
+		clock:      r.step.options.Clock,
+		started:    r.step.options.Clock.Now(),
+		transcript: r.transcript,
+		choice:     choice,
+		number:     r.number,
+		isolated:   v.Standing == crash.Suspect,
+		checker:    frames.NewChecker(track.AttemptID{Request: call.ID, Number: r.number}, r.step.options.Drops),
+	}, nil
+}
+
+// begin asks whether the call may run now. A suspect of a crash waits for another
+// run of the same content, for half of its time at most.
+func (r *run) begin(ctx context.Context) crash.Verdict {
+	o := r.step.options
+	call := &r.exchange.Call
+	patience := o.Clock.After(call.Deadline.Sub(o.Clock.Now()) / 2)
+	for {
+		v := o.Crashes.Begin(call.Fingerprint)
+		if v.Busy == nil {
+			return v
+		}
+		select {
+		case <-v.Busy:
+		case <-patience:
+			return v
+		case <-ctx.Done():
+			return v
+		}
+	}
+}
+
+// race runs an attempt to its end. While nothing has come of it for the time that
+// the profile names, a second one is sent, and the first to answer wins.
+func (r *run) race(ctx context.Context, first *transfer) *transfer {
+	call := &r.exchange.Call
+	if call.Profile.Hedge.After <= 0 || r.body != nil || first.isolated {
+		first.run(ctx, r)
+		r.settle(ctx, first)
+		return first
+	}
+	c := &contest{}
+	firstDone := c.start(ctx, r, first)
+	second, secondDone := r.hedge(ctx, c, first, firstDone)
+	last := first
+	if secondDone != nil {
+		last = c.wait(first, second, firstDone, secondDone)
+		r.settle(ctx, second)
+	} else {
+		<-firstDone.Done()
+	}
+	r.settle(ctx, first)
+	return last
+}
+
+// hedge sends a second attempt if the first has not answered in time.
+func (r *run) hedge(ctx context.Context, c *contest, first *transfer, firstDone *duty.Duty) (*transfer, *duty.Duty) {
+	o := r.step.options
+	call := &r.exchange.Call
+	timer := o.Clock.NewTimer(call.Profile.Hedge.After)
+	defer timer.Stop()
+	select {
+	case <-firstDone.Done():
+		return nil, nil
+	case <-timer.Chan():
+	}
+	if c.decided() {
+		return nil, nil
+	}
+	again, reason := o.Retries.Hedge(call, int(r.number)-r.reroutes, o.Clock.Since(first.started))
+	r.logDecision("hedge", again, string(reason), 0)
+	if !again {
+		return nil, nil
+	}
+	r.excluded = append(r.excluded, first.choice.Server.Agent)
+	second, refusal := r.prepare(ctx)
+	if refusal != nil {
+		return nil, nil
+	}
+	return second, c.start(ctx, r, second)
+}
+
+// settle tells everybody concerned how an attempt ended.
+func (r *run) settle(ctx context.Context, t *transfer) {
+	o := r.step.options
+	call := &r.exchange.Call
+	overloaded := t.final != nil && t.final.Refusal == track.RefusedFull && !t.isolated ||
+		t.status == http.StatusServiceUnavailable || t.status == http.StatusTooManyRequests ||
+		ctx.Err() != nil && t.firstByte == 0 && r.expired()
+	o.Router.Done(t.choice, track.Result{
+		Outcome:    t.outcome(),
+		Failed:     !t.lost && t.replicaFailed(),
+		Overloaded: overloaded,
+		FirstByte:  t.firstByte,
+		Duration:   o.Clock.Since(t.started),
+	})
+	r.exchange.Tokens += t.tokens
+	succeeded := t.whole() && t.status < serverErrorStatus && !t.final.Crashed
+	o.Crashes.End(call.Fingerprint, crash.End{
+		Crashed:   t.final != nil && t.final.Crashed,
+		Completed: succeeded,
+		Isolated:  t.choice.Isolated,
+	})
+	if t.provenNotRun() {
+		return
+	}
+	r.tainted = true
+	if !t.lost {
+		o.Retries.Observe(call, t.choice.Server.Agent, succeeded)
+	}
+}
+
+// again decides whether the call is tried again, and waits for that. If not, it
+// puts into the refusal when the caller may come back.
+func (r *run) again(ctx context.Context, refusal *flow.RefusalError) bool {
+	o := r.step.options
+	call := &r.exchange.Call
+	if v := o.Crashes.Check(call.Fingerprint); v.Standing == crash.Quarantined {
+		*refusal = *screen.Refusal(call.Fingerprint, v.RetryAfter, refusal.Outcome)
+		return false
+	}
+	f := retry.Failure{
+		Attempts: int(r.number) - r.reroutes,
+		Reroutes: r.reroutes,
+		Outcome:  r.latest.outcome(),
+		Refused:  r.latest.final != nil && r.latest.final.Refusal != "",
+		Crashed:  r.latest.final != nil && r.latest.final.Crashed,
+		Spared:   r.spared,
+		Expected: o.Expected(call.Target),
+	}
+	d := o.Retries.Next(call, f)
+	r.logDecision("retry", d.Again, string(d.Reason), d.Delay)
+	if !d.Again {
+		refusal.RetryAfter = d.RetryAfter
+		return false
+	}
+	switch d.Reason {
+	case retry.ReasonReroute:
+		r.reroutes++
+	case retry.ReasonCrash:
+		r.spared = true
+	}
+	return r.pause(ctx, d.Delay)
+}
+
+// pause waits before the next attempt. It reports whether the call still runs.
+func (r *run) pause(ctx context.Context, delay time.Duration) bool {
+	if delay <= 0 {
+		return true
+	}
+	select {
+	case <-r.step.options.Clock.After(delay):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (r *run) logDecision(kind string, again bool, reason string, delay time.Duration) {
+	o := r.step.options
+	if !o.LogDecisions {
+		return
+	}
+	o.Logger.Info(kind,
+		zap.String("RequestID", string(r.exchange.Call.ID)),
+		zap.Uint32("Attempt", r.number),
+		zap.Bool("Again", again),
+		zap.String("Reason", reason),
+		zap.Duration("Delay", delay))
+}
+
+// countTokens counts the chunks of a generation, each of which carries a token.
+func (t *transfer) countTokens(data []byte) {
+	if t.status < errorStatus {
+		t.tokens += bytes.Count(data, []byte("\n")) + 1
+	}
+}
--- a/entry/send/bench_test.go
+++ b/entry/send/bench_test.go
@@ -30,7 +30,7 @@
 			step := New(Options{Router: router, Clock: clockwork.NewRealClock(), Logger: logger, LogDecisions: logged})
 			r := &run{step: step, exchange: &flow.Exchange{Call: track.Call{ID: "request", Target: "dispatch-llm"}}}
 			for b.Loop() {
-				choice, err := r.pick()
+				choice, err := r.pick(false)
 				if err != nil {
 					b.Fatal(err)
 				}
--- a/entry/send/judge.go
+++ b/entry/send/judge.go
@@ -31,7 +31,7 @@
 		return r.ended(ctx), false
 	case t.provenNotRun():
 		r.excluded = append(r.excluded, choice.Server.Agent)
-		return r.refuse(http.StatusServiceUnavailable, "no_backend_server", r.fault(t)), true
+		return r.refuse(http.StatusServiceUnavailable, codeNoServer, r.fault(t)), true
 	case !t.whole() || t.cutOff():
 		r.excluded = append(r.excluded, choice.Server.Agent)
 		if r.answer.Committed() {
@@ -84,7 +84,7 @@
 	if r.expired() || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return r.refuse(http.StatusGatewayTimeout, "deadline_exceeded", "the deadline of the request has passed")
 	}
-	return r.refuse(statusClientClosed, "caller_gone", "the caller closed the request")
+	return r.refuse(flow.StatusClientClosed, "caller_gone", "the caller closed the request")
 }
 
 // expired reports whether the caller's deadline has passed. The agent may notice
@@ -93,9 +93,6 @@
 	return !r.step.options.Clock.Now().Before(r.exchange.Call.Deadline)
 }
 
-// statusClientClosed is the customary status for a caller that went away.
-const statusClientClosed = 499
-
 func (r *run) fault(t *transfer) string {
 	switch {
 	case t.final != nil && t.final.Refusal != "":
--- a/entry/send/send.go
+++ b/entry/send/send.go
@@ -11,9 +11,11 @@
 	"go.uber.org/zap"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/crash"
 	"filberttrack.example/track/entry/flow"
 	"filberttrack.example/track/entry/relay"
 	"filberttrack.example/track/frames"
+	"filberttrack.example/track/retry"
 )
 
 // Options holds what the step is made of.
@@ -25,6 +27,12 @@
 	Limits relay.Limits
 	// Drops counts frames out of sequence.
 	Drops *frames.Drops
+	// Retries decides what follows a failed or slow attempt.
+	Retries *retry.Retrier
+	// Crashes keeps requests that crash backend servers apart.
+	Crashes *crash.Tracker
+	// Expected returns the expected duration of an attempt at a target.
+	Expected func(target string) time.Duration
 	// LogDecisions turns on a log line for each routing decision.
 	LogDecisions bool
 }
@@ -42,6 +50,9 @@
 // String returns the name of the step.
 func (*Step) String() string { return "run on a backend server" }
 
+// codeNoServer is the code of a refusal for want of a replica.
+const codeNoServer = "no_backend_server"
+
 // retryAfterNoServer tells a caller when to come back if no replica is live.
 const retryAfterNoServer = 2 * time.Second
 
@@ -54,12 +65,19 @@
 	defer cancel()
 	r := &run{step: s, exchange: x, answer: relay.For(x, s.options.Limits)}
 	r.reset()
+	s.options.Retries.First(&x.Call)
+	var before *flow.RefusalError
 	for {
 		refusal, again := r.attempt(ctx)
+		if refusal != nil && refusal.Code == codeNoServer && before != nil {
+			// The failure of the attempt before says more.
+			refusal, again = before, false
+		}
 		if refusal == nil {
 			return nil
 		}
-		if again && r.mayRetry(ctx) {
+		if again && r.mayRetry(ctx) && r.again(ctx, refusal) {
+			before = refusal
 			continue
 		}
 		if r.answer.Committed() {
@@ -83,6 +101,12 @@
 	transcript *frames.Transcript
 	// body is the request that continues a generation; nil before that.
 	body []byte
+	// latest is the attempt that was judged last.
+	latest *transfer
+	// reroutes is the number of attempts that were refused before they started.
+	reroutes int
+	// spared is set once a retry was spared the budget.
+	spared bool
 }
 
 // mayRetry reports whether a further attempt is allowed.
@@ -94,39 +118,10 @@
 	if call.NonIdempotent && r.tainted {
 		return false
 	}
-	return int(r.number) < max(1, call.Profile.Retry.MaxAttempts)
-}
-
-// attempt runs one attempt. It returns nil if the caller has the whole answer;
-// otherwise the refusal to give and whether another replica may do better.
-func (r *run) attempt(ctx context.Context) (*flow.RefusalError, bool) {
-	choice, err := r.pick()
-	if err != nil {
-		return r.noServer(err), false
-	}
-	started := r.step.options.Clock.Now()
-	t := &transfer{
-		answer:     r.answer,
-		clock:      r.step.options.Clock,
-		started:    started,
-		transcript: r.transcript,
-		checker:    frames.NewChecker(track.AttemptID{Request: r.exchange.Call.ID, Number: r.number}, r.step.options.Drops),
-	}
-	t.run(ctx, r, choice)
-	result := track.Result{
-		Outcome:   t.outcome(),
-		Failed:    t.replicaFailed(),
-		FirstByte: t.firstByte,
-		Duration:  r.step.options.Clock.Since(started),
-	}
-	r.step.options.Router.Done(choice, result)
-	if !t.provenNotRun() {
-		r.tainted = true
-	}
-	return r.judge(ctx, choice, t)
+	return int(r.number)-r.reroutes < max(1, call.Profile.Retry.MaxAttempts)
 }
 
-func (r *run) pick() (track.Choice, error) {
+func (r *run) pick(isolated bool) (track.Choice, error) {
 	call := &r.exchange.Call
 	r.number++
 	choice, err := r.step.options.Router.Pick(track.Query{
@@ -135,6 +130,7 @@
 		Tokens:   call.PromptTokens + call.MaxTokens,
 		Prefixes: call.Prefixes,
 		Excluded: r.excluded,
+		Isolated: isolated,
 	})
 	if r.step.options.LogDecisions {
 		r.step.options.Logger.Info("route",
@@ -156,7 +152,7 @@
 	}
 	return &flow.RefusalError{
 		Status:     http.StatusServiceUnavailable,
-		Code:       "no_backend_server",
+		Code:       codeNoServer,
 		Message:    err.Error(),
 		Outcome:    outcome,
 		RetryAfter: retryAfterNoServer,
--- a/entry/send/transfer.go
+++ b/entry/send/transfer.go
@@ -31,10 +31,22 @@
 	// callerErr is set if the caller's connection failed.
 	callerErr error
 	neverSent bool
+
+	choice track.Choice
+	// number is the number of the attempt, from 1.
+	number uint32
+	// isolated is set for a suspect of a crash.
+	isolated bool
+	// contest is set if the attempt may get a rival; lost once the rival answers.
+	contest *contest
+	lost    bool
+	// tokens counts the chunks received.
+	tokens int
 }
 
 // run dispatches the attempt and relays its frames.
-func (t *transfer) run(ctx context.Context, r *run, choice track.Choice) {
+func (t *transfer) run(ctx context.Context, r *run) {
+	choice := t.choice
 	server, err := Stamped(ctx, r.step.options.Dialer, choice.Server)
 	if err != nil {
 		t.err = err
@@ -51,14 +63,15 @@
 		t.neverSent = true
 		return
 	}
-	t.err = agent.Run(ctx, dispatchOf(r, server, t.clock.Now()), t.frame)
+	t.err = agent.Run(ctx, dispatchOf(r, t, server), t.frame)
 	t.neverSent = t.err != nil && track.IsKind(t.err, track.Unavailable)
 }
 
-// dispatchOf returns the dispatch of the call's present attempt.
-func dispatchOf(r *run, server track.BackendServer, now time.Time) track.Dispatch {
-	d := DispatchOf(&r.exchange.Call, now)
-	d.ID = track.AttemptID{Request: r.exchange.Call.ID, Number: r.number}
+// dispatchOf returns the dispatch of an attempt at the call.
+func dispatchOf(r *run, t *transfer, server track.BackendServer) track.Dispatch {
+	d := DispatchOf(&r.exchange.Call, t.clock.Now())
+	d.Isolated = t.isolated
+	d.ID = track.AttemptID{Request: r.exchange.Call.ID, Number: t.number}
 	d.Agent = server.Agent
 	d.Incarnation = server.Incarnation
 	d.Stamp = server.Load.Stamp
@@ -89,6 +102,15 @@
 	if !t.checker.Accept(f) {
 		return nil
 	}
+	if t.contest != nil && f.Kind != track.FrameFinal {
+		if f.Kind == track.FrameHeader && f.Status >= serverErrorStatus {
+			t.status = f.Status
+			return errUnfit
+		}
+		if err := t.contest.claim(t); err != nil {
+			return err
+		}
+	}
 	switch f.Kind {
 	case track.FrameHeader:
 		t.status = f.Status
@@ -120,6 +142,7 @@
 			return err
 		}
 	}
+	t.countTokens(data)
 	err := t.answer.Data(data)
 	if err != nil {
 		t.callerErr = err
--- a/poll/poll.go
+++ b/poll/poll.go
@@ -126,6 +126,8 @@
 	var servers []track.BackendServer
 	for i, r := range reports {
 		if r.Incarnation == 0 || r.Leaving || !r.Up || agents[i].State == track.Leaving {
+			// On its return it is fresh again.
+			delete(p.joined, agents[i].ID)
 			continue
 		}
 		if _, ok := p.joined[agents[i].ID]; !ok {
@@ -139,6 +141,8 @@
 			Address:     agents[i].Address,
 			Joined:      p.joined[agents[i].ID],
 			Load:        r.Load,
+			Group:       r.Instance.Group,
+			Reported:    now,
 		})
 	}
 	return servers
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -16,8 +16,16 @@
 	// healthyShare is the share of successes below which the floor is shut and
 	// deposits are halved.
 	healthyShare = 0.5
+	// lastFor is how long the latest result of a replica counts.
+	lastFor = 30 * time.Second
 )
 
+// last is the latest result of a replica.
+type last struct {
+	at        time.Time
+	succeeded bool
+}
+
 // budget holds the retries that one target is allowed.
 type budget struct {
 	policy  track.RetryPolicy
@@ -26,17 +34,34 @@
 	floor     float64
 	refilled  time.Time
 	succeeded float64
+	replicas  map[track.InstanceID]last
 }
 
 func newBudget(policy track.RetryPolicy, now time.Time) *budget {
-	return &budget{policy: policy, floor: maxDebt, refilled: now, succeeded: 1}
+	return &budget{policy: policy, floor: maxDebt, refilled: now, succeeded: 1, replicas: make(map[track.InstanceID]last)}
 }
 
 func (b *budget) healthy() bool {
 	return b.succeeded >= healthyShare
 }
 
-func (b *budget) observe(succeeded bool) {
+// mostServe reports whether at least half of the replicas that were used lately
+// completed their latest attempt. A crash is then one replica's, and what was in
+// flight there is retried whatever the budget.
+func (b *budget) mostServe(now time.Time) bool {
+	serving := 0
+	for agent, l := range b.replicas {
+		if now.Sub(l.at) >= lastFor {
+			delete(b.replicas, agent)
+		} else if l.succeeded {
+			serving++
+		}
+	}
+	return 2*serving >= len(b.replicas)
+}
+
+func (b *budget) observe(agent track.InstanceID, succeeded bool, now time.Time) {
+	b.replicas[agent] = last{now, succeeded}
 	target := 0.0
 	if succeeded {
 		target = 1
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -29,6 +29,7 @@
 const (
 	ReasonRetry     Reason = "Retry"
 	ReasonReroute   Reason = "Reroute"
+	ReasonCrash     Reason = "BackendServerCrashed"
 	ReasonHedge     Reason = "Hedge"
 	ReasonMayRun    Reason = "MayHaveRun"
 	ReasonAttempts  Reason = "NoAttemptsLeft"
@@ -49,6 +50,10 @@
 	Outcome track.Outcome
 	// Refused is set if the agent declined before it started.
 	Refused bool
+	// Crashed is set if the backend server died meanwhile, and Spared if a retry
+	// of this request was spared the budget for that already.
+	Crashed bool
+	Spared  bool
 	// Expected is the expected duration of another attempt.
 	Expected time.Duration
 }
@@ -86,10 +91,10 @@
 }
 
 // Observe counts the end of an attempt that reached a backend server.
-func (r *Retrier) Observe(call *track.Call, succeeded bool) {
+func (r *Retrier) Observe(call *track.Call, agent track.InstanceID, succeeded bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.budget(call).observe(succeeded)
+	r.budget(call).observe(agent, succeeded, r.clock.Now())
 }
 
 // Next decides what follows a failed attempt.
@@ -110,7 +115,11 @@
 	if now.Add(delay + f.Expected).After(call.Deadline) {
 		return r.giveUp(call, ReasonDeadline)
 	}
-	if !r.budget(call).withdraw(now) {
+	b := r.budget(call)
+	if f.Crashed && !f.Spared && b.mostServe(now) {
+		return Decision{Again: true, Reason: ReasonCrash}
+	}
+	if !b.withdraw(now) {
 		return r.giveUp(call, ReasonBudget)
 	}
 	return Decision{Again: true, Delay: delay, Reason: ReasonRetry}
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -72,7 +72,7 @@
 			for range 10000 {
 				call := lookup(clock.Now())
 				r.First(call)
-				r.Observe(call, true)
+				r.Observe(call, "agent-1", true)
 			}
 			const callers = 300
 			load := 0
@@ -91,8 +91,8 @@
 func run(r *retry.Retrier, call *track.Call) int {
 	r.First(call)
 	for attempts := 1; ; attempts++ {
-		r.Observe(call, false)
-		if !r.Next(call, retry.Failure{Attempts: attempts}).Again {
+		r.Observe(call, "agent-1", false)
+		if !r.Next(call, retry.Failure{Attempts: attempts, Crashed: attempts%2 == 0}).Again {
 			return attempts
 		}
 	}
@@ -118,7 +118,7 @@
 		clock.Advance(time.Second)
 		call := lookup(clock.Now())
 		r.First(call)
-		r.Observe(call, i%4 != 0)
+		r.Observe(call, "agent-1", i%4 != 0)
 		if i%4 == 0 && r.Next(call, retry.Failure{Attempts: 1}).Again {
 			retries++
 		}
@@ -126,6 +126,31 @@
 	assert.Assert(t, float64(retries) <= policy.Share*calls+maxLoan, "%d retries", retries)
 }
 
+// TestCrashSparesTheInnocent has one replica of four die with thirty attempts in
+// flight: all are retried, whatever the budget; but not if all replicas die.
+func TestCrashSparesTheInnocent(t *testing.T) {
+	const inFlight = 30
+	for _, c := range []struct {
+		dying, atLeast, atMost int
+	}{{1, inFlight, inFlight}, {4, 0, inFlight/2 + 8}} {
+		r, clock := newRetrier(8)
+		call := lookup(clock.Now())
+		for i := range 4 {
+			r.First(call)
+			r.Observe(call, track.InstanceID(fmt.Sprint(i)), true)
+		}
+		retried := 0
+		for i := range inFlight {
+			r.First(call)
+			r.Observe(call, track.InstanceID(fmt.Sprint(i%c.dying)), false)
+			if r.Next(call, retry.Failure{Attempts: 1, Crashed: true}).Again {
+				retried++
+			}
+		}
+		assert.Assert(t, retried >= c.atLeast && retried <= c.atMost, "%d of 4 die: %d retried", c.dying, retried)
+	}
+}
+
 func TestBackoffIsJittered(t *testing.T) {
 	r, clock := newRetrier(2)
 	var sum [2]time.Duration
@@ -135,7 +160,7 @@
 			call := lookup(clock.Now())
 			for range 20 {
 				r.First(call)
-				r.Observe(call, true)
+				r.Observe(call, "agent-1", true)
 			}
 			d := r.Next(call, retry.Failure{Attempts: i + 1})
 			assert.Assert(t, d.Delay >= 0 && d.Delay < policy.Backoff<<(i+1))
@@ -162,7 +187,7 @@
 	assert.Assert(t, !ok)
 	assert.Equal(t, reason, retry.ReasonMayRun)
 	for range 50 {
-		r.Observe(call, false)
+		r.Observe(call, "agent-1", false)
 	}
 	ok, reason = r.Hedge(call, 1, slow)
 	assert.Assert(t, !ok)
--- a/router/errors.go
+++ b/router/errors.go
@@ -11,11 +11,13 @@
 	NoReplica Kind = iota
 	// Full means that all replicas run as much as their windows allow.
 	Full
+	// Tried means that all replicas within reach already failed the request.
+	Tried
 )
 
 // String returns the kind in lower case.
 func (k Kind) String() string {
-	return [...]string{NoReplica: "no replica", Full: "all replicas full"}[k]
+	return [...]string{NoReplica: "no replica", Full: "all replicas full", Tried: "no other replica"}[k]
 }
 
 // Error is the error of this package.
@@ -25,4 +27,5 @@
 var (
 	errNoReplica = &Error{Op: "pick a replica", Kind: NoReplica}
 	errFull      = &Error{Op: "pick a replica", Kind: Full}
+	errTried     = &Error{Op: "pick a replica", Kind: Tried}
 )
--- a/router/pool.go
+++ b/router/pool.go
@@ -34,6 +34,8 @@
 	// own and foreign are sums over the replicas.
 	own     amount
 	foreign amount
+	// oldest is the greatest age of a replica that is in, in parts of slowStart.
+	oldest float64
 	// slots is the sum of the windows that are in, as of slotsAt.
 	slots   int
 	slotsAt time.Time
@@ -99,7 +101,12 @@
 	if now.Sub(a.slotsAt) < slotsAge {
 		return a.slots
 	}
-	a.slots, a.slotsAt = 0, now
+	a.slots, a.slotsAt, a.oldest = 0, now, startShare
+	for _, r := range a.replicas {
+		if !r.ejected(now) {
+			a.oldest = max(a.oldest, r.age(now))
+		}
+	}
 	for _, r := range a.replicas {
 		if !r.ejected(now) {
 			a.slots += r.slots(now)
--- a/router/replica.go
+++ b/router/replica.go
@@ -88,8 +88,14 @@
 	return r.area.pool.weigh(total)
 }
 
-// ramp returns the share of the full load that the replica may take.
+// ramp returns the share of the full load that the replica may take. It is
+// relative to the most mature replica of the zone: where all are fresh, as after
+// a start of the entry, none is spared.
 func (r *replica) ramp(now time.Time) float64 {
+	return min(r.age(now)/r.area.oldest, 1)
+}
+
+func (r *replica) age(now time.Time) float64 {
 	return min(max(float64(now.Sub(r.since))/float64(slowStart), startShare), 1)
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -23,6 +23,8 @@
 	pools    map[string]*pool
 	replicas map[track.InstanceID]*replica
 	prefixes *prefixes
+	// drawn is the space for the groups of one decision.
+	drawn []*group
 }
 
 var _ track.Router = (*Router)(nil)
@@ -34,10 +36,12 @@
 		pools:    make(map[string]*pool),
 		replicas: make(map[track.InstanceID]*replica),
 		prefixes: newPrefixes(),
+		drawn:    make([]*group, 0, choices),
 	}
 }
 
-// Pick implements track.Router. It fails with kind NoReplica or Full.
+// Pick implements track.Router. It fails with kind NoReplica, Full
+// or Tried.
 func (r *Router) Pick(q track.Query) (track.Choice, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -88,6 +92,7 @@
 				a.build()
 			}
 			a.sum()
+			a.sumSlots(r.clock.Now())
 		}
 	}
 }
@@ -123,7 +128,7 @@
 	}
 	a := p.area(server.Zone)
 	if a == nil {
-		a = &area{pool: p, zone: server.Zone}
+		a = &area{pool: p, zone: server.Zone, oldest: startShare}
 		p.areas = append(p.areas, a)
 	}
 	added := newReplica(server)
--- a/router/search.go
+++ b/router/search.go
@@ -7,11 +7,12 @@
 	"filberttrack.example/track"
 )
 
-// samples bounds the draws for the two choices before all replicas are scanned.
-const samples = 6
-
-// choices is the number of groups that are weighed.
-const choices = 3
+const (
+	// choices is the number of groups that are weighed.
+	choices = 3
+	// redraws bounds the draws before all replicas are scanned.
+	redraws = 2
+)
 
 // search is one routing decision.
 type search struct {
@@ -56,12 +57,19 @@
 
 // none returns why no replica was found.
 func (s *search) none() error {
-	for _, a := range s.router.pools[s.query.Target].areas {
-		if len(a.replicas) > 0 && s.reachable(a) {
-			return errFull
+	failure := errNoReplica
+	for _, a := range s.pool.areas {
+		if !s.reachable(a) {
+			continue
+		}
+		for _, r := range a.replicas {
+			if !s.excluded(r) {
+				return errFull
+			}
+			failure = errTried
 		}
 	}
-	return errNoReplica
+	return failure
 }
 
 // usable reports whether a replica may take the attempt.
@@ -202,24 +210,31 @@
 	return best
 }
 
-// twoChoices draws two groups and returns the better one's least loaded replica.
-func (s *search) twoChoices(a *area) *replica {
-	if len(a.groups) == 0 {
-		return nil
+// draw returns the groups to weigh: a few at random, or all if there are no more.
+func (s *search) draw(a *area) []*group {
+	if len(a.groups) <= choices {
+		return a.groups
 	}
+	drawn := s.router.drawn[:0]
+	for range choices {
+		drawn = append(drawn, a.groups[s.router.rng.IntN(len(a.groups))])
+	}
+	return drawn
+}
+
+// twoChoices returns the best replica of a few groups, or nil if none of them has
+// a usable one.
+func (s *search) twoChoices(a *area) *replica {
 	var best *replica
 	var bestScore float64
-	drawn := 0
-	for range samples {
-		g := a.groups[s.router.rng.IntN(len(a.groups))]
-		r, score := s.score(g)
-		if r == nil || r == best {
-			continue
-		}
-		if best == nil || score < bestScore {
-			best, bestScore = r, score
+	for range redraws {
+		for _, g := range s.draw(a) {
+			r, score := s.score(g)
+			if r != nil && (best == nil || score < bestScore) {
+				best, bestScore = r, score
+			}
 		}
-		if drawn++; drawn == choices {
+		if best != nil || len(a.groups) <= choices {
 			break
 		}
 	}
@@ -251,16 +266,16 @@
 }
 
 // scan returns the least loaded replica that has room, when sampling found none.
-// A replica that already failed the request, or one with a suspect, is better
-// than none.
+// An ejected replica, or one with a suspect, is better than none; one that
+// already failed the request is not.
 func (s *search) scan(a *area) *replica {
 	var best *replica
 	var least float64
 	for _, r := range a.replicas {
-		s.weighed++
-		if r.full(s.now) {
+		if r.full(s.now) || s.excluded(r) {
 			continue
 		}
+		s.weighed++
 		load := r.load(s.now) + s.penalty(r, a)
 		if best == nil || load < least {
 			best, least = r, load
@@ -273,14 +288,11 @@
 func (s *search) penalty(r *replica, a *area) float64 {
 	worst := 1 + 2*a.pool.weigh(a.own.plus(a.foreign, 1))
 	penalty := 0.0
-	if s.excluded(r) {
-		penalty += worst
-	}
 	if r.suspect {
-		penalty += 2 * worst
+		penalty += worst
 	}
 	if r.ejected(s.now) {
-		penalty += 4 * worst
+		penalty += 2 * worst
 	}
 	return penalty
 }
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -110,6 +110,7 @@
 		Priority:    int32(d.Priority),
 		Claim:       claimToWire(d.Claim),
 		Fingerprint: d.Fingerprint,
+		Isolated:    d.Isolated,
 	}
 }
 
@@ -130,6 +131,7 @@
 		Priority:    track.Priority(d.GetPriority()),
 		Claim:       claimFromWire(d.GetClaim()),
 		Fingerprint: d.GetFingerprint(),
+		Isolated:    d.GetIsolated(),
 	}
 }
 
