--- a/admit/gates.go
+++ b/admit/gates.go
@@ -17,6 +17,8 @@
 type Capacity interface {
 	// Slots returns 0 if the target has no replica within reach.
 	Slots(target string) int
+	// Replicas returns the number of replicas, within reach or not.
+	Replicas(target string) int
 }
 
 // Gates holds the gate of each target.
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -42,6 +42,8 @@
 	up      atomic.Bool
 	running atomic.Int64
 	seq     atomic.Uint64
+	// suspected asks for a probe at once.
+	suspected chan struct{}
 	// isolated is set while a suspect of a crash runs.
 	isolated atomic.Bool
 
@@ -52,8 +54,9 @@
 // New returns an agent that takes work at once.
 func New(options Options) *Agent {
 	a := &Agent{
-		options: options,
-		ledger:  ledger.New(options.Instance.ID, options.Incarnation, options.Clock, options.Ledger),
+		options:   options,
+		suspected: make(chan struct{}, 1),
+		ledger:    ledger.New(options.Instance.ID, options.Incarnation, options.Clock, options.Ledger),
 	}
 	a.up.Store(true)
 	return a
@@ -114,6 +117,10 @@
 		return track.RefusedLeaving
 	case d.Timeout <= 0:
 		return track.RefusedExpired
+	case !a.up.Load():
+		// What is sent to a dead backend server would count as in flight there when
+		// it died.
+		return track.RefusedDown
 	}
 	return ""
 }
--- a/agent/forward.go
+++ b/agent/forward.go
@@ -108,6 +108,10 @@
 	if a.up.Swap(false) {
 		a.options.Logger.Warn("backend server down", zap.Error(err))
 	}
+	select {
+	case a.suspected <- struct{}{}:
+	default:
+	}
 }
 
 // body relays the answer of a plain service.
--- a/agent/probe.go
+++ b/agent/probe.go
@@ -29,6 +29,7 @@
 		case <-ctx.Done():
 			return context.Cause(ctx)
 		case <-ticker.Chan():
+		case <-a.suspected:
 		}
 	}
 }
--- a/entry/plan.go
+++ b/entry/plan.go
@@ -77,6 +77,7 @@
 		Drops:        o.Drops,
 		Retries:      o.Retries,
 		Crashes:      o.Crashes,
+		Capacity:     o.Capacity,
 		Expected:     func(target string) time.Duration { return o.Gates.For(target).Expected() },
 		LogDecisions: o.LogDecisions,
 	})
--- a/entry/send/attempt.go
+++ b/entry/send/attempt.go
@@ -10,7 +10,6 @@
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/crash"
-	"filberttrack.example/track/duty"
 	"filberttrack.example/track/entry/flow"
 	"filberttrack.example/track/entry/screen"
 	"filberttrack.example/track/frames"
@@ -33,29 +32,55 @@
 // prepare chooses a replica for the next attempt.
 func (r *run) prepare(ctx context.Context) (*transfer, *flow.RefusalError) {
 	call := &r.exchange.Call
-	v := r.begin(ctx)
-	if v.Barred {
-		outcome := track.NotRun
-		if r.tainted {
-			outcome = track.Unknown
+	for {
+		v := r.begin(ctx)
+		if v.Barred {
+			return nil, screen.Refusal(call.Fingerprint, v.RetryAfter, r.refuse(0, "", "").Outcome)
 		}
-		return nil, screen.Refusal(call.Fingerprint, v.RetryAfter, outcome)
-	}
-	choice, err := r.pick(v.Standing == crash.Suspect)
-	if err != nil {
+		isolated := v.Standing == crash.Suspect && !r.crowded
+		choice, err := r.pick(isolated)
+		if err != nil {
+			r.step.options.Crashes.End(call.Fingerprint, crash.End{})
+			r.unplaced = true
+			return nil, r.noServer(err)
+		}
+		if !isolated || choice.Isolated {
+			return r.transfer(choice, isolated), nil
+		}
+		r.step.options.Router.Done(choice, track.Result{Outcome: track.NotRun})
 		r.step.options.Crashes.End(call.Fingerprint, crash.End{})
-		return nil, r.noServer(err)
+		r.awaitTurn(ctx)
 	}
+}
+
+func (r *run) transfer(choice track.Choice, isolated bool) *transfer {
+	o := r.step.options
 	return &transfer{
 		answer:     r.answer,
-		clock:      r.step.options.Clock,
-		started:    r.step.options.Clock.Now(),
+		clock:      o.Clock,
+		started:    o.Clock.Now(),
 		transcript: r.transcript,
 		choice:     choice,
 		number:     r.number,
-		isolated:   v.Standing == crash.Suspect,
-		checker:    frames.NewChecker(track.AttemptID{Request: call.ID, Number: r.number}, r.step.options.Drops),
-	}, nil
+		isolated:   isolated,
+		checker:    frames.NewChecker(track.AttemptID{Request: r.exchange.Call.ID, Number: r.number}, o.Drops),
+	}
+}
+
+// turnInterval is the time between two looks for a replica without a suspect.
+const turnInterval = 25 * time.Millisecond
+
+// awaitTurn lets a suspect wait until others have run. With more suspects than
+// replicas it runs beside another one after a quarter of its time.
+func (r *run) awaitTurn(ctx context.Context) {
+	now := r.step.options.Clock.Now()
+	if r.turns == 0 {
+		r.patience = now.Add(r.exchange.Call.Deadline.Sub(now) / 4)
+	}
+	r.turns++
+	if !r.pause(ctx, turnInterval) || !r.step.options.Clock.Now().Before(r.patience) {
+		r.crowded = true
+	}
 }
 
 // begin asks whether the call may run now. A suspect of a crash waits for another
@@ -96,27 +121,27 @@
 		last = c.wait(first, second, firstDone, secondDone)
 		r.settle(ctx, second)
 	} else {
-		<-firstDone.Done()
+		<-firstDone
 	}
 	r.settle(ctx, first)
 	return last
 }
 
 // hedge sends a second attempt if the first has not answered in time.
-func (r *run) hedge(ctx context.Context, c *contest, first *transfer, firstDone *duty.Duty) (*transfer, *duty.Duty) {
+func (r *run) hedge(ctx context.Context, c *contest, first *transfer, firstDone <-chan struct{}) (*transfer, <-chan struct{}) {
 	o := r.step.options
 	call := &r.exchange.Call
 	timer := o.Clock.NewTimer(call.Profile.Hedge.After)
 	defer timer.Stop()
 	select {
-	case <-firstDone.Done():
+	case <-firstDone:
 		return nil, nil
 	case <-timer.Chan():
 	}
 	if c.decided() {
 		return nil, nil
 	}
-	again, reason := o.Retries.Hedge(call, int(r.number)-r.reroutes, o.Clock.Since(first.started))
+	again, reason := o.Retries.Hedge(call, int(r.number)-r.reroutes-r.turns, o.Clock.Since(first.started))
 	r.logDecision("hedge", again, string(reason), 0)
 	if !again {
 		return nil, nil
@@ -139,12 +164,13 @@
 	o.Router.Done(t.choice, track.Result{
 		Outcome:    t.outcome(),
 		Failed:     !t.lost && t.replicaFailed(),
+		Down:       t.final != nil && (t.final.Crashed || t.final.Refusal == track.RefusedDown),
 		Overloaded: overloaded,
 		FirstByte:  t.firstByte,
 		Duration:   o.Clock.Since(t.started),
 	})
 	r.exchange.Tokens += t.tokens
-	succeeded := t.whole() && t.status < serverErrorStatus && !t.final.Crashed
+	succeeded := t.outcome() == track.Completed && t.status < serverErrorStatus && !t.final.Crashed
 	o.Crashes.End(call.Fingerprint, crash.End{
 		Crashed:   t.final != nil && t.final.Crashed,
 		Completed: succeeded,
@@ -168,13 +194,19 @@
 		*refusal = *screen.Refusal(call.Fingerprint, v.RetryAfter, refusal.Outcome)
 		return false
 	}
+	if r.latest.isolated && r.latest.refused() && !r.latest.neverSent && r.latest.final.Refusal == track.RefusedFull {
+		r.excluded = r.excluded[:len(r.excluded)-1]
+		r.awaitTurn(ctx)
+		return ctx.Err() == nil
+	}
 	f := retry.Failure{
-		Attempts: int(r.number) - r.reroutes,
+		Attempts: int(r.number) - r.reroutes - r.turns,
 		Reroutes: r.reroutes,
 		Outcome:  r.latest.outcome(),
-		Refused:  r.latest.final != nil && r.latest.final.Refusal != "",
+		Refused:  r.latest.refused(),
 		Crashed:  r.latest.final != nil && r.latest.final.Crashed,
 		Spared:   r.spared,
+		Replicas: o.Capacity.Replicas(call.Target),
 		Expected: o.Expected(call.Target),
 	}
 	d := o.Retries.Next(call, f)
@@ -218,6 +250,15 @@
 		zap.Duration("Delay", delay))
 }
 
+// refused reports whether the attempt never reached the backend server: the agent
+// declined it, or the dispatch never left.
+func (t *transfer) refused() bool {
+	if t == nil || !t.provenNotRun() {
+		return false
+	}
+	return t.neverSent || t.final.Refusal != ""
+}
+
 // countTokens counts the chunks of a generation, each of which carries a token.
 func (t *transfer) countTokens(data []byte) {
 	if t.status < errorStatus {
--- a/entry/send/contest.go
+++ b/entry/send/contest.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"sync"
-
-	"filberttrack.example/track/duty"
 )
 
 var (
@@ -23,19 +21,21 @@
 	cancels  []context.CancelFunc
 }
 
-// start runs an attempt on its own goroutine.
-func (c *contest) start(ctx context.Context, r *run, t *transfer) *duty.Duty {
+// start runs an attempt on its own goroutine. The channel is closed at its end.
+func (c *contest) start(ctx context.Context, r *run, t *transfer) <-chan struct{} {
 	ctx, cancel := context.WithCancel(ctx)
 	t.contest = c
 	c.mu.Lock()
 	c.contends = append(c.contends, t)
 	c.cancels = append(c.cancels, cancel)
 	c.mu.Unlock()
-	return duty.Start(ctx, "attempt", func(ctx context.Context) error {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
 		defer cancel()
 		t.run(ctx, r)
-		return nil
-	})
+	}()
+	return ended
 }
 
 // claim lets an attempt answer, unless its rival does already. The loser is
@@ -67,14 +67,14 @@
 
 // wait waits for the end of both attempts, and returns the one that answered; the
 // later one, if none did.
-func (c *contest) wait(first, second *transfer, firstDone, secondDone *duty.Duty) *transfer {
+func (c *contest) wait(first, second *transfer, firstDone, secondDone <-chan struct{}) *transfer {
 	last := first
 	select {
-	case <-firstDone.Done():
+	case <-firstDone:
 		last = second
-		<-secondDone.Done()
-	case <-secondDone.Done():
-		<-firstDone.Done()
+		<-secondDone
+	case <-secondDone:
+		<-firstDone
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/entry/send/send.go
+++ b/entry/send/send.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/admit"
 	"filberttrack.example/track/crash"
 	"filberttrack.example/track/entry/flow"
 	"filberttrack.example/track/entry/relay"
@@ -33,6 +34,7 @@
 	Crashes *crash.Tracker
 	// Expected returns the expected duration of an attempt at a target.
 	Expected func(target string) time.Duration
+	Capacity admit.Capacity
 	// LogDecisions turns on a log line for each routing decision.
 	LogDecisions bool
 }
@@ -69,7 +71,7 @@
 	var before *flow.RefusalError
 	for {
 		refusal, again := r.attempt(ctx)
-		if refusal != nil && refusal.Code == codeNoServer && before != nil {
+		if r.unplaced && before != nil {
 			// The failure of the attempt before says more.
 			refusal, again = before, false
 		}
@@ -105,6 +107,13 @@
 	latest *transfer
 	// reroutes is the number of attempts that were refused before they started.
 	reroutes int
+	// turns is the number of times that a suspect of a crash waited for a replica,
+	// patience the time until which it does, and crowded set after that.
+	turns    int
+	patience time.Time
+	crowded  bool
+	// unplaced is set if no replica was found for the present attempt.
+	unplaced bool
 	// spared is set once a retry was spared the budget.
 	spared bool
 }
@@ -118,7 +127,16 @@
 	if call.NonIdempotent && r.tainted {
 		return false
 	}
-	return int(r.number)-r.reroutes < max(1, call.Profile.Retry.MaxAttempts)
+	return r.attempts() < max(1, call.Profile.Retry.MaxAttempts)
+}
+
+// attempts returns the number of attempts that an agent took on.
+func (r *run) attempts() int {
+	n := int(r.number) - r.reroutes - r.turns
+	if r.latest.refused() {
+		n--
+	}
+	return n
 }
 
 func (r *run) pick(isolated bool) (track.Choice, error) {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -45,19 +45,19 @@
 	return b.succeeded >= healthyShare
 }
 
-// mostServe reports whether at least half of the replicas that were used lately
-// completed their latest attempt. A crash is then one replica's, and what was in
-// flight there is retried whatever the budget.
-func (b *budget) mostServe(now time.Time) bool {
-	serving := 0
+// mostServe reports whether at most half of the replicas failed their latest
+// attempt. A crash is then one replica's, and what was in flight there is
+// retried whatever the budget.
+func (b *budget) mostServe(replicas int, now time.Time) bool {
+	failing := 0
 	for agent, l := range b.replicas {
 		if now.Sub(l.at) >= lastFor {
 			delete(b.replicas, agent)
-		} else if l.succeeded {
-			serving++
+		} else if !l.succeeded {
+			failing++
 		}
 	}
-	return 2*serving >= len(b.replicas)
+	return 2*failing <= max(replicas, len(b.replicas))
 }
 
 func (b *budget) observe(agent track.InstanceID, succeeded bool, now time.Time) {
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -54,6 +54,8 @@
 	// of this request was spared the budget for that already.
 	Crashed bool
 	Spared  bool
+	// Replicas is the number of replicas of the target.
+	Replicas int
 	// Expected is the expected duration of another attempt.
 	Expected time.Duration
 }
@@ -116,7 +118,7 @@
 		return r.giveUp(call, ReasonDeadline)
 	}
 	b := r.budget(call)
-	if f.Crashed && !f.Spared && b.mostServe(now) {
+	if f.Crashed && !f.Spared && b.mostServe(f.Replicas, now) {
 		return Decision{Again: true, Reason: ReasonCrash}
 	}
 	if !b.withdraw(now) {
--- a/route.go
+++ b/route.go
@@ -54,6 +54,8 @@
 	Outcome Outcome
 	// Failed is set if the replica, not the request, was at fault.
 	Failed bool
+	// Down is set if the backend server is known to be dead.
+	Down bool
 	// Overloaded is set if the replica declined or missed the deadline for load.
 	Overloaded bool
 	// FirstByte is the time to the first byte; 0 if there was none.
--- a/router/policy.go
+++ b/router/policy.go
@@ -8,6 +8,7 @@
 	ReasonHome     = "PrefixHome"
 	ReasonChoices  = "TwoChoices"
 	ReasonScan     = "LeastLoaded"
+	ReasonBeyond   = "BeyondWindow"
 	ReasonSpill    = "SpillToZone"
 	ReasonIsolated = "Isolated"
 	ReasonCrowded  = "IsolatedCrowded"
@@ -60,6 +61,9 @@
 
 	// groupShare is the weight of a group's greatest load beside the replica's own.
 	groupShare = 0.5
+	// overflow is the part of its window by which a replica may exceed it when all
+	// are full.
+	overflow = 0.25
 	// roomyShare is the ratio of queued attempts to capacity up to which latency
 	// cuts no window.
 	roomyShare = 1
--- a/router/replica.go
+++ b/router/replica.go
@@ -108,6 +108,13 @@
 	return int(r.own.attempts) >= r.slots(now)
 }
 
+// overfull reports whether the replica can't even take an attempt that was
+// admitted before its window shrank.
+func (r *replica) overfull(now time.Time) bool {
+	slots := r.slots(now)
+	return int(r.own.attempts) >= slots+max(int(overflow*float64(slots)), 1)
+}
+
 // latency returns the factor by which the replica is slower than its pool.
 func (r *replica) latency() float64 {
 	pool := r.area.pool.firstByte
@@ -130,6 +137,9 @@
 
 // learn takes in the result of an attempt.
 func (r *replica) learn(result track.Result, now time.Time) {
+	if result.Outcome == track.NotRun && !result.Failed && !result.Overloaded {
+		return
+	}
 	load := r.server.Load
 	r.window.Observe(admit.Sample{
 		InFlight: int(r.own.attempts), FirstByte: result.FirstByte, Overloaded: result.Overloaded,
@@ -148,7 +158,7 @@
 	}
 	r.failures++
 	r.failureShare += failureWeight * (1 - r.failureShare)
-	if r.failures >= maxFailures || r.attempts >= minAttempts && r.failureShare > maxFailureShare {
+	if result.Down || r.failures >= maxFailures || r.attempts >= minAttempts && r.failureShare > maxFailureShare {
 		r.eject(now)
 	}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -145,6 +145,19 @@
 	}
 }
 
+// Replicas returns the number of replicas of a target.
+func (r *Router) Replicas(target string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	if p, ok := r.pools[target]; ok {
+		for _, a := range p.areas {
+			n += len(a.replicas)
+		}
+	}
+	return n
+}
+
 // Slots returns the number of attempts at a target that this entry may have in
 // flight: the windows of the replicas within reach.
 func (r *Router) Slots(target string) int {
--- a/router/search.go
+++ b/router/search.go
@@ -112,22 +112,32 @@
 			chosen = away
 		}
 	}
-	var f found
+	f := s.anywhere(p, chosen, s.within)
+	if f.replica == nil {
+		f = s.anywhere(p, chosen, s.beyond)
+	}
+	if f.replica != nil && f.replica.area != local {
+		f.reason = ReasonSpill
+	}
+	return f
+}
+
+// anywhere searches the chosen zone, and then the others within reach.
+func (s *search) anywhere(p *pool, chosen *area, look func(*area) found) found {
 	if chosen != nil {
-		f = s.within(chosen)
+		if f := look(chosen); f.replica != nil {
+			return f
+		}
 	}
 	for _, a := range p.areas {
-		if f.replica != nil {
-			break
+		if a == chosen || !s.reachable(a) {
+			continue
 		}
-		if a != chosen && s.reachable(a) {
-			f = s.within(a)
+		if f := look(a); f.replica != nil {
+			return f
 		}
 	}
-	if f.replica != nil && f.replica.area != local {
-		f.reason = ReasonSpill
-	}
-	return f
+	return found{}
 }
 
 func (s *search) reachable(a *area) bool {
@@ -170,7 +180,13 @@
 	if r := s.twoChoices(a); r != nil {
 		return found{replica: r, reason: ReasonChoices}
 	}
-	return found{replica: s.scan(a), reason: ReasonScan}
+	return found{replica: s.scan(a, (*replica).full), reason: ReasonScan}
+}
+
+// beyond chooses a replica of one zone a little beyond its window, as windows may
+// have shrunk since the request was admitted.
+func (s *search) beyond(a *area) found {
+	return found{replica: s.scan(a, (*replica).overfull), reason: ReasonBeyond}
 }
 
 // affine chooses a replica for its prompt cache, unless it is too busy.
@@ -268,11 +284,11 @@
 // scan returns the least loaded replica that has room, when sampling found none.
 // An ejected replica, or one with a suspect, is better than none; one that
 // already failed the request is not.
-func (s *search) scan(a *area) *replica {
+func (s *search) scan(a *area, full func(*replica, time.Time) bool) *replica {
 	var best *replica
 	var least float64
 	for _, r := range a.replicas {
-		if r.full(s.now) || s.excluded(r) {
+		if full(r, s.now) || s.excluded(r) {
 			continue
 		}
 		s.weighed++
