--- a/cmd/filberttrack/main.go
+++ b/cmd/filberttrack/main.go
@@ -47,6 +47,7 @@
 			statusCommand(),
 			configCommand(),
 			quarantineCommand(),
+			expertsCommand(),
 		),
 	}
 }
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -15,6 +15,8 @@
 	Entry    Entry
 	Agent    Agent
 	Logging  Logging
+	// Operators says who may change something through the operators' listener.
+	Operators Operators
 	// Zone lists the availability zones of stand-ins, with their replicas.
 	Zone    []Zone
 	Standin Standin
@@ -80,12 +82,43 @@
 	BackendURL string
 	// Serves names the model or service of the backend server.
 	Serves string
-	Group  string
-	Ranks  int
+	// Group names the rank group that the backend server belongs to.
+	Group string
+	// Ranks is the number of ranks behind the agent, GroupRanks that of the whole
+	// group; 0 if all its ranks are behind the agent.
+	Ranks      int
+	GroupRanks int
+	// Experts describes the experts of the ranks.
+	Experts Experts
 	// StopTimeout bounds a planned stop.
 	StopTimeout time.Duration
 }
 
+// Experts describes the experts of a rank group and the fetching of their
+// weights.
+type Experts struct {
+	Layers int
+	// PerLayer is the number of experts of a layer.
+	PerLayer int
+	// Slots is the number of expert copies that a rank holds in each layer.
+	Slots int
+	// Bytes is the size of the weights of one expert in one layer.
+	Bytes int64
+	// FetchBytesPerSecond is the weight store's rate for each rank.
+	FetchBytesPerSecond int64
+	// StagedCopies is the number of copies that a rank has room to stage.
+	StagedCopies int
+}
+
+// Operators holds the admin token's file or its hash, never the token. With
+// neither, nothing can be changed through the operators' listener.
+type Operators struct {
+	// TokenFile names a file with the admin token.
+	TokenFile string
+	// TokenSHA256 is the hexadecimal SHA-256 of the admin token.
+	TokenSHA256 string
+}
+
 // Logging says how a process logs.
 type Logging struct {
 	// Level is debug, info, warn or error.
--- a/swap/driver.go
+++ b/swap/driver.go
@@ -53,16 +53,13 @@
 
 // armAhead is the number of steps between the furthest rank and the step of a
 // switch; orders have that long to arrive before a rank holds.
-const armAhead = 4
+const armAhead = 8
 
 // Plan is what a driver is to do once the group is settled.
 type Plan struct {
-	// Map is the map to change to; nil to settle only. Its version is set by the
-	// driver.
-	Map *track.ExpertMap
-	// Base is the version that the map was planned from; the change is not begun
-	// if the group uses another.
-	Base track.Ballot
+	// Change is the change of the map; nil to settle only. It is not begun if the
+	// group uses another map than its base. Its version is set by the driver.
+	Change *track.MapChange
 	// Default is the map for a group whose ranks are all blank.
 	Default track.ExpertMap
 }
@@ -70,24 +67,24 @@
 // Driver is one attempt under one ballot. It is not safe for concurrent use.
 type Driver struct {
 	ballot  track.Ballot
-	members []track.InstanceID
+	members []track.RankID
 	plan    Plan
 
 	phase phase
 	// replies holds the accepted reply of each member in this phase.
-	replies map[track.InstanceID]track.MapReply
+	replies map[track.RankID]track.MapReply
 	// orders holds the orders of this phase, for repeats.
-	orders map[track.InstanceID]track.MapOrder
+	orders map[track.RankID]track.MapOrder
 	// promises holds the incarnations under which the members promised.
-	promises map[track.InstanceID]track.Incarnation
+	promises map[track.RankID]track.Incarnation
 	maps     bool
 	result   Result
 }
 
 // NewDriver returns a driver for the members of a group and its first orders.
-func NewDriver(ballot track.Ballot, members []track.InstanceID, plan Plan) (*Driver, []track.MapOrder) {
-	d := &Driver{ballot: ballot, members: slices.Sorted(slices.Values(members)), plan: plan}
-	d.promises = make(map[track.InstanceID]track.Incarnation, len(members))
+func NewDriver(ballot track.Ballot, members []track.RankID, plan Plan) (*Driver, []track.MapOrder) {
+	d := &Driver{ballot: ballot, members: slices.SortedFunc(slices.Values(members), track.RankID.Compare), plan: plan}
+	d.promises = make(map[track.RankID]track.Incarnation, len(members))
 	d.result.Highest = ballot.Number
 	return d, d.enter(promising, d.promiseOrder)
 }
@@ -97,15 +94,15 @@
 	return d.result, d.phase == ended
 }
 
-func (d *Driver) promiseOrder(track.InstanceID) (track.MapOrder, bool) {
+func (d *Driver) promiseOrder(track.RankID) (track.MapOrder, bool) {
 	return track.MapOrder{Kind: track.OrderPromise, Maps: d.maps}, true
 }
 
 // enter begins a phase with an order for each member that needs one.
-func (d *Driver) enter(p phase, order func(track.InstanceID) (track.MapOrder, bool)) []track.MapOrder {
+func (d *Driver) enter(p phase, order func(track.RankID) (track.MapOrder, bool)) []track.MapOrder {
 	d.phase = p
-	d.replies = make(map[track.InstanceID]track.MapReply, len(d.members))
-	d.orders = make(map[track.InstanceID]track.MapOrder, len(d.members))
+	d.replies = make(map[track.RankID]track.MapReply, len(d.members))
+	d.orders = make(map[track.RankID]track.MapOrder, len(d.members))
 	var out []track.MapOrder
 	for _, member := range d.members {
 		o, ok := order(member)
@@ -120,8 +117,8 @@
 }
 
 // everyone returns the same order for each member.
-func everyone(o track.MapOrder) func(track.InstanceID) (track.MapOrder, bool) {
-	return func(track.InstanceID) (track.MapOrder, bool) { return o, true }
+func everyone(o track.MapOrder) func(track.RankID) (track.MapOrder, bool) {
+	return func(track.RankID) (track.MapOrder, bool) { return o, true }
 }
 
 // Handle takes a reply and returns the orders that follow. Replies to another
@@ -173,8 +170,8 @@
 	return d.end(Stuck, reason)
 }
 
-func (d *Driver) missing() []track.InstanceID {
-	var out []track.InstanceID
+func (d *Driver) missing() []track.RankID {
+	var out []track.RankID
 	for _, o := range d.Repeat() {
 		out = append(out, o.To)
 	}
@@ -186,7 +183,7 @@
 	reason := fmt.Sprintf("%s refused %s: %s %s", r.From, r.Kind, r.Refusal, r.Fault)
 	switch {
 	case r.Refusal == track.RefusedBallot:
-		return d.end(Outbid, reason)
+		return d.end(Outbid, fmt.Sprintf("%s has promised ballot %d", r.From, r.Promised.Number))
 	case d.phase == preparing, d.phase == arming:
 		return d.undo(reason)
 	}
@@ -228,7 +225,7 @@
 // promised follows the promises of all members: no order of an older ballot can
 // take effect from now on.
 func (d *Driver) promised() []track.MapOrder {
-	states := make(map[track.InstanceID]track.RankState, len(d.replies))
+	states := make(map[track.RankID]track.RankState, len(d.replies))
 	blank := false
 	for member, r := range d.replies {
 		d.promises[member] = r.Incarnation
@@ -246,20 +243,21 @@
 	return d.prepare(states)
 }
 
-func (d *Driver) prepare(states map[track.InstanceID]track.RankState) []track.MapOrder {
-	if d.plan.Map == nil {
+func (d *Driver) prepare(states map[track.RankID]track.RankState) []track.MapOrder {
+	if d.plan.Change == nil {
 		return d.end(Idle, "")
 	}
-	if base := states[d.members[0]].Map.Version; base != d.plan.Base {
-		return d.end(Idle, fmt.Sprintf("planned from map %v, in use is %v", d.plan.Base, base))
+	if base := states[d.members[0]].Map.Version; base != d.plan.Change.Base {
+		return d.end(Idle, fmt.Sprintf("planned from map %v, in use is %v", d.plan.Change.Base, base))
 	}
 	for _, member := range d.members {
 		if states[member].Armed != nil {
 			return d.end(Idle, "a committed switch waits for its step")
 		}
 	}
-	d.plan.Map.Version = d.ballot
-	return d.enter(preparing, everyone(track.MapOrder{Kind: track.OrderPrepare, Map: d.plan.Map}))
+	change := *d.plan.Change
+	change.Version = d.ballot
+	return d.enter(preparing, everyone(track.MapOrder{Kind: track.OrderPrepare, Change: &change}))
 }
 
 // arm names a step that no rank has entered yet.
