--- a/agent/agent.go
+++ b/agent/agent.go
@@ -43,6 +43,10 @@
 	up      atomic.Bool
 	running drain.Requests
 	seq     atomic.Uint64
+	// suspected asks for a probe at once.
+	suspected chan struct{}
+	// isolated is set while a suspect of a crash runs.
+	isolated atomic.Bool
 
 	loadMu sync.Mutex
 	load   track.Load
@@ -51,8 +55,9 @@
 // New returns an agent that takes work at once.
 func New(options Options) *Agent {
 	a := &Agent{
-		options: options,
-		ledger:  ledger.New(options.Instance.ID, options.Incarnation, options.Clock, options.Ledger),
+		options:   options,
+		suspected: make(chan struct{}, 1),
+		ledger:    ledger.New(options.Instance.ID, options.Incarnation, options.Clock, options.Ledger),
 	}
 	a.up.Store(true)
 	return a
@@ -61,7 +66,9 @@
 // Run implements track.Agent.
 func (a *Agent) Run(ctx context.Context, d track.Dispatch, send track.FrameFunc) error {
 	out := &output{id: d.ID, send: send}
-	verdict := a.ledger.Admit(d, a.refusal(d))
+	refusal, release := a.isolate(d, a.refusal(d))
+	defer release()
+	verdict := a.ledger.Admit(d, refusal)
 	if verdict.Attempt == nil {
 		a.decide(d, "refused", string(verdict.Refusal))
 		return out.final(track.Frame{Outcome: verdict.Outcome, Refusal: verdict.Refusal})
@@ -89,6 +96,18 @@
 	return err
 }
 
+// isolate makes sure that one isolated attempt runs at a time. The function
+// returned ends the attempt's hold.
+func (a *Agent) isolate(d track.Dispatch, refusal track.Refusal) (track.Refusal, func()) {
+	if refusal != "" || !d.Isolated {
+		return refusal, func() {}
+	}
+	if !a.isolated.CompareAndSwap(false, true) {
+		return track.RefusedFull, func() {}
+	}
+	return "", func() { a.isolated.Store(false) }
+}
+
 // refusal returns why the dispatch must not start here, or "".
 func (a *Agent) refusal(d track.Dispatch) track.Refusal {
 	switch {
@@ -98,6 +117,10 @@
 		return track.RefusedLeaving
 	case d.Timeout <= 0:
 		return track.RefusedExpired
+	case !a.up.Load():
+		// What is sent to a dead backend server would count as in flight there when
+		// it died.
+		return track.RefusedDown
 	}
 	return ""
 }
--- a/beat/exchange.go
+++ b/beat/exchange.go
@@ -60,6 +60,8 @@
 type Exchange struct {
 	options Options
 	counts  counts
+	// wake has Run look at what is due before the next tick.
+	wake chan struct{}
 
 	mu sync.Mutex
 	// state and all below are guarded by mu.
@@ -86,6 +88,7 @@
 func New(o Options) *Exchange {
 	x := &Exchange{
 		options: o,
+		wake:    make(chan struct{}, 1),
 		state:   member.New(o.Self, o.Incarnation, o.Timing),
 		peers:   make(map[track.InstanceID]*schedule),
 		zones:   make(map[track.AvailabilityZone]*schedule),
--- a/router/router.go
+++ b/router/router.go
@@ -23,6 +23,8 @@
 	pools    map[string]*pool
 	replicas map[track.InstanceID]*replica
 	prefixes *prefixes
+	// drawn is the space for the groups of one decision.
+	drawn []*group
 }
 
 var _ track.Router = (*Router)(nil)
@@ -34,10 +36,12 @@
 		pools:    make(map[string]*pool),
 		replicas: make(map[track.InstanceID]*replica),
 		prefixes: newPrefixes(),
+		drawn:    make([]*group, 0, choices),
 	}
 }
 
-// Pick implements track.Router. It fails with kind NoReplica or Full.
+// Pick implements track.Router. It fails with kind NoReplica, Full
+// or Tried.
 func (r *Router) Pick(q track.Query) (track.Choice, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -45,7 +49,7 @@
 	if !ok {
 		return track.Choice{}, errNoReplica
 	}
-	s := search{router: r, query: &q, now: r.clock.Now()}
+	s := search{router: r, query: &q, pool: p, now: r.clock.Now()}
 	if q.Isolated {
 		return s.take(s.isolated(p))
 	}
@@ -64,14 +68,13 @@
 		chosen.suspect = false
 	}
 	chosen.learn(result, r.clock.Now())
-	chosen.release(c.Tokens)
+	chosen.charge(c.Tokens, -1)
 }
 
 // Update implements track.Router.
 func (r *Router) Update(servers []track.BackendServer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.clock.Now()
 	changed := r.drop(servers)
 	for _, server := range servers {
 		known, ok := r.replicas[server.Agent]
@@ -80,7 +83,7 @@
 			changed = true
 			continue
 		}
-		known.report(server, now)
+		known.report(server)
 		r.learnPrefixes(known)
 	}
 	for _, p := range r.pools {
@@ -89,6 +92,7 @@
 				a.build()
 			}
 			a.sum()
+			a.sumSlots(r.clock.Now())
 		}
 	}
 }
@@ -124,7 +128,7 @@
 	}
 	a := p.area(server.Zone)
 	if a == nil {
-		a = &area{pool: p, zone: server.Zone}
+		a = &area{pool: p, zone: server.Zone, oldest: startShare}
 		p.areas = append(p.areas, a)
 	}
 	added := newReplica(server)
@@ -141,6 +145,19 @@
 	}
 }
 
+// Replicas returns the number of replicas of a target.
+func (r *Router) Replicas(target string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	if p, ok := r.pools[target]; ok {
+		for _, a := range p.areas {
+			n += len(a.replicas)
+		}
+	}
+	return n
+}
+
 // Slots returns the number of attempts at a target that this entry may have in
 // flight: the windows of the replicas within reach.
 func (r *Router) Slots(target string) int {
