--- a/expert/plan_test.go
+++ b/expert/plan_test.go
@@ -205,5 +205,5 @@
 	// On a shared machine the processor time says more than the time.
 	after, err := gauge.ProcessorTime()
 	assert.NilError(b, err)
-	b.ReportMetric((after - before).Seconds()*1000/float64(b.N), "cpu-ms/op")
+	b.ReportMetric((after-before).Seconds()*1000/float64(b.N), "cpu-ms/op")
 }
