--- /dev/null
+++ b/stand/ranks/ranks_test.go
@@ -0,0 +1,71 @@
+package ranks_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/stand/ranks"
+)
+
+const step = 50 * time.Millisecond
+
+// load is the attention load of a rank and that of its experts.
+func load(rank int, m track.ExpertMap) time.Duration {
+	attention := time.Duration(rank) * time.Millisecond
+	return attention + step*time.Duration(1+m.Layers[0][rank])
+}
+
+func newGroup(checksFences bool) *ranks.Group {
+	return ranks.New(ranks.Settings{
+		Ranks: 2, Map: track.ExpertMap{Experts: 2, Slots: 1, Layers: [][]int32{{0, 1}}},
+		ChecksFences: checksFences, FetchSteps: 3, FetchSlowdown: 1.5, Load: load,
+	})
+}
+
+func TestStepTakesAsLongAsTheSlowestRank(t *testing.T) {
+	g := newGroup(false)
+	assert.Assert(t, g.Step())
+	assert.Equal(t, g.Elapsed(), 2*step+time.Millisecond)
+
+	// Rank 1 fetches for three steps, and slows the group down meanwhile.
+	next := track.ExpertMap{Version: track.Ballot{Number: 1}, Layers: [][]int32{{0, 1}}}
+	assert.NilError(t, g.Rank(1).Prepare(context.Background(), 1, next))
+	for range 4 {
+		assert.Assert(t, g.Step())
+	}
+	slow := 3*time.Millisecond + 6*step
+	assert.Equal(t, g.Elapsed(), 2*(2*step+time.Millisecond)+slow+slow/2)
+}
+
+func TestPausedRankHoldsTheGroup(t *testing.T) {
+	g := newGroup(false)
+	g.Rank(0).Pause(true)
+	assert.Assert(t, !g.Step() && !g.Step())
+	g.Rank(0).Pause(false)
+	assert.Assert(t, g.Step())
+}
+
+func TestFencesAreCheckedOrIgnored(t *testing.T) {
+	next := track.ExpertMap{Version: track.Ballot{Number: 1}}
+	for _, checks := range []bool{true, false} {
+		rank := newGroup(checks).Rank(0)
+		assert.NilError(t, rank.Prepare(context.Background(), 5, next))
+		err := rank.Prepare(context.Background(), 4, next)
+		assert.Equal(t, track.IsKind(err, track.Refused), checks)
+	}
+}
+
+func TestDifferentMapsInAStepAreRecorded(t *testing.T) {
+	g := newGroup(false)
+	g.Rank(1).Restart()
+	state, err := g.Rank(1).State(context.Background(), true)
+	assert.NilError(t, err)
+	state.Map = track.ExpertMap{Version: track.Ballot{Number: 7}, Layers: [][]int32{{0, 1}}}
+	assert.NilError(t, g.Rank(1).Restore(context.Background(), 1, state))
+	g.Step()
+	assert.ErrorContains(t, g.Broken(), "step 1")
+}
