fix: a refused commit doesn't break off the others

The end of an attempt cancelled orders under way. A member that refused a commit could so keep it from others, which then held the group until the next driver.

--- a/swap/member_test.go
+++ b/swap/member_test.go
@@ -222,3 +222,19 @@
 	prepare := track.MapOrder{Kind: track.OrderPrepare, Ballot: track.Ballot{Number: 1, Driver: "a"}, To: rankB, Incarnation: 1, Change: change}
 	assert.Equal(t, p.send(prepare)[0].Refusal, track.RefusedRank)
 }
+
+// One rank heard the decision and uses the new map already; the other is armed
+// and holds. Its agent and the driver are gone.
+func TestSwitchInUseIsFinished(t *testing.T) {
+	p := newPair(t, false)
+	d, arms := p.armed(1)
+	commits := feed(d, p.send(arms...))
+	p.send(commits[0])
+	p.run(20)
+	p.restart(rankB, 2)
+	second, orders := p.driver(2, false)
+	settle := feed(second, p.send(orders...))
+	p.send(settle...)
+	p.run(20)
+	assert.Equal(t, p.group.Open(), arms[0].Switch.Step+20)
+}
--- a/swap/run.go
+++ b/swap/run.go
@@ -43,11 +43,11 @@
 // Run carries out an attempt and returns its end. It returns an error only if
 // the context ended first; then another driver has to settle the change.
 func (r *Runner) Run(ctx context.Context, d *Driver, orders []track.MapOrder) (Result, error) {
-	ctx, cancel := context.WithCancel(ctx)
 	reports := make(chan reported)
 	pending := 0
+	// Orders under way are not broken off, so that a commit reaches all members
+	// that can be reached even if one of them refuses.
 	defer func() {
-		cancel()
 		for ; pending > 0; pending-- {
 			<-reports
 		}
