--- a/boot/agentcore.go
+++ b/boot/agentcore.go
@@ -46,7 +46,7 @@
 	c := &AgentCore{
 		ports:   ports,
 		started: ports.Clock.Now(),
-		metrics: metrics.NewSet(),
+		metrics: ports.Metrics,
 		instance: track.Instance{
 			ID: s.Agent.ID, Role: track.RoleAgent, Region: s.Region, Zone: s.Agent.Zone, State: track.Live,
 			Serves: s.Agent.Serves, Group: s.Agent.Group, Ranks: s.Agent.Ranks,
--- a/boot/entrycore.go
+++ b/boot/entrycore.go
@@ -50,7 +50,7 @@
 			ID: s.Entry.ID, Role: track.RoleEntry, Region: s.Region, Zone: s.Entry.Zone, State: track.Live,
 			Address: ports.Address,
 		},
-		metrics: metrics.NewSet(),
+		metrics: ports.Metrics,
 		seed:    s.Config(),
 		router:  pick.New(),
 	}
--- a/boot/member_test.go
+++ b/boot/member_test.go
@@ -8,6 +8,7 @@
 	"crypto/x509"
 	"encoding/pem"
 	"fmt"
+	"io"
 	"math/big"
 	"net/http"
 	"net/url"
@@ -20,6 +21,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/boot"
@@ -167,6 +169,13 @@
 	assert.NilError(t, err)
 	stopLast(t, d)
 	assert.NilError(t, checkStream(client(t, d), "sealed bales"))
+	response, err := http.Get("http://" + d.Entry.AdminAddr() + "/metrics")
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, cmp.Contains(string(text), "filberttrack_tls_certificate_expiry_seconds"))
+	assert.Assert(t, cmp.Contains(string(text), `filberttrack_member_peers{state="live"}`))
 
 	// An entry without certificates finds nobody.
 	s.TLS = conf.TLS{}
@@ -174,8 +183,5 @@
 	bare, err := boot.StartEntry(context.Background(), s, boot.Platform{Log: d.Log, List: d.List}, zap.NewNop())
 	assert.NilError(t, err)
 	assert.Equal(t, len(bare.Status().Servers), 0)
-	response, err := http.Get("http://" + bare.AdminAddr() + "/status")
-	assert.NilError(t, err)
-	response.Body.Close()
 	assert.NilError(t, bare.Stop(context.Background()))
 }
--- a/boot/ports.go
+++ b/boot/ports.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"net/http"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
@@ -35,8 +36,10 @@
 	DialDoor func(track.Instance) (track.MapDoor, error)
 	// Client reaches the backend server of an agent.
 	Client *http.Client
-	Clock  clockwork.Clock
-	Logger *zap.Logger
+	// Metrics is the set to add the instance's metrics to.
+	Metrics *metrics.Set
+	Clock   clockwork.Clock
+	Logger  *zap.Logger
 	// Guard lets only those operators through that may change something; nil
 	// lets nobody through.
 	Guard func(http.Handler) http.Handler
@@ -53,6 +56,7 @@
 		Peers:    dialer,
 		Address:  address,
 		Guard:    t.token.Guard,
+		Metrics:  t.metrics,
 		Ranks:    httpRanks,
 		Client:   backendClient(),
 		Clock:    clockwork.NewRealClock(),
--- a/boot/session_test.go
+++ b/boot/session_test.go
@@ -15,6 +15,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -110,6 +111,7 @@
 		Peers:    x.network.PeersFrom(track.InstanceID(id)),
 		Address:  id,
 		Client:   x.transport.Client(),
+		Metrics:  metrics.NewSet(),
 		Clock:    x.clock,
 		Guard:    guardOperators,
 		Logger:   zap.New(x.transcript.core(x.start)).Named(id),
--- a/member/state_test.go
+++ b/member/state_test.go
@@ -239,6 +239,16 @@
 	assert.Equal(t, len(w.state.Contacts()), 0)
 }
 
+func TestEmptyListIsNeverBelieved(t *testing.T) {
+	w := newWorld()
+	w.state.Listed(w.now, []track.Instance{entry("entry-1", "kl-a"), entry("entry-2", "kl-a")})
+	for range 3 {
+		w.state.Listed(w.now, nil)
+		w.pass(11 * time.Minute)
+	}
+	assert.Equal(t, len(w.state.Contacts()), 1)
+}
+
 func TestListedAgentAloneIsNotInService(t *testing.T) {
 	w := newWorld()
 	w.state.Listed(w.now, []track.Instance{agent("a")})
