fix: an adopted agent answers an entry that the list lacks

Cause: in dev the entry is not listed; agents of other zones were heard every 3 s only, by greetings, and suspect in between. Change: an agent without entries of its own zone sends heartbeats to whichever entry greets it. Conclusion: adoption does not depend on the list.

--- a/beat/exchange_test.go
+++ b/beat/exchange_test.go
@@ -260,6 +260,21 @@
 	}
 }
 
+func TestAdoptedAgentAnswersAnUnlistedEntry(t *testing.T) {
+	t.Parallel()
+	m := newZones(1, 3, 0, 12)
+	m.run(10 * time.Second)
+	entry := m.start(track.RoleEntry, "r0", "z0", "z0-entry", 1)
+	m.run(10 * time.Second)
+	for range 20 {
+		m.run(m.step)
+		assert.Equal(t, len(entry.x.Servers()), 12)
+		for _, p := range entry.x.View().Peers {
+			assert.Assert(t, p.Silence < 2*time.Second, "%s silent for %s", p.ID, p.Silence)
+		}
+	}
+}
+
 func TestNoticesReachTheZoneOnce(t *testing.T) {
 	t.Parallel()
 	m := newMesh()
--- a/member/contacts.go
+++ b/member/contacts.go
@@ -33,11 +33,13 @@
 		found[i.ID] = Contact{Instance: i, Every: s.timing.Retry}
 	}
 	interval := s.Interval()
+	// An agent of a zone without entries answers whoever greets it.
+	orphan := s.self.Role == track.RoleAgent && len(s.Entries()) == 0
 	for id, p := range s.members {
 		switch {
 		case p.gone:
 		case p.instance.Role == track.RoleEntry:
-			if _, wanted := found[id]; wanted || p.instance.Zone == s.self.Zone {
+			if p.instance.Zone == s.self.Zone || orphan {
 				found[id] = Contact{Instance: p.instance, Every: interval}
 			}
 		case p.suspect:
