test: breaks that stayed green turn red now

Refusals while the backend server is down, refunds of shed requests, shares of dead entries, bounds of affinity, lock-step groups, late reports, sums of an area.

--- /dev/null
+++ b/agent/down_test.go
@@ -0,0 +1,56 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/ledger"
+)
+
+// dying is a backend server that breaks off each connection.
+type dying struct{ requests int }
+
+func (d *dying) RoundTrip(*http.Request) (*http.Response, error) {
+	d.requests++
+	return nil, io.ErrUnexpectedEOF
+}
+
+// TestDownIsRefused sends a second attempt to a backend server that has just
+// died: it must neither reach it nor count as in flight there.
+func TestDownIsRefused(t *testing.T) {
+	backend := &dying{}
+	address, err := url.Parse("http://agent-1")
+	assert.NilError(t, err)
+	a := New(Options{
+		Instance: track.Instance{ID: "agent-1", Serves: "dispatch-llm"}, Incarnation: 1, Backend: address,
+		Client: &http.Client{Transport: backend}, Clock: clockwork.NewFakeClock(), Logger: zap.NewNop(),
+		Metrics: metrics.NewSet(), Ledger: ledger.Defaults(),
+	})
+	run := func(number uint32) track.Frame {
+		report, err := a.Report(context.Background())
+		assert.NilError(t, err)
+		var final track.Frame
+		err = a.Run(context.Background(), track.Dispatch{
+			ID: track.AttemptID{Request: "request-1", Number: number}, Agent: "agent-1", Incarnation: 1,
+			Stamp: report.Load.Stamp, Target: "dispatch-llm", Method: http.MethodPost, Timeout: time.Second,
+		}, func(f track.Frame) error { final = f; return nil })
+		assert.NilError(t, err)
+		return final
+	}
+	assert.Assert(t, run(1).Crashed)
+	second := run(2)
+	assert.Assert(t, !second.Crashed)
+	assert.Equal(t, second.Outcome, track.NotRun)
+	assert.Equal(t, second.Refusal, track.RefusedDown)
+	assert.Equal(t, backend.requests, 1)
+}
--- /dev/null
+++ b/entry/send/settle_test.go
@@ -0,0 +1,54 @@
+package send
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/crash"
+	"filberttrack.example/track/entry/flow"
+	"filberttrack.example/track/pick"
+	"filberttrack.example/track/retry"
+)
+
+type quiet struct{}
+
+func (quiet) Publish(track.Notice) {}
+
+func (quiet) Subscribe(track.Topic, func(track.Notice)) {}
+
+// TestRefusalClearsNoSuspect ends attempts at a suspect in several ways.
+func TestRefusalClearsNoSuspect(t *testing.T) {
+	cases := []struct {
+		name  string
+		final track.Frame
+		left  int
+	}{
+		{"refused", track.Frame{Kind: track.FrameFinal, Outcome: track.NotRun, Refusal: track.RefusedDown}, 1},
+		{"cut off", track.Frame{Kind: track.FrameFinal, Outcome: track.Unknown}, 1},
+		{"completed", track.Frame{Kind: track.FrameFinal, Outcome: track.Completed}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			tracker := crash.New(clock, crash.DefaultPolicy(), "entry-1", quiet{}, zap.NewNop(), metrics.NewSet())
+			const fingerprint = 13
+			tracker.Begin(fingerprint)
+			tracker.End(fingerprint, crash.End{Crashed: true})
+			tracker.Begin(fingerprint)
+			step := New(Options{
+				Router: pick.New(), Clock: clock, Logger: zap.NewNop(), Crashes: tracker,
+				Retries: retry.New(clock, rand.New(rand.NewPCG(1, 1))),
+			})
+			r := &run{step: step, exchange: &flow.Exchange{Call: track.Call{Fingerprint: fingerprint}}}
+			r.settle(context.Background(), &transfer{final: &c.final, choice: track.Choice{Isolated: true}})
+			assert.Equal(t, len(tracker.List()), c.left)
+		})
+	}
+}
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -199,6 +199,33 @@
 	assert.Assert(t, admitted >= 90, "alone, an entry grants the whole rate: %d", admitted)
 }
 
+// TestDeadEntryFreesItsShare has one of two entries fall silent.
+func TestDeadEntryFreesItsShare(t *testing.T) {
+	clock, b := clockwork.NewFakeClock(), &bus{}
+	limiters := newEntries(2, clock, b)
+	client := track.ClientAccount{Name: "a", RequestsPerSecond: 10}
+	run := func(alive int, length time.Duration) int {
+		admitted := 0
+		for i := range int(length / (50 * time.Millisecond)) {
+			clock.Advance(50 * time.Millisecond)
+			for _, l := range limiters[:alive] {
+				if l.Admit(client, 0).Admitted {
+					admitted++
+				}
+				if i%40 == 0 {
+					l.Publish()
+				}
+			}
+			b.deliver()
+		}
+		return admitted
+	}
+	run(2, 20*time.Second)
+	assert.Assert(t, run(1, 8*time.Second) <= 48, "it may be back any moment")
+	run(1, 8*time.Second)
+	assert.Assert(t, run(1, 10*time.Second) >= 90, "it is gone")
+}
+
 func TestTokensAreSettled(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	l := newEntries(1, clock, &bus{})[0]
--- a/limit/queue_test.go
+++ b/limit/queue_test.go
@@ -41,18 +41,20 @@
 func TestShedRefundsTheAccount(t *testing.T) {
 	q := limit.NewQueue[int]()
 	push(q, "a", 1, 0, 10)
-	push(q, "b", 1, 0, 10)
-	shed := q.Shed(func(item *limit.Item[int], ahead int) bool { return ahead >= 4 })
-	assert.Equal(t, len(shed), 16)
+	shed := q.Shed(func(_ *limit.Item[int], ahead int) bool { return true })
+	assert.Equal(t, len(shed), 10)
 	push(q, "a", 1, 0, 1)
 	push(q, "b", 1, 0, 1)
-	shed = q.Shed(func(item *limit.Item[int], ahead int) bool { return ahead >= 6 })
-	assert.Equal(t, len(shed), 0)
-	served := map[string]int{}
-	for q.Len() > 0 {
-		served[q.Pop().Account]++
-	}
-	assert.DeepEqual(t, served, map[string]int{"a": 3, "b": 3})
+	assert.Equal(t, q.Pop().Account, "a", "what was never served doesn't count against the account")
+}
+
+func TestShedCountsOnlyThoseWhoStay(t *testing.T) {
+	q := limit.NewQueue[int]()
+	push(q, "a", 1, 0, 10)
+	push(q, "b", 1, 0, 10)
+	shed := q.Shed(func(item *limit.Item[int], ahead int) bool { return item.Account == "b" || ahead >= 4 })
+	assert.Equal(t, len(shed), 16)
+	assert.Equal(t, q.Len(), 4)
 }
 
 // TestQueueKeepsAll has random requests come, go and be served: each leaves
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -73,6 +73,11 @@
 
 func TestZoneFirstThenSpill(t *testing.T) {
 	f := newFixture(1, home, home, away)
+	for range 200 {
+		c, err := f.Pick(track.Query{Target: target})
+		assert.NilError(t, err)
+		f.Done(c, track.Result{FirstByte: time.Millisecond})
+	}
 	counts := f.picks(t, 14, track.Query{})
 	assert.Equal(t, counts["agent-2"], 0, "the local zone has room")
 	counts = f.picks(t, 10, track.Query{})
@@ -198,6 +203,10 @@
 
 func TestPrefixAffinityIsBoundedByLoad(t *testing.T) {
 	f := newFixture(6, home, home, home, home)
+	for i := range f.servers {
+		f.servers[i].Load.Capacity = 1000
+	}
+	f.Update(f.servers)
 	q := track.Query{Target: target, Tokens: 100, Prefixes: []uint64{11, 12, 13, 14, 15}}
 	first, err := f.Pick(q)
 	assert.NilError(t, err)
@@ -233,19 +242,19 @@
 	assert.Equal(t, agreed, prompts)
 }
 
-// TestLockStep has two groups: one evenly loaded, one with a straggler. The load
-// of the second group's idle members doesn't help, but using them is free.
+// TestLockStep has two groups: one evenly loaded, one with a straggler. The least
+// loaded replica belongs to the straggler's group, and is held back by it.
 func TestLockStep(t *testing.T) {
 	f := newFixture(9, home, home, home, home)
-	loads := []int{5000, 5000, 9000, 1000}
+	loads := []int{5000, 5000, 12000, 4000}
 	for i := range f.servers {
 		f.servers[i].Group = fmt.Sprint("group-", i/2)
 		f.servers[i].Load.TokensInFlight = loads[i]
 		f.servers[i].Load.Capacity = 100
 	}
 	f.Update(f.servers)
-	counts := f.picks(t, 30, track.Query{Tokens: 100})
-	assert.Equal(t, counts["agent-2"], 0, "the straggler gets nothing: %v", counts)
+	counts := f.picks(t, 12, track.Query{Tokens: 100})
+	assert.Equal(t, counts["agent-2"]+counts["agent-3"], 0, "the straggler's group gets nothing: %v", counts)
 	assert.Assert(t, counts["agent-0"]-counts["agent-1"] <= 2 && counts["agent-1"]-counts["agent-0"] <= 2, "%v", counts)
 }
 
@@ -281,6 +290,30 @@
 	assert.Assert(t, counts["agent-0"] <= 40, "a minute old, the report is hardly worth anything: %v", counts)
 }
 
+// TestLateReport has a report that was made before the latest picks: these must
+// not be subtracted from it.
+func TestLateReport(t *testing.T) {
+	f := newFixture(14, home, home)
+	report := func(tokens int) {
+		f.clock.Advance(time.Millisecond)
+		f.servers[0].Load = track.Load{Capacity: 10, Running: tokens, TokensInFlight: tokens}
+		f.servers[0].Reported = f.clock.Now()
+		f.Update(f.servers)
+	}
+	onlyOn := func(n, agent int) {
+		counts := f.picks(t, n, track.Query{Excluded: []track.InstanceID{f.servers[1-agent].Agent}})
+		assert.Equal(t, counts[f.servers[agent].Agent], n)
+	}
+	onlyOn(3, 0)
+	report(3)
+	onlyOn(3, 0)
+	report(5)
+	onlyOn(7, 1)
+	c, err := f.Pick(track.Query{Target: target})
+	assert.NilError(t, err)
+	assert.Equal(t, c.Server.Agent, f.servers[1].Agent, "6 own and 2 foreign there, 7 here")
+}
+
 // TestAccounts has random picks, ends, restarts and failures: no replica is
 // charged above its window, and in the end nothing stays charged.
 func TestAccounts(t *testing.T) {
