feat: floor of the retry budget as a rate; hedging proved end to end

Change: the floor no longer lends on later first attempts, it is shut while most attempts fail; an attempt that lost to its hedge counts as slow.

--- a/boot/load_test.go
+++ b/boot/load_test.go
@@ -258,3 +258,43 @@
 		assert.Equal(t, held.Load(), int64(0))
 	})
 }
+
+// TestHedge has one of two engines hang: a second attempt beside the first gives
+// callers their whole answer, once.
+func TestHedge(t *testing.T) {
+	const (
+		after   = 100 * time.Millisecond
+		maxWait = 400 * time.Millisecond
+		callers = 6
+	)
+	inZone(t, 0, func(ctx context.Context, x *session) {
+		for i := range x.settings.Profile {
+			x.settings.Profile[i].Hedge.After = after
+		}
+		x.addEntry(ctx, "entry-1")
+		x.pass(time.Second)
+		whole := x.answer()
+		x.engines[0].Pause()
+		for range callers {
+			started := time.Now()
+			assert.Equal(t, x.answer(), whole)
+			assert.Assert(t, time.Since(started) <= maxWait)
+			x.pass(time.Second)
+		}
+		hedges := strings.Count(x.transcript.String(), `"Reason":"Hedge"`)
+		t.Logf("%d hedges for %d callers", hedges, callers)
+		assert.Assert(t, hedges > 0)
+		x.engines[0].Resume()
+	})
+}
+
+// answer returns the text of a generation.
+func (x *session) answer() string {
+	response := x.call(0, "POST", "/v1/chat/completions", generation)
+	assert.Equal(x.t, response.StatusCode, http.StatusOK)
+	var body struct {
+		Choices []struct{ Message struct{ Content string } }
+	}
+	assert.NilError(x.t, json.NewDecoder(response.Body).Decode(&body))
+	return body.Choices[0].Message.Content
+}
--- a/entry/send/attempt.go
+++ b/entry/send/attempt.go
@@ -161,12 +161,17 @@
 	overloaded := t.final != nil && t.final.Refusal == track.RefusedFull && !t.isolated ||
 		t.status == http.StatusServiceUnavailable || t.status == http.StatusTooManyRequests ||
 		ctx.Err() != nil && t.firstByte == 0 && r.expired()
+	firstByte := t.firstByte
+	if t.lost && firstByte == 0 {
+		// It would have taken longer than this.
+		firstByte = o.Clock.Since(t.started)
+	}
 	o.Router.Done(t.choice, track.Result{
 		Outcome:    t.outcome(),
 		Failed:     !t.lost && t.replicaFailed(),
 		Down:       t.final != nil && (t.final.Crashed || t.final.Refusal == track.RefusedDown),
 		Overloaded: overloaded,
-		FirstByte:  t.firstByte,
+		FirstByte:  firstByte,
 		Duration:   o.Clock.Since(t.started),
 	})
 	r.exchange.Tokens += t.tokens
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -9,8 +9,8 @@
 const (
 	// maxBalance is the number of retries that a budget saves up.
 	maxBalance = 5.0
-	// maxDebt is the number of retries that the floor lends.
-	maxDebt = 3.0
+	// maxFloor is the number of retries that the floor saves up.
+	maxFloor = 3.0
 	// healthWeight is the weight of one attempt in the moving share of successes.
 	healthWeight = 0.05
 	// healthyShare is the share of successes below which the floor is shut and
@@ -30,7 +30,7 @@
 type budget struct {
 	policy  track.RetryPolicy
 	balance float64
-	// floor is the number of retries that may be lent at the moment.
+	// floor is the number of retries that the floor allows at the moment.
 	floor     float64
 	refilled  time.Time
 	succeeded float64
@@ -38,7 +38,7 @@
 }
 
 func newBudget(policy track.RetryPolicy, now time.Time) *budget {
-	return &budget{policy: policy, floor: maxDebt, refilled: now, succeeded: 1, replicas: make(map[track.InstanceID]last)}
+	return &budget{policy: policy, floor: maxFloor, refilled: now, succeeded: 1, replicas: make(map[track.InstanceID]last)}
 }
 
 func (b *budget) healthy() bool {
@@ -77,25 +77,24 @@
 	b.balance = min(b.balance+share, maxBalance)
 }
 
-// withdraw pays for one retry from the balance or, while the target is healthy,
-// with a loan from the floor.
+// withdraw pays for one retry from the share or, while the target is healthy,
+// from the floor.
 func (b *budget) withdraw(now time.Time) bool {
 	b.refill(now)
-	if b.balance >= 1 {
+	switch {
+	case b.balance >= 1:
 		b.balance--
-		return true
-	}
-	if !b.healthy() || b.floor < 1 || b.balance-1 < -maxDebt {
+	case b.healthy() && b.floor >= 1:
+		b.floor--
+	default:
 		return false
 	}
-	b.floor--
-	b.balance--
 	return true
 }
 
 func (b *budget) refill(now time.Time) {
 	if passed := now.Sub(b.refilled).Seconds(); passed > 0 {
-		b.floor = min(b.floor+passed*b.policy.FloorPerSecond, maxDebt)
+		b.floor = min(b.floor+passed*b.policy.FloorPerSecond, maxFloor)
 	}
 	b.refilled = now
 }
--- a/router/search.go
+++ b/router/search.go
@@ -212,15 +212,15 @@
 // saves a fixed time, while the wait for a slot grows without limit.
 func (s *search) lighter(a *area, x, y *replica, saved float64) *replica {
 	spare := max(1-a.use(s.now), 0)
-	bound := (1+affinitySlack*spare)*a.meanLoad() + spare*saved
+	bound := (1+affinitySlack*spare)*a.meanLoad() + spare*saved + s.size()
 	var best *replica
 	for _, r := range [...]*replica{x, y} {
 		if !s.usable(r) || r.area != a {
 			continue
 		}
 		s.weighed++
-		if load := r.load(s.now) * r.latency() / r.ramp(s.now); load <= bound {
-			best, bound = r, load
+		if after := (r.load(s.now) + s.size()) * r.latency() / r.ramp(s.now); after <= bound {
+			best, bound = r, after
 		}
 	}
 	return best
