--- a/router/router_test.go
+++ b/router/router_test.go
@@ -87,6 +87,23 @@
 	assert.Equal(t, away+counts["agent-2"], 10, "all slots of both zones are used")
 }
 
+// TestTiesAreSpread has a few idle replicas.
+func TestTiesAreSpread(t *testing.T) {
+	const picks = 300
+	f := newFixture(15, home, home, home)
+	counts := map[track.InstanceID]int{}
+	for range picks {
+		c, err := f.Pick(track.Query{Target: target})
+		assert.NilError(t, err)
+		counts[c.Server.Agent]++
+		f.Done(c, track.Result{FirstByte: time.Millisecond})
+	}
+	for agent, n := range counts {
+		assert.Assert(t, n >= picks/4 && n <= picks/2, "%s: %d", agent, n)
+	}
+	assert.Equal(t, len(counts), 3)
+}
+
 func TestNeverIntoCutOffZone(t *testing.T) {
 	f := newFixture(2, home, home, away)
 	f.cut[away] = true
--- a/router/search.go
+++ b/router/search.go
@@ -239,13 +239,18 @@
 }
 
 // twoChoices returns the best replica of a few groups, or nil if none of them has
-// a usable one.
+// a usable one. It begins anywhere, so that a tie falls to each alike.
 func (s *search) twoChoices(a *area) *replica {
+	if len(a.groups) == 0 {
+		return nil
+	}
 	var best *replica
 	var bestScore float64
 	for range redraws {
-		for _, g := range s.draw(a) {
-			r, score := s.score(g)
+		drawn := s.draw(a)
+		first := s.router.rng.IntN(len(drawn))
+		for i := range drawn {
+			r, score := s.score(drawn[(first+i)%len(drawn)])
 			if r != nil && (best == nil || score < bestScore) {
 				best, bestScore = r, score
 			}
@@ -263,7 +268,9 @@
 func (s *search) score(g *group) (*replica, float64) {
 	var best *replica
 	var least, greatest float64
-	for _, r := range g.members {
+	first := s.router.rng.IntN(len(g.members))
+	for i := range g.members {
+		r := g.members[(first+i)%len(g.members)]
 		load := r.load(s.now)
 		greatest = max(greatest, load)
 		if !s.usable(r) {
