test: transcripts don't depend on the order within one instant

Cause: lines that several instances log at the same fake time have no order, and a handler of the in-process transport was left waiting for a reader that had gone. Change: such lines are sorted by instance; the pipe is closed.

--- a/boot/session_test.go
+++ b/boot/session_test.go
@@ -1,7 +1,6 @@
 package boot_test
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -9,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -160,23 +160,58 @@
 }
 
 func (x *session) note(format string, args ...any) {
-	x.transcript.add(x.clock.Since(x.start), fmt.Sprintf(format, args...))
+	x.transcript.add(x.clock.Since(x.start), "", fmt.Sprintf(format, args...))
 }
 
 // transcript collects what happened, in order.
 type transcript struct {
-	mu sync.Mutex
-	bytes.Buffer
+	mu    sync.Mutex
+	lines []transcriptLine
+}
+
+// transcriptLine is one line. The source is empty for requests and answers.
+type transcriptLine struct {
+	at     time.Duration
+	source string
+	text   string
 }
 
 // seedID matches the ID of the first change, a hash of the example settings.
 var seedID = regexp.MustCompile(`seed-[0-9a-f]{32}`)
 
-func (r *transcript) add(at time.Duration, line string) {
+func (r *transcript) add(at time.Duration, source, text string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	line = seedID.ReplaceAllString(strings.TrimSpace(line), "seed")
-	fmt.Fprintf(&r.Buffer, "%8s %s\n", at, line)
+	text = seedID.ReplaceAllString(strings.TrimSpace(text), "seed")
+	r.lines = append(r.lines, transcriptLine{at, source, text})
+}
+
+// Reset forgets what happened so far.
+func (r *transcript) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lines = nil
+}
+
+// String returns the transcript. What several instances log at the same time,
+// between the same requests and answers, has no order and is sorted by instance.
+func (r *transcript) String() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	lines := slices.Clone(r.lines)
+	for start := 0; start < len(lines); {
+		end := start + 1
+		for end < len(lines) && lines[start].source != "" && lines[end].source != "" && lines[end].at == lines[start].at {
+			end++
+		}
+		slices.SortStableFunc(lines[start:end], func(a, b transcriptLine) int { return strings.Compare(a.source, b.source) })
+		start = end
+	}
+	var text strings.Builder
+	for _, line := range lines {
+		fmt.Fprintf(&text, "%8s %s\n", line.at, line.text)
+	}
+	return text.String()
 }
 
 // core returns a logging core that adds decisions to the transcript.
@@ -215,7 +250,7 @@
 	if err != nil {
 		return err
 	}
-	c.transcript.add(e.Time.Sub(c.start), fmt.Sprintf("%s: %s %s", e.LoggerName, e.Message, text))
+	c.transcript.add(e.Time.Sub(c.start), e.LoggerName, fmt.Sprintf("%s: %s %s", e.LoggerName, e.Message, text))
 	return nil
 }
 
--- a/entry/send/attempt.go
+++ b/entry/send/attempt.go
@@ -154,13 +154,19 @@
 	return second, c.start(ctx, r, second)
 }
 
+// overloaded reports whether the replica turned the attempt away for want of room.
+func (t *transfer) overloaded() bool {
+	switch t.status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return true
+	}
+	return t.final != nil && t.final.Refusal == track.RefusedFull && !t.isolated
+}
+
 // settle tells everybody concerned how an attempt ended.
 func (r *run) settle(ctx context.Context, t *transfer) {
 	o := r.step.options
 	call := &r.exchange.Call
-	overloaded := t.final != nil && t.final.Refusal == track.RefusedFull && !t.isolated ||
-		t.status == http.StatusServiceUnavailable || t.status == http.StatusTooManyRequests ||
-		ctx.Err() != nil && t.firstByte == 0 && r.expired()
 	firstByte := t.firstByte
 	if t.lost && firstByte == 0 {
 		// It would have taken longer than this.
@@ -170,7 +176,7 @@
 		Outcome:    t.outcome(),
 		Failed:     !t.lost && t.replicaFailed(),
 		Down:       t.final != nil && (t.final.Crashed || t.final.Refusal == track.RefusedDown),
-		Overloaded: overloaded,
+		Overloaded: t.overloaded() || (ctx.Err() != nil && t.firstByte == 0 && r.expired()),
 		FirstByte:  firstByte,
 		Duration:   o.Clock.Since(t.started),
 	})
--- a/stand/local/transport.go
+++ b/stand/local/transport.go
@@ -61,6 +61,8 @@
 	case <-w.began:
 	case <-request.Context().Done():
 		cancel()
+		// The handler must not wait for a reader that is gone.
+		reader.CloseWithError(request.Context().Err())
 		return nil, request.Context().Err()
 	}
 	if w.failed != nil {
