--- a/crash/digest.go
+++ b/crash/digest.go
@@ -27,24 +27,13 @@
 
 var rowSize = binary.Size(row{})
 
-// Publish sends the records to the other entries of the zone. The owner calls
-// it at each tick, for entries that are new or missed a digest.
+// Publish sends the records to the other entries of the zone: at each change,
+// and when the owner calls it at each tick, for entries that are new or missed a
+// digest.
 func (t *Tracker) Publish() {
 	t.publish(t.rows())
 }
 
-// publishOne sends the record of one fingerprint, at once.
-func (t *Tracker) publishOne(fingerprint uint64) {
-	t.mu.Lock()
-	now := t.clock.Now()
-	var rows []row
-	if r := t.live(fingerprint, now); r != nil {
-		rows = append(rows, r.row(fingerprint, now))
-	}
-	t.mu.Unlock()
-	t.publish(rows)
-}
-
 func (t *Tracker) publish(rows []row) {
 	if len(rows) > 0 {
 		data, err := binary.Append(nil, binary.LittleEndian, rows)
