--- a/beat/run.go
+++ b/beat/run.go
@@ -42,15 +42,17 @@
 	defer ticker.Stop()
 	var calls errgroup.Group
 	for {
-		for _, o := range x.due() {
+		orders := x.due()
+		x.publish()
+		for _, o := range orders {
 			calls.Go(func() error {
 				x.perform(ctx, o)
 				return nil
 			})
 		}
-		x.publish()
 		select {
 		case <-ticker.Chan():
+		case <-x.wake:
 		case <-ctx.Done():
 			return errors.Join(context.Cause(ctx), calls.Wait())
 		}
@@ -61,9 +63,14 @@
 // one in progress.
 func (x *Exchange) due() []order {
 	now := x.options.Clock.Now()
+	local := x.options.Local()
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.state.Tick(now)
+	if local.Up != x.toldUp || local.Leaving != x.toldLeaving {
+		x.toldUp, x.toldLeaving = local.Up, local.Leaving
+		x.tellEntries()
+	}
 	var orders []order
 	for _, c := range x.state.Contacts() {
 		if claim(x.peers, c.Instance.ID, now, c.Every) {
@@ -123,7 +130,12 @@
 	err := x.tell(ctx, c.Instance)
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.peers[c.Instance.ID].busy = false
+	s := x.peers[c.Instance.ID]
+	s.busy = false
+	if s.last.IsZero() {
+		// News came while the call was in progress.
+		x.wakeUp()
+	}
 	if err == nil {
 		return
 	}
@@ -217,11 +229,20 @@
 	}
 }
 
-// hurry makes heartbeats to the other entries due at once.
+// hurry has heartbeats sent to the other entries at once.
 func (x *Exchange) hurry() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.tellEntries()
+	x.wakeUp()
+}
+
+// wakeUp has Run look at what is due now.
+func (x *Exchange) wakeUp() {
+	select {
+	case x.wake <- struct{}{}:
+	default:
+	}
 }
 
 // Leave tells every entry of the zone at once that this instance takes no new
--- a/conf/check.go
+++ b/conf/check.go
@@ -58,6 +58,7 @@
 		return
 	}
 	c.logging(s.Logging)
+	c.tls(s.TLS)
 	c.operators(s.Operators)
 	c.profiles(s.Profile)
 	c.models(s)
@@ -126,6 +127,15 @@
 	c.oneOf("Logging.Format", l.Format, "json", "console")
 }
 
+func (c *checker) tls(t TLS) {
+	if t == (TLS{}) {
+		return
+	}
+	c.required("TLS.Certificate", t.Certificate)
+	c.required("TLS.Key", t.Key)
+	c.required("TLS.Authority", t.Authority)
+}
+
 func (c *checker) operators(o Operators) {
 	if o.TokenFile != "" && o.TokenSHA256 != "" {
 		c.fault("Operators.TokenSHA256", "must not be given beside Operators.TokenFile")
@@ -149,6 +159,7 @@
 func (c *checker) entryLimits(e Entry) {
 	c.address("Entry.Listen", e.Listen)
 	c.address("Entry.Admin", e.Admin)
+	c.address("Entry.Peer", e.Peer)
 	inRange(c, "Entry.MaxBodyBytes", e.MaxBodyBytes, 1, maxBodyLimitBytes)
 	inRange(c, "Entry.MaxHeaderBytes", e.MaxHeaderBytes, 1024, 1<<20)
 	inRange(c, "Entry.MaxAnswerBytes", e.MaxAnswerBytes, 1024, maxBodyLimitBytes)
--- a/router/search.go
+++ b/router/search.go
@@ -1,18 +1,24 @@
 package router
 
 import (
+	"math"
 	"time"
 
 	"filberttrack.example/track"
 )
 
-// samples bounds the draws for the two choices before all replicas are scanned.
-const samples = 6
+const (
+	// choices is the number of groups that are weighed.
+	choices = 3
+	// redraws bounds the draws before all replicas are scanned.
+	redraws = 2
+)
 
 // search is one routing decision.
 type search struct {
 	router  *Router
 	query   *track.Query
+	pool    *pool
 	now     time.Time
 	weighed int
 }
@@ -28,12 +34,18 @@
 	return max(s.query.Tokens, 1)
 }
 
+// size returns the weight of the attempt, in attempts of mean size.
+func (s *search) size() float64 {
+	return s.pool.weigh(amount{1, float64(s.tokens())})
+}
+
 // take charges the attempt to the replica that was found.
 func (s *search) take(f found) (track.Choice, error) {
 	if f.replica == nil {
 		return track.Choice{}, s.none()
 	}
-	f.replica.charge(s.tokens())
+	f.replica.charge(s.tokens(), 1)
+	f.replica.area.pool.tokens = average(f.replica.area.pool.tokens, float64(s.tokens()))
 	if f.isolated {
 		f.replica.suspect = true
 	}
@@ -45,12 +57,19 @@
 
 // none returns why no replica was found.
 func (s *search) none() error {
-	for _, a := range s.router.pools[s.query.Target].areas {
-		if len(a.replicas) > 0 && s.reachable(a) {
-			return errFull
+	failure := errNoReplica
+	for _, a := range s.pool.areas {
+		if !s.reachable(a) {
+			continue
+		}
+		for _, r := range a.replicas {
+			if !s.excluded(r) {
+				return errFull
+			}
+			failure = errTried
 		}
 	}
-	return errNoReplica
+	return failure
 }
 
 // usable reports whether a replica may take the attempt.
@@ -80,7 +99,7 @@
 // nearlyIdle reports whether the area certainly needs no help: less than half
 // used as reported, and less than one attempt a replica from here.
 func (a *area) nearlyIdle() bool {
-	return a.reported < spillAt/2 && a.inFlight < len(a.replicas)
+	return a.reported < spillAt/2 && int(a.own.attempts) < len(a.replicas)
 }
 
 // nearest chooses a replica of the local zone; of another one if the local zone
@@ -93,46 +112,63 @@
 			chosen = away
 		}
 	}
-	var f found
+	f := s.anywhere(p, chosen, s.within)
+	if f.replica == nil {
+		f = s.anywhere(p, chosen, s.beyond)
+	}
+	if f.replica != nil && f.replica.area != local {
+		f.reason = ReasonSpill
+	}
+	return f
+}
+
+// anywhere searches the chosen zone, and then the others within reach.
+func (s *search) anywhere(p *pool, chosen *area, look func(*area) found) found {
 	if chosen != nil {
-		f = s.within(chosen)
+		if f := look(chosen); f.replica != nil {
+			return f
+		}
 	}
 	for _, a := range p.areas {
-		if f.replica != nil {
-			break
+		if a == chosen || !s.reachable(a) {
+			continue
 		}
-		if a != chosen && s.reachable(a) {
-			f = s.within(a)
+		if f := look(a); f.replica != nil {
+			return f
 		}
 	}
-	if f.replica != nil && f.replica.area != local {
-		f.reason = ReasonSpill
-	}
-	return f
+	return found{}
 }
 
 func (s *search) reachable(a *area) bool {
 	return a.zone == s.router.zone || !s.router.reach.CutOff(a.zone)
 }
 
-// spill returns the least used zone within reach if the local one is short.
+// spill returns the least used zone within reach, if the attempt is to go there.
+// While the local zone is short, it is the part of the attempts that would bring
+// the two zones level; all of them at once would only move the shortage.
 func (s *search) spill(p *pool, local *area) *area {
-	use := 1 + spillGain
-	if local != nil && s.usableArea(local) {
+	usable := local != nil && s.usableArea(local)
+	use := math.Inf(1)
+	if usable {
 		use = local.use(s.now)
 	}
 	if use < spillAt {
 		return nil
 	}
 	var best *area
+	least := use
 	for _, a := range p.areas {
 		if a == local || !s.usableArea(a) || !s.reachable(a) {
 			continue
 		}
-		if u := a.use(s.now); u <= use-spillGain {
-			best, use = a, u+spillGain
+		if u := a.use(s.now); u < least {
+			best, least = a, u
 		}
 	}
+	if usable && s.router.rng.Float64() >= (use-least)/(2*use) {
+		return nil
+	}
 	return best
 }
 
@@ -144,7 +180,13 @@
 	if r := s.twoChoices(a); r != nil {
 		return found{replica: r, reason: ReasonChoices}
 	}
-	return found{replica: s.scan(a), reason: ReasonScan}
+	return found{replica: s.scan(a, (*replica).full), reason: ReasonScan}
+}
+
+// beyond chooses a replica of one zone a little beyond its window, as windows may
+// have shrunk since the request was admitted.
+func (s *search) beyond(a *area) found {
+	return found{replica: s.scan(a, (*replica).overfull), reason: ReasonBeyond}
 }
 
 // affine chooses a replica for its prompt cache, unless it is too busy.
@@ -154,7 +196,7 @@
 		return found{}
 	}
 	held, covered := s.router.prefixes.find(s.query)
-	saved := covered * float64(s.tokens())
+	saved := covered * s.size()
 	if r := s.lighter(a, held[0], held[1], saved); r != nil {
 		return found{replica: r, reason: ReasonCached}
 	}
@@ -166,9 +208,11 @@
 }
 
 // lighter returns the less loaded of two replicas, if its load is within the
-// bound for affinity.
+// bound for affinity. The bound tightens as the zone fills up: a cached prefix
+// saves a fixed time, while the wait for a slot grows without limit.
 func (s *search) lighter(a *area, x, y *replica, saved float64) *replica {
-	bound := affinityBound*a.meanLoad() + saved
+	spare := max(1-a.use(s.now), 0)
+	bound := (1+affinitySlack*spare)*a.meanLoad() + spare*saved
 	var best *replica
 	for _, r := range [...]*replica{x, y} {
 		if !s.usable(r) || r.area != a {
@@ -182,24 +226,31 @@
 	return best
 }
 
-// twoChoices draws two groups and returns the better one's least loaded replica.
-func (s *search) twoChoices(a *area) *replica {
-	if len(a.groups) == 0 {
-		return nil
+// draw returns the groups to weigh: a few at random, or all if there are no more.
+func (s *search) draw(a *area) []*group {
+	if len(a.groups) <= choices {
+		return a.groups
+	}
+	drawn := s.router.drawn[:0]
+	for range choices {
+		drawn = append(drawn, a.groups[s.router.rng.IntN(len(a.groups))])
 	}
+	return drawn
+}
+
+// twoChoices returns the best replica of a few groups, or nil if none of them has
+// a usable one.
+func (s *search) twoChoices(a *area) *replica {
 	var best *replica
 	var bestScore float64
-	drawn := 0
-	for range samples {
-		g := a.groups[s.router.rng.IntN(len(a.groups))]
-		r, score := s.score(g)
-		if r == nil || r == best {
-			continue
-		}
-		if best == nil || score < bestScore {
-			best, bestScore = r, score
+	for range redraws {
+		for _, g := range s.draw(a) {
+			r, score := s.score(g)
+			if r != nil && (best == nil || score < bestScore) {
+				best, bestScore = r, score
+			}
 		}
-		if drawn++; drawn == 2 {
+		if best != nil || len(a.groups) <= choices {
 			break
 		}
 	}
@@ -207,8 +258,8 @@
 }
 
 // score returns a group's least loaded usable replica, and the cost of placing
-// the attempt there: the load of the slowest member, at whose pace all advance,
-// and a share of the replica's own.
+// the attempt there: the replica's load after that, and a share of the slowest
+// member's, at whose pace all advance.
 func (s *search) score(g *group) (*replica, float64) {
 	var best *replica
 	var least, greatest float64
@@ -226,21 +277,21 @@
 	if best == nil {
 		return nil, 0
 	}
-	after := best.load(s.now) + float64(s.tokens())
-	return best, (max(greatest, after) + ownShare*after) * best.latency() / best.ramp(s.now)
+	after := best.load(s.now) + s.size()
+	return best, (after + groupShare*max(greatest, after)) * best.latency() / best.ramp(s.now)
 }
 
 // scan returns the least loaded replica that has room, when sampling found none.
-// A replica that already failed the request, or one with a suspect, is better
-// than none.
-func (s *search) scan(a *area) *replica {
+// An ejected replica, or one with a suspect, is better than none; one that
+// already failed the request is not.
+func (s *search) scan(a *area, full func(*replica, time.Time) bool) *replica {
 	var best *replica
 	var least float64
 	for _, r := range a.replicas {
-		s.weighed++
-		if r.full(s.now) {
+		if full(r, s.now) || s.excluded(r) {
 			continue
 		}
+		s.weighed++
 		load := r.load(s.now) + s.penalty(r, a)
 		if best == nil || load < least {
 			best, least = r, load
@@ -251,16 +302,13 @@
 
 // penalty ranks the replicas that are not usable behind all that are.
 func (s *search) penalty(r *replica, a *area) float64 {
-	worst := 1 + 2*(a.own+a.foreign)
+	worst := 1 + 2*a.pool.weigh(a.own.plus(a.foreign, 1))
 	penalty := 0.0
-	if s.excluded(r) {
-		penalty += worst
-	}
 	if r.suspect {
-		penalty += 2 * worst
+		penalty += worst
 	}
 	if r.ejected(s.now) {
-		penalty += 4 * worst
+		penalty += 2 * worst
 	}
 	return penalty
 }
@@ -305,5 +353,5 @@
 
 // busy returns the attempts in flight, from here or as reported.
 func (r *replica) busy() int {
-	return max(r.inFlight, r.server.Load.Running)
+	return max(int(r.own.attempts), r.server.Load.Running)
 }
