--- a/agent/agent.go
+++ b/agent/agent.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/drain"
 	"filberttrack.example/track/ledger"
 )
 
@@ -40,8 +41,12 @@
 	ledger  *ledger.Ledger
 	leaving atomic.Bool
 	up      atomic.Bool
-	running atomic.Int64
+	running drain.Requests
 	seq     atomic.Uint64
+	// suspected asks for a probe at once.
+	suspected chan struct{}
+	// isolated is set while a suspect of a crash runs.
+	isolated atomic.Bool
 
 	loadMu sync.Mutex
 	load   track.Load
@@ -50,8 +55,9 @@
 // New returns an agent that takes work at once.
 func New(options Options) *Agent {
 	a := &Agent{
-		options: options,
-		ledger:  ledger.New(options.Instance.ID, options.Incarnation, options.Clock, options.Ledger),
+		options:   options,
+		suspected: make(chan struct{}, 1),
+		ledger:    ledger.New(options.Instance.ID, options.Incarnation, options.Clock, options.Ledger),
 	}
 	a.up.Store(true)
 	return a
@@ -60,7 +66,9 @@
 // Run implements track.Agent.
 func (a *Agent) Run(ctx context.Context, d track.Dispatch, send track.FrameFunc) error {
 	out := &output{id: d.ID, send: send}
-	verdict := a.ledger.Admit(d, a.refusal(d))
+	refusal, release := a.isolate(d, a.refusal(d))
+	defer release()
+	verdict := a.ledger.Admit(d, refusal)
 	if verdict.Attempt == nil {
 		a.decide(d, "refused", string(verdict.Refusal))
 		return out.final(track.Frame{Outcome: verdict.Outcome, Refusal: verdict.Refusal})
@@ -76,8 +84,7 @@
 func (a *Agent) run(
 	ctx context.Context, d track.Dispatch, timeout time.Duration, attempt *ledger.Attempt, out *output,
 ) error {
-	a.running.Add(1)
-	defer a.running.Add(-1)
+	defer a.running.Begin(d.ID.Request)()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	err := a.forward(ctx, d, out)
@@ -89,6 +96,18 @@
 	return err
 }
 
+// isolate makes sure that one isolated attempt runs at a time. The function
+// returned ends the attempt's hold.
+func (a *Agent) isolate(d track.Dispatch, refusal track.Refusal) (track.Refusal, func()) {
+	if refusal != "" || !d.Isolated {
+		return refusal, func() {}
+	}
+	if !a.isolated.CompareAndSwap(false, true) {
+		return track.RefusedFull, func() {}
+	}
+	return "", func() { a.isolated.Store(false) }
+}
+
 // refusal returns why the dispatch must not start here, or "".
 func (a *Agent) refusal(d track.Dispatch) track.Refusal {
 	switch {
@@ -98,6 +117,10 @@
 		return track.RefusedLeaving
 	case d.Timeout <= 0:
 		return track.RefusedExpired
+	case !a.up.Load():
+		// What is sent to a dead backend server would count as in flight there when
+		// it died.
+		return track.RefusedDown
 	}
 	return ""
 }
@@ -117,7 +140,7 @@
 	a.loadMu.Lock()
 	load := a.load
 	a.loadMu.Unlock()
-	load.Running = int(a.running.Load())
+	load.Running = a.Running()
 	load.Stamp = a.ledger.Stamp()
 	return track.Report{
 		Instance:    a.options.Instance,
@@ -136,7 +159,12 @@
 
 // Running returns the number of attempts in progress.
 func (a *Agent) Running() int {
-	return int(a.running.Load())
+	return a.running.Len()
+}
+
+// OpenRequests returns the requests with attempts in progress, sorted.
+func (a *Agent) OpenRequests() []track.RequestID {
+	return a.running.Open()
 }
 
 func (a *Agent) decide(d track.Dispatch, decision, reason string) {
--- a/boot/dev.go
+++ b/boot/dev.go
@@ -51,6 +51,7 @@
 	}
 	s.Entry.ID = "entry-1"
 	s.Entry.Zone = s.Zone[0].Name
+	s.Entry.Peer = loopbackAny
 	d.Entry, err = StartEntry(ctx, s, Platform{Log: d.Log, List: d.List}, logger.Named(string(s.Entry.ID)))
 	if err != nil {
 		d.stopAgents(ctx)
@@ -94,11 +95,12 @@
 	s.Agent.BackendURL = "http://" + server.Addr()
 	s.Agent.Serves = replicas.Target
 	s.Agent.Ranks = replicas.Ranks
+	s.Agent.GroupRanks = replicas.Ranks
 	if replicas.Ranks > 0 {
 		s.Agent.Admin = loopbackAny
 		s.Agent.Group = string(id)
 	}
-	agent, err := StartAgent(ctx, s, logger.Named(string(id)))
+	agent, err := StartAgent(ctx, s, Platform{Log: d.Log, List: d.List}, logger.Named(string(id)))
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/boot/member_test.go
@@ -0,0 +1,181 @@
+package boot_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"runtime"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/boot"
+	"filberttrack.example/track/certs"
+	"filberttrack.example/track/conf"
+	sample "filberttrack.example/track/examples"
+	"filberttrack.example/track/stand/engine"
+)
+
+// await waits until the condition holds.
+func await(t *testing.T, condition func() bool) {
+	t.Helper()
+	for !condition() {
+		if t.Context().Err() != nil {
+			t.FailNow()
+		}
+		runtime.Gosched()
+	}
+}
+
+// knows reports whether the entry routes to the agent.
+func knows(d *boot.Dev, id track.InstanceID) bool {
+	for _, s := range d.Entry.Status().Servers {
+		if s.Agent == id {
+			return true
+		}
+	}
+	return false
+}
+
+func TestLeavingAgentFinishesAndGetsNoNewWork(t *testing.T) {
+	d := startDev(t)
+	stopLast(t, d)
+	c := client(t, d)
+	var engines []*engine.Engine
+	for _, h := range d.Handlers {
+		if e, ok := h.(*engine.Engine); ok {
+			e.Pause()
+			engines = append(engines, e)
+		}
+	}
+	var group errgroup.Group
+	for i := range 24 {
+		group.Go(func() error { return checkStream(c, fmt.Sprintf("open stream %d", i)) })
+	}
+	await(t, func() bool { return attemptsInProgress(d) == 24 })
+	leaver := d.Agents[0]
+	assert.Assert(t, leaver.Status().OpenRequests > 0)
+	stopped := make(chan error, 1)
+	go func() { stopped <- leaver.Stop(context.Background()) }()
+	// The agent tells the entry at once, although its streams are still open.
+	await(t, func() bool { return !knows(d, leaver.Instance().ID) })
+	open := leaver.Status().OpenRequests
+	assert.Assert(t, open > 0)
+	for i := range 24 {
+		group.Go(func() error { return checkStream(c, fmt.Sprintf("late stream %d", i)) })
+	}
+	await(t, func() bool { return attemptsInProgress(d) == 48 })
+	assert.Equal(t, leaver.Status().OpenRequests, open)
+	for _, e := range engines {
+		e.Resume()
+	}
+	assert.NilError(t, group.Wait())
+	assert.NilError(t, <-stopped)
+}
+
+func TestStopNamesWhatItCuts(t *testing.T) {
+	d := startDev(t)
+	for _, h := range d.Handlers {
+		if e, ok := h.(*engine.Engine); ok {
+			e.Pause()
+		}
+	}
+	c := client(t, d)
+	var group errgroup.Group
+	group.Go(func() error { return checkStream(c, "cut off") })
+	await(t, func() bool { return attemptsInProgress(d) == 1 })
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	assert.ErrorContains(t, d.Stop(ctx), "1 requests open")
+	assert.Assert(t, group.Wait() != nil)
+}
+
+func TestEntryServesWithTheListEmptied(t *testing.T) {
+	d := startDev(t)
+	stopLast(t, d)
+	before := len(d.Entry.Status().Servers)
+	for _, a := range d.Agents {
+		d.List.Remove(a.Instance().ID)
+	}
+	await(t, func() bool { return d.Entry.Status().ListAge >= 0 })
+	assert.NilError(t, checkWhole(client(t, d), "bales without a list"))
+	assert.Equal(t, len(d.Entry.Status().Servers), before)
+}
+
+// issueFiles writes certificates of one authority for the zones and returns the
+// files of each.
+func issueFiles(t *testing.T, zones ...track.AvailabilityZone) map[track.AvailabilityZone]conf.TLS {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	assert.NilError(t, err)
+	authority := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	dir := t.TempDir()
+	write := func(name, kind string, der []byte) string {
+		file := filepath.Join(dir, name)
+		assert.NilError(t, os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
+		return file
+	}
+	sign := func(c *x509.Certificate) []byte {
+		der, err := x509.CreateCertificate(rand.Reader, c, authority, &key.PublicKey, key)
+		assert.NilError(t, err)
+		return der
+	}
+	files := make(map[track.AvailabilityZone]conf.TLS)
+	ca, private := write("ca.crt", "CERTIFICATE", sign(authority)), write("tls.key", "PRIVATE KEY", keyDER)
+	for i, zone := range zones {
+		leaf := sign(&x509.Certificate{
+			SerialNumber: big.NewInt(int64(i + 2)), NotBefore: authority.NotBefore, NotAfter: authority.NotAfter,
+			URIs: []*url.URL{certs.ZoneURI(zone)},
+		})
+		files[zone] = conf.TLS{Certificate: write(string(zone)+".crt", "CERTIFICATE", leaf), Key: private, Authority: ca}
+	}
+	return files
+}
+
+func TestMutualTLSBetweenOwnProcesses(t *testing.T) {
+	files := issueFiles(t, "rivera", "artigas")
+	s, err := conf.Parse("aserrin.toml", sample.Aserrin, conf.UseDev)
+	assert.NilError(t, err)
+	s.Entry.Listen, s.Entry.Admin, s.Entry.BalancerDelay = "127.0.0.1:0", "127.0.0.1:0", 0
+	s.Zone = s.Zone[:1]
+	assert.Equal(t, s.Zone[0].Name, track.AvailabilityZone("rivera"))
+
+	s.TLS = files["artigas"]
+	_, err = boot.StartDev(context.Background(), s, zap.NewNop())
+	assert.Assert(t, track.IsKind(err, certs.WrongZone), "%v", err)
+
+	s.TLS = files["rivera"]
+	d, err := boot.StartDev(context.Background(), s, zap.NewNop())
+	assert.NilError(t, err)
+	stopLast(t, d)
+	assert.NilError(t, checkStream(client(t, d), "sealed bales"))
+
+	// An entry without certificates finds nobody.
+	s.TLS = conf.TLS{}
+	s.Entry.ID, s.Entry.Zone = "entry-bare", "rivera"
+	bare, err := boot.StartEntry(context.Background(), s, boot.Platform{Log: d.Log, List: d.List}, zap.NewNop())
+	assert.NilError(t, err)
+	assert.Equal(t, len(bare.Status().Servers), 0)
+	response, err := http.Get("http://" + bare.AdminAddr() + "/status")
+	assert.NilError(t, err)
+	response.Body.Close()
+	assert.NilError(t, bare.Stop(context.Background()))
+}
--- a/conf/defaults.go
+++ b/conf/defaults.go
@@ -10,6 +10,7 @@
 const (
 	defaultListen         = "127.0.0.1:8080"
 	defaultAdmin          = "127.0.0.1:8081"
+	defaultPeer           = "127.0.0.1:0"
 	defaultMaxBodyBytes   = 4 << 20
 	defaultMaxHeaderBytes = 32 << 10
 	defaultMaxAnswerBytes = 16 << 20
@@ -39,6 +40,7 @@
 func applyDefaults(s *Settings) {
 	setDefault(&s.Entry.Listen, defaultListen)
 	setDefault(&s.Entry.Admin, defaultAdmin)
+	setDefault(&s.Entry.Peer, defaultPeer)
 	setDefault(&s.Entry.MaxBodyBytes, defaultMaxBodyBytes)
 	setDefault(&s.Entry.MaxHeaderBytes, defaultMaxHeaderBytes)
 	setDefault(&s.Entry.MaxAnswerBytes, defaultMaxAnswerBytes)
@@ -47,9 +49,10 @@
 	setDefault(&s.Entry.StopTimeout, defaultStopTimeout)
 	setDefault(&s.Entry.Claims.KeyRetention, claims.Defaults().KeyRetention)
 	setDefault(&s.Agent.StopTimeout, defaultStopTimeout)
+	setDefault(&s.Agent.GroupRanks, s.Agent.Ranks)
 	setDefault(&s.Agent.Experts.Layers, defaultLayers)
 	setDefault(&s.Agent.Experts.PerLayer, defaultExperts)
-	setDefault(&s.Agent.Experts.Slots, SlotsFor(s.Agent.Ranks, s.Agent.Experts.PerLayer))
+	setDefault(&s.Agent.Experts.Slots, SlotsFor(s.Agent.GroupRanks, s.Agent.Experts.PerLayer))
 	setDefault(&s.Agent.Experts.Bytes, defaultExpertBytes)
 	setDefault(&s.Agent.Experts.FetchBytesPerSecond, defaultFetchBytesPerSecond)
 	setDefault(&s.Agent.Experts.StagedCopies, defaultStagedCopies)
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -14,6 +14,7 @@
 	Platform Platform
 	Entry    Entry
 	Agent    Agent
+	TLS      TLS
 	Logging  Logging
 	// Operators says who may change something through the operators' listener.
 	Operators Operators
@@ -82,14 +83,28 @@
 	BackendURL string
 	// Serves names the model or service of the backend server.
 	Serves string
-	Group  string
-	Ranks  int
+	// Group names the rank group that the backend server belongs to.
+	Group string
+	// Ranks is the number of ranks behind the agent, GroupRanks that of the whole
+	// group; 0 if all its ranks are behind the agent.
+	Ranks      int
+	GroupRanks int
 	// Experts describes the experts of the ranks.
 	Experts Experts
 	// StopTimeout bounds a planned stop.
 	StopTimeout time.Duration
 }
 
+// TLS names the files for mutual TLS between own processes. All are set, or none.
+type TLS struct {
+	// Certificate holds the certificate of this process in PEM form.
+	Certificate string
+	// Key holds its private key.
+	Key string
+	// Authority holds the certificates that sign those of other processes.
+	Authority string
+}
+
 // Experts describes the experts of a rank group and the fetching of their
 // weights.
 type Experts struct {
--- a/entry/send/send.go
+++ b/entry/send/send.go
@@ -11,9 +11,12 @@
 	"go.uber.org/zap"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/admit"
+	"filberttrack.example/track/crash"
 	"filberttrack.example/track/entry/flow"
 	"filberttrack.example/track/entry/relay"
 	"filberttrack.example/track/frames"
+	"filberttrack.example/track/retry"
 )
 
 // Options holds what the step is made of.
@@ -25,6 +28,13 @@
 	Limits relay.Limits
 	// Drops counts frames out of sequence.
 	Drops *frames.Drops
+	// Retries decides what follows a failed or slow attempt.
+	Retries *retry.Retrier
+	// Crashes keeps requests that crash backend servers apart.
+	Crashes *crash.Tracker
+	// Expected returns the expected duration of an attempt at a target.
+	Expected func(target string) time.Duration
+	Capacity admit.Capacity
 	// LogDecisions turns on a log line for each routing decision.
 	LogDecisions bool
 }
@@ -42,6 +52,9 @@
 // String returns the name of the step.
 func (*Step) String() string { return "run on a backend server" }
 
+// codeNoServer is the code of a refusal for want of a replica.
+const codeNoServer = "no_backend_server"
+
 // retryAfterNoServer tells a caller when to come back if no replica is live.
 const retryAfterNoServer = 2 * time.Second
 
@@ -54,12 +67,19 @@
 	defer cancel()
 	r := &run{step: s, exchange: x, answer: relay.For(x, s.options.Limits)}
 	r.reset()
+	s.options.Retries.First(&x.Call)
+	var before *flow.RefusalError
 	for {
 		refusal, again := r.attempt(ctx)
+		if r.unplaced && before != nil {
+			// The failure of the attempt before says more.
+			refusal, again = before, false
+		}
 		if refusal == nil {
 			return nil
 		}
-		if again && r.mayRetry(ctx) {
+		if again && r.mayRetry(ctx) && r.again(ctx, refusal) {
+			before = refusal
 			continue
 		}
 		if r.answer.Committed() {
@@ -83,6 +103,19 @@
 	transcript *frames.Transcript
 	// body is the request that continues a generation; nil before that.
 	body []byte
+	// latest is the attempt that was judged last.
+	latest *transfer
+	// reroutes is the number of attempts that were refused before they started.
+	reroutes int
+	// turns is the number of times that a suspect of a crash waited for a replica,
+	// patience the time until which it does, and crowded set after that.
+	turns    int
+	patience time.Time
+	crowded  bool
+	// unplaced is set if no replica was found for the present attempt.
+	unplaced bool
+	// spared is set once a retry was spared the budget.
+	spared bool
 }
 
 // mayRetry reports whether a further attempt is allowed.
@@ -94,39 +127,19 @@
 	if call.NonIdempotent && r.tainted {
 		return false
 	}
-	return int(r.number) < max(1, call.Profile.Retry.MaxAttempts)
+	return r.attempts() < max(1, call.Profile.Retry.MaxAttempts)
 }
 
-// attempt runs one attempt. It returns nil if the caller has the whole answer;
-// otherwise the refusal to give and whether another replica may do better.
-func (r *run) attempt(ctx context.Context) (*flow.RefusalError, bool) {
-	choice, err := r.pick()
-	if err != nil {
-		return r.noServer(err), false
-	}
-	started := r.step.options.Clock.Now()
-	t := &transfer{
-		answer:     r.answer,
-		clock:      r.step.options.Clock,
-		started:    started,
-		transcript: r.transcript,
-		checker:    frames.NewChecker(track.AttemptID{Request: r.exchange.Call.ID, Number: r.number}, r.step.options.Drops),
-	}
-	t.run(ctx, r, choice)
-	result := track.Result{
-		Outcome:   t.outcome(),
-		Failed:    t.replicaFailed(),
-		FirstByte: t.firstByte,
-		Duration:  r.step.options.Clock.Since(started),
-	}
-	r.step.options.Router.Done(choice, result)
-	if !t.provenNotRun() {
-		r.tainted = true
+// attempts returns the number of attempts that an agent took on.
+func (r *run) attempts() int {
+	n := int(r.number) - r.reroutes - r.turns
+	if r.latest.refused() {
+		n--
 	}
-	return r.judge(ctx, choice, t)
+	return n
 }
 
-func (r *run) pick() (track.Choice, error) {
+func (r *run) pick(isolated bool) (track.Choice, error) {
 	call := &r.exchange.Call
 	r.number++
 	choice, err := r.step.options.Router.Pick(track.Query{
@@ -135,6 +148,7 @@
 		Tokens:   call.PromptTokens + call.MaxTokens,
 		Prefixes: call.Prefixes,
 		Excluded: r.excluded,
+		Isolated: isolated,
 	})
 	if r.step.options.LogDecisions {
 		r.step.options.Logger.Info("route",
@@ -156,7 +170,7 @@
 	}
 	return &flow.RefusalError{
 		Status:     http.StatusServiceUnavailable,
-		Code:       "no_backend_server",
+		Code:       codeNoServer,
 		Message:    err.Error(),
 		Outcome:    outcome,
 		RetryAfter: retryAfterNoServer,
--- a/swap/member_test.go
+++ b/swap/member_test.go
@@ -61,8 +61,7 @@
 func (p *pairOf) driver(number uint64, change bool) (*swap.Driver, []track.MapOrder) {
 	plan := swap.Plan{Default: baseMap}
 	if change {
-		m := baseMap
-		plan.Map = &m
+		plan.Change = &track.MapChange{}
 	}
 	return swap.NewDriver(track.Ballot{Number: number, Driver: "a"}, []track.RankID{rankA, rankB}, plan)
 }
@@ -208,3 +207,18 @@
 	assert.Equal(t, len(uses), 40)
 	assert.Equal(t, uses[len(uses)-1].Version, track.Ballot{})
 }
+
+// A change says what differs from the map it was planned from, and is of no use
+// on another map.
+func TestChangeOfAnotherMapIsRefused(t *testing.T) {
+	p := newPair(t, false)
+	other := track.Ballot{Number: 9}
+	change := &track.MapChange{Base: other}
+	d, orders := swap.NewDriver(track.Ballot{Number: 1, Driver: "a"}, []track.RankID{rankA, rankB}, swap.Plan{Change: change})
+	assert.Equal(t, len(feed(d, p.send(orders...))), 0)
+	result, _ := d.Result()
+	assert.Equal(t, result.Outcome, swap.Idle)
+
+	prepare := track.MapOrder{Kind: track.OrderPrepare, Ballot: track.Ballot{Number: 1, Driver: "a"}, To: rankB, Incarnation: 1, Change: change}
+	assert.Equal(t, p.send(prepare)[0].Refusal, track.RefusedRank)
+}
--- a/wire/expert.go
+++ b/wire/expert.go
@@ -43,10 +43,10 @@
 	client wirepb.RankGroupClient
 }
 
-// DialDoor returns the port to the ranks behind the agent at the address. It
+// DialDoor returns the port to the ranks behind the agent. It
 // does not wait for a connection.
-func (d *Dialer) DialDoor(address string) (track.MapDoor, error) {
-	conn, err := d.Conn(address)
+func (d *Dialer) DialDoor(agent track.Instance) (track.MapDoor, error) {
+	conn, err := d.conn(agent)
 	if err != nil {
 		return nil, err
 	}
