--- /dev/null
+++ b/agent/keyed_test.go
@@ -0,0 +1,86 @@
+package agent
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/ledger"
+)
+
+// backend answers with a body, or refuses the connection if there is none.
+type backend struct{ body string }
+
+// RoundTrip implements http.RoundTripper.
+func (b backend) RoundTrip(*http.Request) (*http.Response, error) {
+	if b.body == "" {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: errors.New("connection refused")}
+	}
+	return &http.Response{StatusCode: http.StatusCreated, Body: io.NopCloser(strings.NewReader(b.body))}, nil
+}
+
+func keyedAgent(body string) (*Agent, track.Dispatch) {
+	a := New(Options{
+		Instance: track.Instance{ID: "agent-1", Serves: "pickup-desk"}, Incarnation: 1,
+		Backend: &url.URL{Scheme: "http", Host: "backend"}, Client: &http.Client{Transport: backend{body}},
+		Clock: clockwork.NewFakeClock(), Logger: zap.NewNop(), Metrics: metrics.NewSet(), Ledger: ledger.Defaults(),
+	})
+	return a, track.Dispatch{
+		ID: track.AttemptID{Request: "r", Number: 1}, Agent: "agent-1", Incarnation: 1, Target: "pickup-desk",
+		Kind: track.Plain, Method: http.MethodPost, Path: "/bookings", Timeout: time.Minute,
+		Claim: &track.Claim{Service: "pickup-desk", IdempotencyKey: "k"},
+	}
+}
+
+// collect returns the size of an answer and its final frame.
+func collect(t *testing.T, run func(track.FrameFunc) error) (int, track.Frame) {
+	t.Helper()
+	size := 0
+	var last track.Frame
+	assert.NilError(t, run(func(f track.Frame) error {
+		size += len(f.Data)
+		last = f
+		return nil
+	}))
+	return size, last
+}
+
+// An answer too large to store reaches the first caller whole, and a retry is
+// told that it is gone.
+func TestLargeKeyedAnswer(t *testing.T) {
+	want := ledger.Defaults().MaxAnswerBytes + 1
+	a, d := keyedAgent(strings.Repeat("x", want))
+	size, final := collect(t, func(send track.FrameFunc) error { return a.Run(t.Context(), d, send) })
+	assert.Equal(t, size, want)
+	assert.Equal(t, final.Outcome, track.Completed)
+	size, final = collect(t, func(send track.FrameFunc) error { return a.Replay(t.Context(), d.Ref(), send) })
+	assert.Equal(t, size, 0)
+	assert.Equal(t, final.Outcome, track.Unknown)
+}
+
+// Work that never reached the backend server is barred, and its key is free.
+func TestKeyedWorkNeverSent(t *testing.T) {
+	a, d := keyedAgent("")
+	_, final := collect(t, func(send track.FrameFunc) error { return a.Run(t.Context(), d, send) })
+	assert.Equal(t, final.Outcome, track.NotRun)
+	assert.Equal(t, final.Refusal, track.RefusedDown)
+	_, final = collect(t, func(send track.FrameFunc) error { return a.Replay(t.Context(), d.Ref(), send) })
+	assert.Equal(t, final.Outcome, track.NotRun)
+	a.options.Client.Transport = backend{"ok"}
+	_, final = collect(t, func(send track.FrameFunc) error { return a.Run(t.Context(), d, send) })
+	assert.Equal(t, final.Refusal, track.RefusedBarred)
+	d.ID.Number = 2
+	_, final = collect(t, func(send track.FrameFunc) error { return a.Run(t.Context(), d, send) })
+	assert.Equal(t, final.Outcome, track.Completed)
+}
--- a/claims/book.go
+++ b/claims/book.go
@@ -55,6 +55,7 @@
 		moved:   make(chan struct{}),
 	}
 	options.Metrics.NewGauge("claims_keys", func() float64 { return float64(b.Len()) })
+	options.Metrics.NewGauge("claims_invalid_records", func() float64 { return float64(b.invalid()) })
 	return b
 }
 
@@ -74,6 +75,12 @@
 	return b.index.Len()
 }
 
+func (b *Book) invalid() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.index.Invalid()
+}
+
 // Look returns what the book knows of a key.
 func (b *Book) Look(key Key) View {
 	b.mu.Lock()
--- a/claims/claims_test.go
+++ b/claims/claims_test.go
@@ -104,6 +104,19 @@
 			w.agents = nil
 			assert.Equal(t, w.ask(a, "r3", "k"), "Unknown agent lost the attempt")
 		}},
+		"agent restarted and close not appended": {1, func(t *testing.T, w *world, a, b *entry) {
+			assert.Equal(t, w.ask(a, "r1", "k"), booked)
+			for _, agent := range w.agents {
+				agent.restart()
+			}
+			time.Sleep(time.Second)
+			b.log.cut.Store(true)
+			w.pending.Go(func() {
+				time.Sleep(w.settings.ClaimTimeout + time.Second)
+				b.log.cut.Store(false)
+			})
+			assert.Equal(t, w.ask(b, "r2", "k"), "Unknown agent lost the attempt")
+		}},
 		"agent gone": {1, func(t *testing.T, w *world, a, b *entry) {
 			assert.Equal(t, w.ask(a, "r1", "k"), booked)
 			w.agents = nil
