--- a/boot/once_random_test.go
+++ b/boot/once_random_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -51,7 +52,7 @@
 }
 
 func (x *session) attempt(rng *rand.Rand, key string, first bool) reply {
-	request := httptest.NewRequest("POST", bookings, strings.NewReader(fmt.Sprintf(`{"Mill":%q}`, key)))
+	request := httptest.NewRequest(http.MethodPost, bookings, strings.NewReader(fmt.Sprintf(`{"Mill":%q}`, key)))
 	request.Header.Set("Authorization", "Bearer "+token)
 	request.Header.Set("Idempotency-Key", key)
 	request.Header.Set("Filberttrack-First-Send", fmt.Sprint(first))
