feat: short answers to keyed work outlive the agent

Change: a Close record with the answer, appended after the caller was answered; retries replay it from the log, or from the agent while the log is away. The session of a restarted agent now ends with the answer; a new one loses it before any entry heard it, as the old one did. stand/local: a handler no longer waits for a client that has gone.

--- a/boot/once_test.go
+++ b/boot/once_test.go
@@ -53,8 +53,23 @@
 	})
 }
 
-// The agent dies after the booking; nobody can tell what became of it, and it
-// does not run again.
+// The agent dies before an entry has heard the answer; nobody can tell what
+// became of the booking, and it does not run again.
+func TestSessionAnswerLost(t *testing.T) {
+	play(t, "session-answer-lost", 2, func(ctx context.Context, x *session) {
+		x.desks[0].SetLatency(time.Second)
+		x.book(0, booking, "friday", "Filberttrack-Timeout", "500ms")
+		x.network.Kill("agent-3")
+		x.book(1, booking, "friday")
+		x.addAgent(ctx, "agent-3", "pickup-desk", x.desks[0])
+		x.pass(2 * time.Second)
+		x.book(1, booking, "friday")
+		x.book(0, booking, "saturday")
+		x.send(0, "GET", bookings, "")
+	})
+}
+
+// The agent dies after the booking; the log has the answer.
 func TestSessionAgentRestarted(t *testing.T) {
 	play(t, "session-agent-restarted", 2, func(ctx context.Context, x *session) {
 		x.book(0, booking, "friday")
--- a/claims/append.go
+++ b/claims/append.go
@@ -16,6 +16,8 @@
 type batch struct {
 	ctx  context.Context
 	data [][]byte
+	// cancel releases the context; nil if its owner does.
+	cancel context.CancelFunc
 	// offset receives the offset of the last record, once it is known.
 	offset chan uint64
 }
@@ -45,6 +47,19 @@
 	}
 }
 
+// leave appends a record without waiting for it. The record may be lost.
+func (b *Book) leave(ctx context.Context, r Record) {
+	data, err := Encode(r)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), b.options.Settings.ClaimTimeout)
+	left := &batch{ctx: ctx, cancel: cancel, data: [][]byte{data}, offset: make(chan uint64, 1)}
+	if !b.queue.Offer(left) {
+		cancel()
+	}
+}
+
 // append is the duty that appends whatever waits, one call at a time.
 func (b *Book) append(ctx context.Context) error {
 	for {
@@ -128,5 +143,8 @@
 	for _, w := range waiting {
 		offset += uint64(len(w.data))
 		w.offset <- offset - 1
+		if w.cancel != nil {
+			w.cancel()
+		}
 	}
 }
--- a/claims/execute.go
+++ b/claims/execute.go
@@ -116,6 +116,8 @@
 			return Answer{}, track.Fail(op, Lost, nil)
 		case Held:
 			answer, err = x.meet(ctx, view)
+		case Told:
+			answer, err = x.retell(ctx, view)
 		case Open:
 			answer, err = x.claim(ctx, nil)
 		}
@@ -131,12 +133,8 @@
 // meet deals with a claim that holds the key. It returns nil if the way is free
 // for another look.
 func (x *execution) meet(ctx context.Context, view View) (*Answer, error) {
-	if !x.own(view) {
-		x.shown = false
-		if !x.book.sameBody(x.work.Key, x.work.BodySHA256) {
-			x.shown = true
-			return nil, track.Fail("meet claim", Mismatch, nil)
-		}
+	if err := x.compare(view); err != nil {
+		return nil, err
 	}
 	if x.barred == nil || *x.barred != view.Offset {
 		answer, err := x.recall(ctx, view)
@@ -147,6 +145,19 @@
 	return x.claim(ctx, &Close{Key: x.work.Key, Offset: view.Offset, Reason: Barred})
 }
 
+// compare checks that the claim that holds the key is for the same work.
+func (x *execution) compare(view View) error {
+	if x.own(view) {
+		return nil
+	}
+	x.shown = false
+	if !x.book.sameBody(x.work.Key, x.work.BodySHA256) {
+		x.shown = true
+		return track.Fail("meet claim", Mismatch, nil)
+	}
+	return nil
+}
+
 // claim appends a claim, together with the end of the claim that it replaces,
 // and dispatches if the claim holds.
 func (x *execution) claim(ctx context.Context, closing *Close) (*Answer, error) {
@@ -261,6 +272,7 @@
 	if final.Refusal != "" {
 		return nil, nil
 	}
+	x.keep(ctx, view, answer)
 	return &Answer{Outcome: final.Outcome, Frames: answer}, nil
 }
 
--- a/claims/index.go
+++ b/claims/index.go
@@ -21,6 +21,8 @@
 	Gone
 	// Hidden means that records about the key have expired unread.
 	Hidden
+	// Told means that the log holds the answer to the work under the key.
+	Told
 	// Past means that the key is older than keys are remembered.
 	Past
 )
@@ -32,6 +34,8 @@
 	Claim  Claim
 	Offset uint64
 	ReadAt time.Time
+	// Result is the offset of the answer; set if the state is Told.
+	Result uint64
 }
 
 // keyHash identifies a key.
@@ -52,6 +56,8 @@
 	state  State
 	hidden bool
 	offset uint64
+	// result is the offset of the answer, if the log holds it.
+	result uint64
 	// latest is the log time of the claim that holds the key or, where the key
 	// is hidden, of its last claim; in nanoseconds since the Unix epoch.
 	latest int64
@@ -154,7 +160,7 @@
 	case KindClaim:
 		x.claim(*record.Claim, r.Offset, readAt)
 	case KindClose:
-		x.close(*record.Close)
+		x.close(*record.Close, r.Offset)
 	}
 }
 
@@ -183,14 +189,19 @@
 	x.extend(hash, held)
 }
 
-func (x *Index) close(c Close) {
+func (x *Index) close(c Close, offset uint64) {
 	held := x.recall(c.Key.hash())
-	if held == nil || held.state != Held || held.offset != c.Offset {
+	if held == nil || held.offset != c.Offset {
 		return
 	}
-	held.state = Gone
-	if c.Reason == Barred {
+	switch {
+	case held.state == Held && c.Reason == Barred:
 		held.state = Open
+	case held.state == Held && c.Reason == Forsaken:
+		held.state = Gone
+	case (held.state == Held || held.state == Gone) && c.Reason == Finished:
+		held.state = Told
+		held.result = offset
 	}
 }
 
@@ -210,6 +221,7 @@
 	return View{
 		State:  held.state,
 		Offset: held.offset,
+		Result: held.result,
 		ReadAt: time.Unix(0, held.readAt),
 		Claim: Claim{
 			Key: key, Attempt: held.attempt, Stamp: held.stamp,
--- a/claims/index_test.go
+++ b/claims/index_test.go
@@ -33,6 +33,9 @@
 					Key: key, Offset: whole.Look(key).Offset,
 					Reason: rapid.SampledFrom([]claims.CloseReason{claims.Barred, claims.Barred, claims.Forsaken}).Draw(rt, "reason"),
 				}}
+				if rapid.IntRange(0, 3).Draw(rt, "finished") == 0 {
+					record.Close.Reason, record.Close.Result = claims.Finished, &claims.Result{Status: 201}
+				}
 			}
 			data, err := claims.Encode(record)
 			assert.NilError(rt, err)
--- a/claims/recall.go
+++ b/claims/recall.go
@@ -81,6 +81,7 @@
 	if final.Outcome == track.NotRun {
 		return nil, true
 	}
+	x.keep(ctx, view, answer)
 	return &Answer{Outcome: final.Outcome, Frames: answer, Replayed: !x.own(view)}, true
 }
 
--- a/claims/record.go
+++ b/claims/record.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 
 	"filberttrack.example/track"
@@ -64,13 +65,27 @@
 	Barred CloseReason = "Barred"
 	// Forsaken means that the agent can't tell whether the attempt ran.
 	Forsaken CloseReason = "Forsaken"
+	// Finished means that the attempt ran; the record holds its whole answer.
+	Finished CloseReason = "Finished"
 )
 
+// MaxResultBytes bounds the body of an answer that is kept in the log.
+const MaxResultBytes = 4 << 10
+
+// Result is the whole answer to an attempt.
+type Result struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
 // Close ends the claim of the key at the offset.
 type Close struct {
 	Key    Key
 	Offset uint64
 	Reason CloseReason
+	// Result is set if the reason is Finished.
+	Result *Result
 }
 
 // Ref returns the reference to the claimed attempt.
@@ -128,9 +143,12 @@
 }
 
 func (c Close) check() error {
-	if c.Reason != Barred && c.Reason != Forsaken {
+	if c.Reason != Barred && c.Reason != Forsaken && c.Reason != Finished {
 		return fmt.Errorf("unknown reason %q", c.Reason)
 	}
+	if (c.Reason == Finished) != (c.Result != nil) {
+		return errors.New("result and reason do not match")
+	}
 	return c.Key.check()
 }
 
--- a/stand/local/transport.go
+++ b/stand/local/transport.go
@@ -61,6 +61,9 @@
 	case <-w.began:
 	case <-request.Context().Done():
 		cancel()
+		// The handler must not wait for a reader that has gone; closing a pipe
+		// does not fail.
+		_ = reader.Close()
 		return nil, request.Context().Err()
 	}
 	if w.failed != nil {
