--- a/beat/gossip.go
+++ b/beat/gossip.go
@@ -6,14 +6,8 @@
 	"filberttrack.example/track"
 )
 
-// maxNotices bounds the notices of a topic that wait for a peer, and
-// noticesPerMessage those that one heartbeat carries.
-const (
-	maxNotices        = 32
-	noticesPerMessage = 4
-)
-
-// Gossip carries notices of one topic between the entries of a zone. It
+// Gossip carries notices of one topic between the entries of a zone. Each notice
+// holds all that its sender has to say, so that only the latest is kept. It
 // implements track.TopicHandler.
 type Gossip struct {
 	topic track.Topic
@@ -21,10 +15,10 @@
 	urgent func()
 
 	mu sync.Mutex
-	// next numbers the notices; recent holds the latest ones.
-	next   uint64
-	recent [][]byte
-	// sent holds how far each peer was served.
+	// latest is the latest notice, and version its number.
+	latest  []byte
+	version uint64
+	// sent holds the version that each peer was sent last.
 	sent   map[track.InstanceID]uint64
 	handle []func(track.Notice)
 }
@@ -37,19 +31,18 @@
 // Topic implements track.TopicHandler.
 func (g *Gossip) Topic() track.Topic { return g.topic }
 
-// Offer implements track.TopicHandler. It hands a peer what it has not got yet.
-// A peer that was not served for long gets the latest notices only.
+// Offer implements track.TopicHandler. It hands a peer the latest notice once.
 func (g *Gossip) Offer(to track.Instance) [][]byte {
 	if to.Role != track.RoleEntry {
 		return nil
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	oldest := g.next - uint64(len(g.recent))
-	from := max(g.sent[to.ID], oldest)
-	until := min(g.next, from+noticesPerMessage)
-	g.sent[to.ID] = until
-	return g.recent[from-oldest : until-oldest]
+	if g.sent[to.ID] == g.version {
+		return nil
+	}
+	g.sent[to.ID] = g.version
+	return [][]byte{g.latest}
 }
 
 // Receive implements track.TopicHandler.
@@ -69,11 +62,8 @@
 
 func (g *Gossip) publish(data []byte) {
 	g.mu.Lock()
-	g.next++
-	g.recent = append(g.recent, data)
-	if len(g.recent) > maxNotices {
-		g.recent = append([][]byte(nil), g.recent[1:]...)
-	}
+	g.version++
+	g.latest = data
 	urgent := g.urgent
 	g.mu.Unlock()
 	if urgent != nil {
--- a/boot/ports.go
+++ b/boot/ports.go
@@ -7,8 +7,6 @@
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/wire"
@@ -26,6 +24,10 @@
 	Platform Platform
 	// Dialer opens ports to agents.
 	Dialer track.AgentDialer
+	// Peers opens ports by which instances tell each other about themselves.
+	Peers track.PeerDialer
+	// Address is where other instances reach this one.
+	Address string
 	// Ranks opens the ports to the ranks behind an agent; nil if the process
 	// does not steer a rank group.
 	Ranks RankPorts
@@ -43,11 +45,14 @@
 }
 
 // realPorts returns the ports of a process that runs by itself, and its dialer.
-func realPorts(platform Platform, logger *zap.Logger) (Ports, *wire.Dialer) {
-	dialer := wire.NewDialer(grpc.WithTransportCredentials(insecure.NewCredentials()))
+func realPorts(platform Platform, t *trust, address string, logger *zap.Logger) (Ports, *wire.Dialer) {
+	dialer := wire.NewDialer(t.dial)
 	return Ports{
 		Platform: platform,
 		Dialer:   dialer,
+		Peers:    dialer,
+		Address:  address,
+		Guard:    t.token.Guard,
 		Ranks:    httpRanks,
 		Client:   backendClient(),
 		Clock:    clockwork.NewRealClock(),
--- a/gossip.go
+++ b/gossip.go
@@ -8,7 +8,8 @@
 	TopicQuarantine Topic = "Quarantine"
 )
 
-// Notice is a small piece of state that an entry shares with other entries.
+// Notice is the whole of what an entry shares with other entries on a topic. A
+// later notice replaces an earlier one.
 type Notice struct {
 	Topic Topic
 	// From is the entry that published the notice.
--- a/wire/peer_test.go
+++ b/wire/peer_test.go
@@ -6,8 +6,6 @@
 	"testing"
 	"time"
 
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 	"gotest.tools/v3/assert"
 
 	"filberttrack.example/track"
@@ -34,8 +32,8 @@
 	wire.RegisterPeer(server, peer, nil)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(socket) }()
-	dialer := wire.NewDialer(grpc.WithTransportCredentials(insecure.NewCredentials()))
-	conn, err := dialer.Conn(socket.Addr().String())
+	dialer := wire.NewDialer(nil)
+	port, err := dialer.DialPeer(track.Instance{Address: socket.Addr().String()})
 	assert.NilError(t, err)
 
 	sent := track.Heartbeat{
@@ -46,7 +44,7 @@
 		},
 		Payloads: []track.Payload{{Topic: "limits", Data: []byte("x")}},
 	}
-	reply, err := wire.NewPeer(conn).Heartbeat(t.Context(), sent)
+	reply, err := port.Heartbeat(t.Context(), sent)
 	assert.NilError(t, err)
 	assert.Equal(t, reply.Interval, time.Second)
 	assert.DeepEqual(t, peer.heard, sent)
