--- a/config/config_test.go
+++ b/config/config_test.go
@@ -254,6 +254,38 @@
 	})
 }
 
+// All entries die at once while the log is away: the agents are all that is
+// left, and hand the configuration on to new entries.
+func TestAgentsHandOnToNewEntries(t *testing.T) {
+	withFleet(t, 2, 2, func(ctx context.Context, t *testing.T, f *fleet) {
+		publish(ctx, t, f.live()[0], draft("c1", editProfile("lunch", time.Second, 0)))
+		time.Sleep(10 * time.Second)
+		f.log.SetAway(true)
+		for _, n := range f.live()[:2] {
+			f.remove(n)
+		}
+		fresh := f.start(ctx, f.add(track.RoleEntry))
+		time.Sleep(inForceTarget)
+		assert.Equal(t, fresh.timeout("lunch"), time.Second)
+	})
+}
+
+// A spread names the instances that have not answered.
+func TestSpreadNamesTheSilent(t *testing.T) {
+	withFleet(t, 2, 2, func(ctx context.Context, t *testing.T, f *fleet) {
+		silent := f.live()[3]
+		f.lonely.Store(silent)
+		d := publish(ctx, t, f.live()[0], draft("c1", editProfile("lunch", time.Second, 0)))
+		bounded, cancel := context.WithTimeout(ctx, 10*time.Second)
+		defer cancel()
+		spread := f.live()[0].AwaitSpread(bounded, d.Verdict.Version)
+		assert.DeepEqual(t, spread.Silent, []track.InstanceID{silent.self.ID})
+		assert.Equal(t, len(spread.InForce), 3)
+		f.lonely.Store(nil)
+		assert.Assert(t, f.live()[0].AwaitSpread(ctx, d.Verdict.Version).Complete())
+	})
+}
+
 func TestCorruptRecordsAreSkipped(t *testing.T) {
 	withFleet(t, 2, 1, func(ctx context.Context, t *testing.T, f *fleet) {
 		good, err := change.EncodeChange(draft("half", editProfile("lunch", time.Second, 0)))
@@ -296,7 +328,19 @@
 	assert.Equal(t, target.timeout("lunch"), time.Second)
 	assert.Equal(t, target.counters.diverged.Get(), uint64(1))
 
-	wrong.Position.Seq, wrong.Records = 1, nil
+	// A whole state that comes late is older than what is in force.
+	right := track.ConfigNews{Position: whole.Position, Records: [][]byte{data}, Next: 2}
+	_, err = f.log.Append(t.Context(), track.StreamConfig, [][]byte{data})
+	assert.NilError(t, err)
+	source.reader.Poll(t.Context())
+	right.Position, err = newest(t, source)
+	assert.NilError(t, err)
+	assert.NilError(t, target.learn(right, "peer"))
+	assert.NilError(t, target.learn(whole, "peer"))
+	assert.Equal(t, target.Status().Version, uint64(2))
+	assert.Equal(t, target.timeout("lunch"), time.Minute)
+
+	wrong.Position.Seq, wrong.Records = 2, nil
 	assert.NilError(t, target.learn(wrong, "peer"))
 	assert.Equal(t, target.counters.diverged.Get(), uint64(2))
 }
@@ -316,6 +360,11 @@
 	assert.Equal(t, n.Status().Offset, uint64(0))
 }
 
+func newest(t *testing.T, n *node) (track.ConfigPosition, error) {
+	news, err := n.News(t.Context(), track.ConfigPosition{})
+	return news.Position, err
+}
+
 func TestSnapshotNow(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 1))
 	const instances, checks = 350, 2000
