--- a/expert/plan.go
+++ b/expert/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 
 	"filberttrack.example/track"
@@ -54,6 +55,11 @@
 	MovesPerRank int
 }
 
+// DefaultPolicy returns the weights for a model whose profile names none.
+func DefaultPolicy() track.ExpertPolicy {
+	return track.ExpertPolicy{SkewWeight: 1, MoveWeight: 0.05}
+}
+
 // Planner follows the load of a group and proposes changes to its placement.
 // It is not safe for concurrent use.
 type Planner struct {
@@ -81,6 +87,11 @@
 	}, nil
 }
 
+// Shape returns the shape of the group.
+func (p *Planner) Shape() Shape {
+	return p.shape
+}
+
 // Observe takes the tokens counted for each layer and expert in one window. A
 // window without counts is ignored.
 func (p *Planner) Observe(counts Loads) error {
@@ -159,7 +170,7 @@
 		p.state.reset(layer, now.Layer(layer), tokens)
 	}
 	p.search(&lp, nil)
-	if lp.before <= roughPeak && lp.after > stuckPeak+p.estimate.Noise() {
+	if lp.before <= roughPeak && lp.after > stuckPeak+p.noise() {
 		p.rebuild(&lp, now, tokens)
 	}
 	if lp.net < p.hysteresis()*p.policy.SkewWeight {
@@ -237,10 +248,16 @@
 	if p.policy.SkewWeight <= 0 {
 		return maxHysteresis
 	}
-	h := max(minHysteresis, p.policy.MoveWeight/p.policy.SkewWeight*hysteresisMoves, noiseHysteresis*p.estimate.Noise())
+	h := max(minHysteresis, p.policy.MoveWeight/p.policy.SkewWeight*hysteresisMoves, noiseHysteresis*p.noise())
 	return min(maxHysteresis, h)
 }
 
+// noise is the relative error of a rank's estimated load: the errors of its
+// experts partly cancel out.
+func (p *Planner) noise() float64 {
+	return p.estimate.Noise() / math.Sqrt(float64(p.shape.Slots))
+}
+
 // net weighs a fall of the peak against moves. Ranks fetch side by side, so a
 // move costs the group its share of one fetch on every rank.
 func (p *Planner) net(fall float64, moves int) float64 {
