--- a/beat/exchange_test.go
+++ b/beat/exchange_test.go
@@ -285,24 +285,23 @@
 	assert.Equal(t, len(heard["entry-1"]), 2)
 }
 
-// newest is a configuration that a peer hands out.
-type newest struct{}
-
-func (newest) News(_ context.Context, since track.ConfigPosition) (track.ConfigNews, error) {
-	return track.ConfigNews{Position: track.ConfigPosition{Known: true, Seq: since.Seq + 1}, State: []byte("state")}, nil
-}
-
-func TestConfigurationComesFromPeers(t *testing.T) {
+func TestNearbyAndKnownInstances(t *testing.T) {
 	t.Parallel()
-	m := today(NewConfigTopic(newest{}))
-	contacts := m.byID["z0-entry-0"].x.Contacts()
-	assert.Equal(t, len(contacts), 4)
-	for _, c := range contacts {
-		news, err := c.Peer.News(context.Background(), track.ConfigPosition{Seq: 4})
-		assert.NilError(t, err)
-		assert.Equal(t, news.Position.Seq, uint64(5))
-		assert.Equal(t, string(news.State), "state")
+	m := today()
+	x := m.byID["z0-entry-0"].x
+	assert.Equal(t, len(x.Nearby()), 4)
+	entries, agents := 0, 0
+	for _, i := range x.Known() {
+		assert.Assert(t, i.ID != "z0-entry-0")
+		if i.Role == track.RoleEntry {
+			entries++
+			continue
+		}
+		assert.Equal(t, string(i.Zone), "z0")
+		agents++
 	}
+	assert.Equal(t, entries, len(m.live(track.RoleEntry, ""))-1)
+	assert.Equal(t, agents, len(m.live(track.RoleAgent, "z0")))
 }
 
 // echo is a topic that offers a fixed payload and notes what it receives.
--- a/boot/agentcore.go
+++ b/boot/agentcore.go
@@ -14,6 +14,7 @@
 	"filberttrack.example/track/agent"
 	"filberttrack.example/track/beat"
 	"filberttrack.example/track/conf"
+	"filberttrack.example/track/config"
 	"filberttrack.example/track/drain"
 	"filberttrack.example/track/duty"
 	"filberttrack.example/track/ledger"
@@ -29,6 +30,7 @@
 	metrics  *metrics.Set
 	agent    *agent.Agent
 	members  *beat.Exchange
+	config   *config.Store
 	admin    *admin.Handler
 	// steer and door are nil for an agent without ranks.
 	steer *steer.Steer
@@ -63,17 +65,18 @@
 		Metrics:     c.metrics,
 		Ledger:      ledger.Defaults(),
 	})
-	c.members = newExchange(c.instance, c.started, ports, c.metrics, c.local, nil)
+	store, topic := newStore(c.instance, c.started, ports, nil, c.metrics, func() *beat.Exchange { return c.members })
+	c.config = store
+	c.members = newExchange(c.instance, c.started, ports, c.metrics, c.local, nil, topic)
 	c.admin = admin.New(admin.Options{Status: c.Status, Metrics: c.metrics, Profiling: s.Logging.Profiling})
 	return c, c.joinRanks(s, backend)
 }
 
 // Start starts the duties of the agent.
 func (c *AgentCore) Start(ctx context.Context) []*duty.Duty {
-	duties := []*duty.Duty{
+	duties := append(c.config.Start(ctx),
 		duty.Start(ctx, "probe backend server", c.agent.Probe),
-		duty.Start(ctx, "exchange heartbeats", c.members.Run),
-	}
+		duty.Start(ctx, "exchange heartbeats", c.members.Run))
 	if c.steer != nil {
 		duties = append(duties, duty.Start(ctx, "steer experts", c.steer.Run))
 	}
@@ -99,12 +102,15 @@
 func (c *AgentCore) Status() track.Status {
 	// Report of a local agent does not fail.
 	report, _ := c.agent.Report(context.Background())
+	config := c.config.Status()
 	status := track.Status{
-		Instance:     c.instance,
-		Started:      c.started,
-		Ready:        report.Up && !report.Leaving,
-		Stopping:     report.Leaving,
-		OpenRequests: report.Load.Running,
+		ConfigVersion: config.Version,
+		ConfigAge:     config.Age,
+		Instance:      c.instance,
+		Started:       c.started,
+		Ready:         report.Up && !report.Leaving,
+		Stopping:      report.Leaving,
+		OpenRequests:  report.Load.Running,
 	}
 	addMembership(&status, c.members.View())
 	return status
--- a/boot/config.go
+++ b/boot/config.go
@@ -4,11 +4,14 @@
 	"fmt"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/beat"
 	"filberttrack.example/track/certs"
 	"filberttrack.example/track/conf"
+	"filberttrack.example/track/config"
 )
 
 // adminToken returns the guard of calls that change something.
@@ -23,6 +26,23 @@
 	}
 }
 
+// newStore returns the configuration of an instance, and the handler that hands
+// it on to peers. The members are asked only once the store has started. The log
+// is nil for an agent.
+func newStore(
+	self track.Instance, started time.Time, ports Ports, log track.Log, set *metrics.Set, members func() *beat.Exchange,
+) (*config.Store, track.TopicHandler) {
+	store := config.New(config.Options{
+		Self: self, Log: log, Clock: ports.Clock, Logger: ports.Logger, Metrics: set, Seed: randomSeed(self.ID, started),
+		Peers: &config.Remote{
+			Self: self.ID, Dialer: ports.Peers,
+			Near: func() []track.Instance { return members().Nearby() },
+			All:  func() []track.Instance { return members().Known() },
+		},
+	})
+	return store, config.NewHandler(store)
+}
+
 // randomSeed returns a seed that differs between instances and starts.
 func randomSeed(id track.InstanceID, started time.Time) uint64 {
 	return xxhash.Sum64String(fmt.Sprint(id, started.UnixNano()))
--- a/boot/entrycore.go
+++ b/boot/entrycore.go
@@ -55,14 +55,12 @@
 		router:  pick.New(),
 	}
 	notices := beat.NewNotices(track.TopicUsage, track.TopicQuarantine)
-	topics := append(notices.Handlers(), beat.NewConfigTopic(lateConfig{c}))
+	store, topic := newStore(c.instance, c.started, ports, ports.Platform.Log, c.metrics, func() *beat.Exchange { return c.members })
+	c.config = store
+	topics := append(notices.Handlers(), topic)
 	c.members = newExchange(c.instance, c.started, ports, c.metrics, c.local, c.router.Update, topics...)
 	notices.Hurry(track.TopicQuarantine, c.members)
 	ports.Dialer = leaveWatcher{ports.Dialer, c.members}
-	c.config = config.New(config.Options{
-		Self: c.instance, Log: ports.Platform.Log, Peers: c.members, Clock: ports.Clock,
-		Logger: ports.Logger, Metrics: c.metrics, Seed: randomSeed(c.instance.ID, c.started),
-	})
 	drops := frames.NewDrops(c.metrics)
 	limits := claims.Defaults()
 	limits.KeyRetention = s.Entry.Claims.KeyRetention
@@ -162,11 +160,3 @@
 		Open:    c.entry.OpenRequests,
 	}, c.ports.Clock, c.ports.Logger).Run(ctx, stops)
 }
-
-// lateConfig answers peers from a store that is made after the membership.
-type lateConfig struct{ core *EntryCore }
-
-// News implements track.ConfigPeer.
-func (l lateConfig) News(ctx context.Context, since track.ConfigPosition) (track.ConfigNews, error) {
-	return l.core.config.News(ctx, since)
-}
--- a/cmd/capacity/platform.go
+++ b/cmd/capacity/platform.go
@@ -66,3 +66,6 @@
 
 // Contacts implements track.ConfigPeers.
 func (alone) Contacts() []track.ConfigContact { return nil }
+
+// Known implements track.ConfigPeers.
+func (alone) Known() []track.ConfigContact { return nil }
--- a/cmd/filberttrack/publish_test.go
+++ b/cmd/filberttrack/publish_test.go
@@ -54,7 +54,7 @@
 		{[]string{"profile", "publish", "--token-file", wrong, lunch}, 1, []string{"admin token is missing or wrong"}},
 		{[]string{"profile", "publish", broken}, exitSettings, []string{"broken.toml:3", "Timeout"}},
 		{[]string{"profile", "publish", "--dry-run", lunch}, 0, []string{"accepted (dry run"}},
-		{[]string{"profile", "publish", "--wait", lunch}, 0, []string{"accepted", "1 of 1 instances"}},
+		{[]string{"profile", "publish", "--wait", lunch}, 0, []string{"accepted", "16 of 16 instances"}},
 		{[]string{"profile", "publish", lunch}, 0, []string{"nothing to change"}},
 		{[]string{"profile", "publish", "--replaces", "1", slower}, exitRefused, []string{"refused: Conflict", "maria changed it at version 2"}},
 		{[]string{"profile", "publish", slower}, 0, []string{"accepted"}},
--- a/config/fake_test.go
+++ b/config/fake_test.go
@@ -103,20 +103,25 @@
 	return append([]*node(nil), f.nodes...)
 }
 
+func (f *fleet) instances() []track.Instance {
+	var instances []track.Instance
+	for _, n := range f.live() {
+		instances = append(instances, n.self)
+	}
+	return instances
+}
+
 // remote returns the view that a node has of the others.
 func (n *node) remote() *Remote {
-	return &Remote{Self: n.self.ID, Dialer: n, Instances: func() []track.Instance {
-		var instances []track.Instance
-		for _, other := range n.fleet.live() {
-			instances = append(instances, other.self)
-		}
-		return instances
-	}}
+	return &Remote{Self: n.self.ID, Dialer: n, Near: n.fleet.instances, All: n.fleet.instances}
 }
 
 // Contacts implements track.ConfigPeers.
 func (n *node) Contacts() []track.ConfigContact { return n.remote().Contacts() }
 
+// Known implements track.ConfigPeers.
+func (n *node) Known() []track.ConfigContact { return n.remote().Known() }
+
 // contact returns the contact of one other node.
 func (n *node) contact(other *node) track.ConfigContact {
 	return track.ConfigContact{Instance: other.self, Peer: &remotePeer{remote: n.remote(), instance: other.self}}
--- a/config/peers.go
+++ b/config/peers.go
@@ -24,34 +24,43 @@
 // askPeers asks one peer after the other for newer configuration.
 func (s *Store) askPeers(ctx context.Context) error {
 	rng := s.rand(2)
-	for ctx.Err() == nil {
-		if contact, ok := s.choose(s.o.Peers.Contacts(), rng); ok {
-			s.ask(ctx, contact)
-		}
+	for {
 		select {
 		case <-ctx.Done():
+			return context.Cause(ctx)
 		case <-s.o.Clock.After(tail.Jitter(rng, s.peerWait())):
 		}
+		if contact, ok := s.choose(rng); ok {
+			s.ask(ctx, contact)
+		}
 	}
-	return context.Cause(ctx)
 }
 
 // hurry shortens the interval while nothing is known or records are lacking.
 const hurry = 8
 
 func (s *Store) peerWait() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.state == nil || s.searching {
+	if s.lost() {
 		return s.o.PeerInterval / hurry
 	}
 	return s.o.PeerInterval
 }
 
+// lost reports whether nothing is known or records are lacking.
+func (s *Store) lost() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state == nil || s.searching
+}
+
 // choose picks the peer to ask: mostly an entry of the own zone, else any entry.
 // Agents are asked as well while nothing is known, since they may be all that is
 // left of the deployment.
-func (s *Store) choose(contacts []track.ConfigContact, rng *rand.Rand) (track.ConfigContact, bool) {
+func (s *Store) choose(rng *rand.Rand) (track.ConfigContact, bool) {
+	contacts := s.o.Peers.Contacts()
+	if len(contacts) == 0 || s.lost() {
+		contacts = s.o.Peers.Known()
+	}
 	entries := slices.DeleteFunc(slices.Clone(contacts), func(c track.ConfigContact) bool {
 		return c.Instance.Role != track.RoleEntry
 	})
@@ -93,7 +102,7 @@
 // entries returns the number of live entries, this one included.
 func (s *Store) entries() int {
 	n := 1
-	for _, c := range s.o.Peers.Contacts() {
+	for _, c := range s.o.Peers.Known() {
 		if c.Instance.Role == track.RoleEntry {
 			n++
 		}
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -65,7 +65,7 @@
 // expired were never decided by anyone, so the state is still the newest; a
 // snapshot that starts at the end of the log lets all instances go on from it.
 func (s *Store) recoveryWanted() bool {
-	contacts := s.o.Peers.Contacts()
+	contacts := s.o.Peers.Known()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.state == nil || !s.searching || !s.caughtUp {
--- a/config/spread.go
+++ b/config/spread.go
@@ -63,7 +63,7 @@
 	var mu sync.Mutex
 	var group errgroup.Group
 	group.SetLimit(spreadParallel)
-	for _, contact := range s.o.Peers.Contacts() {
+	for _, contact := range s.o.Peers.Known() {
 		if reached[contact.Instance.ID] {
 			spread.InForce = append(spread.InForce, contact.Instance.ID)
 			continue
--- a/config/topic.go
+++ b/config/topic.go
@@ -10,9 +10,6 @@
 	"filberttrack.example/track"
 )
 
-// Topic is the topic under which instances hand each other the configuration.
-const Topic track.Topic = "Config"
-
 // Bounds of one answer, so that it passes through Fetch.
 const (
 	// partBytes is the length of one part of a whole state.
@@ -55,10 +52,10 @@
 func NewHandler(store *Store) *Handler { return &Handler{store: store} }
 
 // Topic implements track.TopicHandler.
-func (*Handler) Topic() track.Topic { return Topic }
+func (*Handler) Topic() track.Topic { return track.TopicConfig }
 
 // Offer implements track.TopicHandler. Instances ask; nothing is offered.
-func (*Handler) Offer(track.InstanceID) []byte { return nil }
+func (*Handler) Offer(track.Instance) [][]byte { return nil }
 
 // Receive implements track.TopicHandler.
 func (*Handler) Receive(track.InstanceID, []byte) {}
@@ -134,14 +131,20 @@
 type Remote struct {
 	Self   track.InstanceID
 	Dialer track.PeerDialer
-	// Instances returns the live instances of all zones.
-	Instances func() []track.Instance
+	// Near returns the peers to ask regularly, All every live instance known.
+	Near func() []track.Instance
+	All  func() []track.Instance
 }
 
 // Contacts implements track.ConfigPeers.
-func (r *Remote) Contacts() []track.ConfigContact {
+func (r *Remote) Contacts() []track.ConfigContact { return r.contacts(r.Near()) }
+
+// Known implements track.ConfigPeers.
+func (r *Remote) Known() []track.ConfigContact { return r.contacts(r.All()) }
+
+func (r *Remote) contacts(instances []track.Instance) []track.ConfigContact {
 	var contacts []track.ConfigContact
-	for _, i := range r.Instances() {
+	for _, i := range instances {
 		if i.ID == r.Self || i.Address == "" || i.Role == track.RoleBackendServer {
 			continue
 		}
@@ -186,7 +189,7 @@
 	if err != nil {
 		return a, track.Fail("ask for configuration", Invalid, err)
 	}
-	data, err := peer.Fetch(ctx, p.remote.Self, track.Payload{Topic: Topic, Data: request})
+	data, err := peer.Fetch(ctx, p.remote.Self, track.Payload{Topic: track.TopicConfig, Data: request})
 	if err != nil {
 		return a, err
 	}
--- a/configpeer.go
+++ b/configpeer.go
@@ -47,6 +47,9 @@
 
 // ConfigPeers is the port to the other live instances, as membership knows them.
 type ConfigPeers interface {
-	// Contacts returns the other live instances, entries and agents alike.
+	// Contacts returns the peers to ask regularly.
 	Contacts() []ConfigContact
+	// Known returns all other live instances that are known, entries and agents
+	// alike.
+	Known() []ConfigContact
 }
--- a/member/contacts.go
+++ b/member/contacts.go
@@ -91,6 +91,26 @@
 	return entries[:min(len(entries), s.timing.Adopters)]
 }
 
+// Known returns all other instances that are heard, listed or named by a peer,
+// without those known to be gone, sorted by ID.
+func (s *State) Known() []track.Instance {
+	known := make(map[track.InstanceID]track.Instance)
+	for id, e := range s.learned {
+		known[id] = e.instance
+	}
+	maps.Copy(known, s.book)
+	for id, p := range s.members {
+		known[id] = p.instance
+		if p.gone {
+			delete(known, id)
+		}
+	}
+	delete(known, s.self.ID)
+	return slices.SortedFunc(maps.Values(known), func(a, b track.Instance) int {
+		return cmp.Compare(a.ID, b.ID)
+	})
+}
+
 // Find returns what is known of an instance: as heard, as listed, or as named by
 // a peer.
 func (s *State) Find(id track.InstanceID) (track.Instance, bool) {
