--- a/config/spread.go
+++ b/config/spread.go
@@ -60,14 +60,18 @@
 	} else {
 		spread.Behind = append(spread.Behind, s.o.Self.ID)
 	}
-	var mu sync.Mutex
-	var group errgroup.Group
-	group.SetLimit(spreadParallel)
+	var open []track.ConfigContact
 	for _, contact := range s.o.Peers.Known() {
 		if reached[contact.Instance.ID] {
 			spread.InForce = append(spread.InForce, contact.Instance.ID)
 			continue
 		}
+		open = append(open, contact)
+	}
+	var mu sync.Mutex
+	var group errgroup.Group
+	group.SetLimit(spreadParallel)
+	for _, contact := range open {
 		group.Go(func() error {
 			position, err := s.positionOf(ctx, contact)
 			mu.Lock()
