--- a/beat/run.go
+++ b/beat/run.go
@@ -52,6 +52,7 @@
 		}
 		select {
 		case <-ticker.Chan():
+		case <-x.wake:
 		case <-ctx.Done():
 			return errors.Join(context.Cause(ctx), calls.Wait())
 		}
@@ -129,7 +130,12 @@
 	err := x.tell(ctx, c.Instance)
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.peers[c.Instance.ID].busy = false
+	s := x.peers[c.Instance.ID]
+	s.busy = false
+	if s.last.IsZero() {
+		// News came while the call was in progress.
+		x.wakeUp()
+	}
 	if err == nil {
 		return
 	}
@@ -223,11 +229,20 @@
 	}
 }
 
-// hurry makes heartbeats to the other entries due at once.
+// hurry has heartbeats sent to the other entries at once.
 func (x *Exchange) hurry() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.tellEntries()
+	x.wakeUp()
+}
+
+// wakeUp has Run look at what is due now.
+func (x *Exchange) wakeUp() {
+	select {
+	case x.wake <- struct{}{}:
+	default:
+	}
 }
 
 // Leave tells every entry of the zone at once that this instance takes no new
