--- a/boot/entrycore.go
+++ b/boot/entrycore.go
@@ -11,10 +11,12 @@
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/admin"
+	"filberttrack.example/track/admit"
 	"filberttrack.example/track/beat"
 	"filberttrack.example/track/claims"
 	"filberttrack.example/track/conf"
 	"filberttrack.example/track/config"
+	"filberttrack.example/track/crash"
 	"filberttrack.example/track/drain"
 	"filberttrack.example/track/duty"
 	"filberttrack.example/track/edits"
@@ -22,7 +24,9 @@
 	"filberttrack.example/track/entry/parse"
 	"filberttrack.example/track/entry/relay"
 	"filberttrack.example/track/frames"
-	"filberttrack.example/track/pick"
+	"filberttrack.example/track/limit"
+	"filberttrack.example/track/retry"
+	"filberttrack.example/track/router"
 )
 
 // EntryCore is an entry without its listeners: all its parts, joined.
@@ -35,7 +39,10 @@
 	admin    *admin.Handler
 	config   *config.Store
 	seed     track.Config
-	router   track.Router
+	router   *router.Router
+	limiter  *limit.Limiter
+	gates    *admit.Gates
+	crashes  *crash.Tracker
 	members  *beat.Exchange
 	unready  atomic.Bool
 	claims   *claims.Book
@@ -52,9 +59,9 @@
 		},
 		metrics: ports.Metrics,
 		seed:    s.Config(),
-		router:  pick.New(),
 	}
 	notices := beat.NewNotices(track.TopicUsage, track.TopicQuarantine)
+	c.joinPolicies(notices)
 	topics := append(notices.Handlers(), beat.NewConfigTopic(lateConfig{c}))
 	c.members = newExchange(c.instance, c.started, ports, c.metrics, c.local, c.router.Update, topics...)
 	notices.Hurry(track.TopicQuarantine, c.members)
@@ -84,9 +91,15 @@
 		Relay:        relay.Limits{MaxAnswerBytes: s.Entry.MaxAnswerBytes},
 		LogDecisions: s.Logging.Decisions,
 		Claims:       c.claims,
+		Limiter:      c.limiter,
+		Gates:        c.gates,
+		Capacity:     c.router,
+		Retries:      retry.New(ports.Clock, c.random("retry")),
+		Crashes:      c.crashes,
 		Drops:        drops,
 	})
 	c.admin = admin.New(admin.Options{Status: c.Status, Metrics: c.metrics, Profiling: s.Logging.Profiling})
+	c.crashes.Register(c.admin, ports.Guard)
 	edits.New(edits.Options{
 		Store: c.config, Guard: ports.Guard, Clock: ports.Clock, Logger: ports.Logger,
 	}).Register(c.admin)
@@ -103,6 +116,9 @@
 	c.members.Round(ctx)
 	duties := append(c.config.Start(ctx), duty.Start(ctx, "exchange heartbeats", c.members.Run))
 	duties = append(duties, c.claims.Start(ctx)...)
+	duties = append(duties,
+		duty.Start(ctx, "refresh admission", c.gates.Run),
+		duty.Start(ctx, "share usage and quarantine", c.share))
 	seeded := make(chan struct{})
 	duties = append(duties, duty.Start(ctx, "seed configuration", func(ctx context.Context) error {
 		defer close(seeded)
