test: the killed stream lasts three heartbeats

Cause: the test waits until the entry's status shows load at an agent, which heartbeats bring once a second, not four times; a stream of 1.2 s could end unseen on a busy machine, and the wait would not end. Change: 150 words in place of 60, all still counted in the answer. Conclusion: as strict, on a longer stream.

--- a/cmd/filberttrack/failure_test.go
+++ b/cmd/filberttrack/failure_test.go
@@ -64,8 +64,9 @@
 	return string(text)
 }
 
-// words is the number of words in the prompt of a long generation.
-const words = 60
+// words is the number of words in the prompt of a long generation. It lasts
+// three heartbeats, so that the status of the entry shows where it runs.
+const words = 150
 
 func TestAgentKilledInMidStream(t *testing.T) {
 	d := deploy(t, "20ms", "dispatch-llm", "dispatch-llm")
