--- a/entry/send/attempt.go
+++ b/entry/send/attempt.go
@@ -154,19 +154,30 @@
 	return second, c.start(ctx, r, second)
 }
 
+// overloaded reports whether the replica turned the attempt away for want of room.
+func (t *transfer) overloaded() bool {
+	switch t.status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return true
+	}
+	return t.final != nil && t.final.Refusal == track.RefusedFull && !t.isolated
+}
+
 // settle tells everybody concerned how an attempt ended.
 func (r *run) settle(ctx context.Context, t *transfer) {
 	o := r.step.options
 	call := &r.exchange.Call
-	overloaded := t.final != nil && t.final.Refusal == track.RefusedFull && !t.isolated ||
-		t.status == http.StatusServiceUnavailable || t.status == http.StatusTooManyRequests ||
-		ctx.Err() != nil && t.firstByte == 0 && r.expired()
+	firstByte := t.firstByte
+	if t.lost && firstByte == 0 {
+		// It would have taken longer than this.
+		firstByte = o.Clock.Since(t.started)
+	}
 	o.Router.Done(t.choice, track.Result{
 		Outcome:    t.outcome(),
 		Failed:     !t.lost && t.replicaFailed(),
 		Down:       t.final != nil && (t.final.Crashed || t.final.Refusal == track.RefusedDown),
-		Overloaded: overloaded,
-		FirstByte:  t.firstByte,
+		Overloaded: t.overloaded() || (ctx.Err() != nil && t.firstByte == 0 && r.expired()),
+		FirstByte:  firstByte,
 		Duration:   o.Clock.Since(t.started),
 	})
 	r.exchange.Tokens += t.tokens
