test: processes of a test have a loopback address of their own, and frozen ones are thawed before they are stopped

Cause: ports that were free a moment ago could be taken by other tests, which may be why an agent once gave no ready line (not proved). A test that failed while its agent was frozen hung in its cleanup for ten minutes (seen once). Change: each test process has its own address in 127.0.0.0/8; a stop thaws first. Conclusion: the cause of that failure is not known yet.

--- a/cmd/filberttrack/process_test.go
+++ b/cmd/filberttrack/process_test.go
@@ -58,6 +58,8 @@
 // stop ends the program by SIGTERM and checks that it ends well.
 func (p *process) stop(t *testing.T) {
 	t.Helper()
+	// A program that a failed test left frozen would never end.
+	assert.NilError(t, p.cmd.Process.Signal(syscall.SIGCONT))
 	assert.NilError(t, p.cmd.Process.Signal(syscall.SIGTERM))
 	assert.NilError(t, p.cmd.Wait())
 }
@@ -73,12 +75,16 @@
 	return ""
 }
 
-// freeAddresses returns addresses that were free a moment ago.
+// freeAddresses returns addresses that were free a moment ago. They lie on a
+// loopback address of this test process alone, so that nobody takes them.
 func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
+	const octet = 256
+	pid := os.Getpid()
+	host := net.IPv4(127, byte(1+pid/octet/octet%(octet-2)), byte(pid/octet), byte(pid))
 	addresses := make([]string, 0, n)
 	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", net.JoinHostPort(host.String(), "0"))
 		assert.NilError(t, err)
 		defer listener.Close()
 		addresses = append(addresses, listener.Addr().String())
