--- a/conf/defaults.go
+++ b/conf/defaults.go
@@ -59,6 +59,7 @@
 	setDefault(&s.Logging.Level, "info")
 	setDefault(&s.Logging.Format, "json")
 	setDefault(&s.Standin.Retention, defaultRetention)
+	setDefault(&s.Platform.Retention, defaultRetention)
 	for i := range s.Profile {
 		p := &s.Profile[i]
 		setDefault(&p.Timeout, defaultProfileTimeout)
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -33,6 +33,8 @@
 	LogURL string
 	// ListURL is the base URL of the instance list.
 	ListURL string
+	// Retention is the time for which the log keeps records.
+	Retention time.Duration
 }
 
 // Entry is the section of an entry.
