--- a/boot/agentcore.go
+++ b/boot/agentcore.go
@@ -65,7 +65,7 @@
 		Metrics:     c.metrics,
 		Ledger:      ledger.Defaults(),
 	})
-	store, topic := newStore(c.instance, c.started, ports, nil, c.metrics, func() *beat.Exchange { return c.members })
+	store, topic := newStore(c.instance, c.started, ports, nil, s.Platform.Retention, c.metrics, func() *beat.Exchange { return c.members })
 	c.config = store
 	c.members = newExchange(c.instance, c.started, ports, c.metrics, c.local, nil, topic)
 	c.admin = admin.New(admin.Options{Status: c.Status, Metrics: c.metrics, Profiling: s.Logging.Profiling})
--- a/boot/config.go
+++ b/boot/config.go
@@ -30,10 +30,11 @@
 // it on to peers. The members are asked only once the store has started. The log
 // is nil for an agent.
 func newStore(
-	self track.Instance, started time.Time, ports Ports, log track.Log, set *metrics.Set, members func() *beat.Exchange,
+	self track.Instance, started time.Time, ports Ports, log track.Log, retention time.Duration, set *metrics.Set, members func() *beat.Exchange,
 ) (*config.Store, track.TopicHandler) {
 	store := config.New(config.Options{
 		Self: self, Log: log, Clock: ports.Clock, Logger: ports.Logger, Metrics: set, Seed: randomSeed(self.ID, started),
+		Retention: retention,
 		Peers: &config.Remote{
 			Self: self.ID, Dialer: ports.Peers,
 			Near: func() []track.Instance { return members().Nearby() },
--- a/boot/entrycore.go
+++ b/boot/entrycore.go
@@ -62,7 +62,7 @@
 	}
 	notices := beat.NewNotices(track.TopicUsage, track.TopicQuarantine)
 	c.joinPolicies(notices)
-	store, topic := newStore(c.instance, c.started, ports, ports.Platform.Log, c.metrics, func() *beat.Exchange { return c.members })
+	store, topic := newStore(c.instance, c.started, ports, ports.Platform.Log, s.Platform.Retention, c.metrics, func() *beat.Exchange { return c.members })
 	c.config = store
 	topics := append(notices.Handlers(), topic)
 	c.members = newExchange(c.instance, c.started, ports, c.metrics, c.local, c.router.Update, topics...)
--- a/conf/check.go
+++ b/conf/check.go
@@ -27,6 +27,8 @@
 	maxAttemptsAllowed     = 10
 	tokenDigestLength      = 64
 	maxBodyLimitBytes      = 1 << 30
+	minLogRetention        = time.Hour
+	maxLogRetention        = 365 * 24 * time.Hour
 )
 
 // checker collects the faults of a file.
@@ -148,6 +150,7 @@
 func (c *checker) platform(p Platform) {
 	c.baseURL("Platform.LogURL", p.LogURL)
 	c.baseURL("Platform.ListURL", p.ListURL)
+	inRange(c, "Platform.Retention", p.Retention, minLogRetention, maxLogRetention)
 }
 
 func (c *checker) entry(e Entry) {
