--- a/claims/execute.go
+++ b/claims/execute.go
@@ -116,6 +116,8 @@
 			return Answer{}, track.Fail(op, Lost, nil)
 		case Held:
 			answer, err = x.meet(ctx, view)
+		case Told:
+			answer, err = x.retell(ctx, view)
 		case Open:
 			answer, err = x.claim(ctx, nil)
 		}
@@ -131,12 +133,8 @@
 // meet deals with a claim that holds the key. It returns nil if the way is free
 // for another look.
 func (x *execution) meet(ctx context.Context, view View) (*Answer, error) {
-	if !x.own(view) {
-		x.shown = false
-		if !x.book.sameBody(x.work.Key, x.work.BodySHA256) {
-			x.shown = true
-			return nil, track.Fail("meet claim", Mismatch, nil)
-		}
+	if err := x.compare(view); err != nil {
+		return nil, err
 	}
 	if x.barred == nil || *x.barred != view.Offset {
 		answer, err := x.recall(ctx, view)
@@ -147,6 +145,19 @@
 	return x.claim(ctx, &Close{Key: x.work.Key, Offset: view.Offset, Reason: Barred})
 }
 
+// compare checks that the claim that holds the key is for the same work.
+func (x *execution) compare(view View) error {
+	if x.own(view) {
+		return nil
+	}
+	x.shown = false
+	if !x.book.sameBody(x.work.Key, x.work.BodySHA256) {
+		x.shown = true
+		return track.Fail("meet claim", Mismatch, nil)
+	}
+	return nil
+}
+
 // claim appends a claim, together with the end of the claim that it replaces,
 // and dispatches if the claim holds.
 func (x *execution) claim(ctx context.Context, closing *Close) (*Answer, error) {
@@ -261,6 +272,7 @@
 	if final.Refusal != "" {
 		return nil, nil
 	}
+	x.keep(ctx, view, answer)
 	return &Answer{Outcome: final.Outcome, Frames: answer}, nil
 }
 
@@ -270,87 +282,3 @@
 	x.barred = &offset
 	x.shown = shown
 }
-
-// recall asks the agent of a claim what became of it. It returns nil if the
-// attempt never ran and never will.
-func (x *execution) recall(ctx context.Context, view View) (*Answer, error) {
-	const op = "recall"
-	settings := x.book.options.Settings
-	if !x.own(view) {
-		x.sleep(ctx, settings.BarDelay-x.book.options.Clock.Since(view.ReadAt))
-	}
-	agent, err := x.book.options.Agents.Dial(track.Instance{
-		ID: view.Claim.Agent, Role: track.RoleAgent, Address: view.Claim.Address,
-	})
-	if err != nil {
-		return nil, track.Fail(op, Unreachable, err)
-	}
-	for range settings.RecallAttempts {
-		var state track.AttemptState
-		state, err = x.ask(ctx, agent, view)
-		if err == nil {
-			answer, known := x.settle(ctx, agent, view, state)
-			if known && answer == nil && state == track.AttemptForgotten {
-				return nil, track.Fail(op, Lost, nil)
-			}
-			if known {
-				return answer, nil
-			}
-		}
-		x.sleep(ctx, settings.RecallBackoff)
-	}
-	if ctx.Err() != nil {
-		return nil, track.Fail(op, TimedOut, context.Cause(ctx))
-	}
-	return nil, track.Fail(op, Unreachable, err)
-}
-
-// ask bars the attempt of a claim, unless it has started.
-func (x *execution) ask(ctx context.Context, agent track.Agent, view View) (track.AttemptState, error) {
-	ctx, cancel := context.WithTimeout(ctx, x.book.options.Settings.RecallTimeout)
-	defer cancel()
-	return agent.Bar(ctx, view.Claim.Ref())
-}
-
-// settle acts on the state that the agent found. It reports whether the matter
-// is known; with no answer the attempt is barred or forgotten.
-func (x *execution) settle(ctx context.Context, agent track.Agent, view View, state track.AttemptState) (*Answer, bool) {
-	switch state {
-	case track.AttemptBarred:
-		return nil, true
-	case track.AttemptStarted, track.AttemptDone:
-		return x.replay(ctx, agent, view)
-	}
-	_, err := x.book.add(ctx, Record{Kind: KindClose, Close: &Close{
-		Key: x.work.Key, Offset: view.Offset, Reason: Forsaken,
-	}})
-	if err != nil {
-		x.book.options.Logger.Debug("claim not closed", zap.Error(err))
-	}
-	return nil, true
-}
-
-// replay fetches the stored answer, waiting for the end of the attempt.
-func (x *execution) replay(ctx context.Context, agent track.Agent, view View) (*Answer, bool) {
-	answer, err := frames.Collect(view.Claim.Attempt, x.book.options.Drops, func(send track.FrameFunc) error {
-		return agent.Replay(ctx, view.Claim.Ref(), send)
-	})
-	if err != nil {
-		return nil, false
-	}
-	final := answer[len(answer)-1]
-	if final.Outcome == track.NotRun {
-		return nil, true
-	}
-	return &Answer{Outcome: final.Outcome, Frames: answer, Replayed: !x.own(view)}, true
-}
-
-func (x *execution) sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-x.book.options.Clock.After(d):
-	}
-}
