--- a/agent/keyed_test.go
+++ b/agent/keyed_test.go
@@ -78,6 +78,7 @@
 	_, final = collect(t, func(send track.FrameFunc) error { return a.Replay(t.Context(), d.Ref(), send) })
 	assert.Equal(t, final.Outcome, track.NotRun)
 	a.options.Client.Transport = backend{"ok"}
+	a.probeOnce(t.Context())
 	_, final = collect(t, func(send track.FrameFunc) error { return a.Run(t.Context(), d, send) })
 	assert.Equal(t, final.Refusal, track.RefusedBarred)
 	d.ID.Number = 2
