--- a/router/policy.go
+++ b/router/policy.go
@@ -18,6 +18,9 @@
 	// reportHalfLife is the age at which a reported load counts half, against the
 	// mean of the zone.
 	reportHalfLife = 2 * time.Second
+	// maxTrust is what a reported load counts on arrival, against the mean: it is
+	// late already, by a time that the entry doesn't know.
+	maxTrust = 0.5
 	// affinitySlack is the part of the mean load by which a replica that is taken
 	// for its cached prefix may exceed it in an idle zone.
 	affinitySlack = 0.5
--- a/router/replica.go
+++ b/router/replica.go
@@ -82,7 +82,7 @@
 	total := r.own.plus(mean, 1)
 	if !r.server.Reported.IsZero() {
 		age := max(now.Sub(r.server.Reported), 0)
-		trust := float64(reportHalfLife) / float64(reportHalfLife+age)
+		trust := maxTrust * float64(reportHalfLife) / float64(reportHalfLife+age)
 		total = total.plus(r.foreign, trust).plus(mean, -trust)
 	}
 	return r.area.pool.weigh(total)
