--- a/boot/policies.go
+++ b/boot/policies.go
@@ -14,16 +14,9 @@
 )
 
 // joinPolicies makes the parts of an entry that route, limit and admit requests.
-func (c *EntryCore) joinPolicies() {
+func (c *EntryCore) joinPolicies(gossip track.Gossip) {
 	p := c.ports
-	gossip, reach := p.Gossip, p.Reach
-	if gossip == nil {
-		gossip = silent{}
-	}
-	if reach == nil {
-		reach = allReachable{}
-	}
-	c.router = router.New(p.Clock, c.random("route"), c.instance.Zone, reach)
+	c.router = router.New(p.Clock, c.random("route"), c.instance.Zone, allReachable{})
 	c.limiter = limit.New(p.Clock, c.instance.ID, gossip, p.Logger, c.metrics)
 	c.gates = admit.NewGates(p.Clock, c.random("admit"), c.router, c.metrics)
 	c.crashes = crash.New(p.Clock, crash.DefaultPolicy(), c.instance.ID, gossip, p.Logger, c.metrics)
@@ -51,14 +44,8 @@
 	}
 }
 
-// silent is the gossip of an entry that hears no other entry.
-type silent struct{}
-
-func (silent) Publish(track.Notice) {}
-
-func (silent) Subscribe(track.Topic, func(track.Notice)) {}
-
-// allReachable is the view of an entry that knows of no partition.
+// allReachable names no zone as cut off: the membership never offers the
+// replicas of a zone that is.
 type allReachable struct{}
 
 func (allReachable) CutOff(track.AvailabilityZone) bool { return false }
--- a/crash/crash.go
+++ b/crash/crash.go
@@ -172,7 +172,7 @@
 func (t *Tracker) End(fingerprint uint64, e End) Standing {
 	standing, changed := t.settle(fingerprint, e)
 	if changed {
-		t.publishOne(fingerprint)
+		t.Publish()
 	}
 	return standing
 }
@@ -248,7 +248,7 @@
 	}
 	t.mu.Unlock()
 	if found {
-		t.publishOne(fingerprint)
+		t.Publish()
 	}
 	return found
 }
