--- a/boot/load_test.go
+++ b/boot/load_test.go
@@ -134,6 +134,11 @@
 		listed := x.quarantined(1)
 		assert.Equal(t, len(listed), 1, "none but the culprit: %v", listed)
 		assert.Equal(t, listed[0].Standing, "Quarantined")
+		assert.Equal(t, x.release(1, listed[0].Fingerprint, ""), http.StatusUnauthorized)
+		assert.Equal(t, x.release(1, listed[0].Fingerprint, "operators"), http.StatusOK)
+		assert.Equal(t, x.release(1, listed[0].Fingerprint, "operators"), http.StatusNotFound)
+		x.pass(3 * time.Second)
+		assert.Equal(t, len(x.quarantined(0)), 0, "released in the other entry too")
 	})
 }
 
@@ -146,6 +151,16 @@
 	return listed
 }
 
+// release has an operator end a quarantine.
+func (x *session) release(entry int, fingerprint, token string) int {
+	body := fmt.Sprintf(`{"Fingerprint":%q}`, fingerprint)
+	request := httptest.NewRequest(http.MethodPost, crash.ReleasePath, strings.NewReader(body))
+	request.Header.Set("Authorization", "Bearer "+token)
+	recorder := httptest.NewRecorder()
+	x.entries[entry].Operators().ServeHTTP(recorder, request)
+	return recorder.Code
+}
+
 // TestOverload offers twice the capacity of a service for a while.
 func TestOverload(t *testing.T) {
 	const (
--- a/entry/send/attempt.go
+++ b/entry/send/attempt.go
@@ -158,22 +158,7 @@
 func (r *run) settle(ctx context.Context, t *transfer) {
 	o := r.step.options
 	call := &r.exchange.Call
-	overloaded := t.final != nil && t.final.Refusal == track.RefusedFull && !t.isolated ||
-		t.status == http.StatusServiceUnavailable || t.status == http.StatusTooManyRequests ||
-		ctx.Err() != nil && t.firstByte == 0 && r.expired()
-	firstByte := t.firstByte
-	if t.lost && firstByte == 0 {
-		// It would have taken longer than this.
-		firstByte = o.Clock.Since(t.started)
-	}
-	o.Router.Done(t.choice, track.Result{
-		Outcome:    t.outcome(),
-		Failed:     !t.lost && t.replicaFailed(),
-		Down:       t.final != nil && (t.final.Crashed || t.final.Refusal == track.RefusedDown),
-		Overloaded: overloaded,
-		FirstByte:  firstByte,
-		Duration:   o.Clock.Since(t.started),
-	})
+	o.Router.Done(t.choice, r.result(ctx, t))
 	r.exchange.Tokens += t.tokens
 	succeeded := t.outcome() == track.Completed && t.status < serverErrorStatus && !t.final.Crashed
 	o.Crashes.End(call.Fingerprint, crash.End{
@@ -190,6 +175,35 @@
 	}
 }
 
+// result returns what the router is to learn from an attempt.
+func (r *run) result(ctx context.Context, t *transfer) track.Result {
+	result := track.Result{
+		Outcome:    t.outcome(),
+		Failed:     !t.lost && t.replicaFailed(),
+		Down:       t.final != nil && (t.final.Crashed || t.final.Refusal == track.RefusedDown),
+		Overloaded: r.overloaded(ctx, t),
+		FirstByte:  t.firstByte,
+		Duration:   r.step.options.Clock.Since(t.started),
+	}
+	if t.lost && t.firstByte == 0 {
+		// It would have taken longer than this.
+		result.FirstByte = result.Duration
+	}
+	return result
+}
+
+// overloaded reports whether the replica declined for load, or gave no sign until
+// the deadline.
+func (r *run) overloaded(ctx context.Context, t *transfer) bool {
+	switch {
+	case t.status == http.StatusServiceUnavailable, t.status == http.StatusTooManyRequests:
+		return true
+	case t.final != nil && t.final.Refusal == track.RefusedFull:
+		return !t.isolated
+	}
+	return ctx.Err() != nil && t.firstByte == 0 && r.expired()
+}
+
 // again decides whether the call is tried again, and waits for that. If not, it
 // puts into the refusal when the caller may come back.
 func (r *run) again(ctx context.Context, refusal *flow.RefusalError) bool {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -92,8 +92,8 @@
 	const picks = 300
 	f := newFixture(15, home, home, home)
 	counts := map[track.InstanceID]int{}
-	for range picks {
-		c, err := f.Pick(track.Query{Target: target})
+	for i := range picks {
+		c, err := f.Pick(track.Query{Request: track.RequestID(fmt.Sprint("request-", i)), Target: target})
 		assert.NilError(t, err)
 		counts[c.Server.Agent]++
 		f.Done(c, track.Result{FirstByte: time.Millisecond})
--- a/router/search.go
+++ b/router/search.go
@@ -4,6 +4,8 @@
 	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"filberttrack.example/track"
 )
 
@@ -238,6 +240,12 @@
 	return drawn
 }
 
+// start returns where to begin among n equals. It is the same for all attempts at
+// a request.
+func (s *search) start(n int) int {
+	return int(xxhash.Sum64String(string(s.query.Request)) % uint64(n))
+}
+
 // twoChoices returns the best replica of a few groups, or nil if none of them has
 // a usable one. It begins anywhere, so that a tie falls to each alike.
 func (s *search) twoChoices(a *area) *replica {
@@ -248,7 +256,7 @@
 	var bestScore float64
 	for range redraws {
 		drawn := s.draw(a)
-		first := s.router.rng.IntN(len(drawn))
+		first := s.start(len(drawn))
 		for i := range drawn {
 			r, score := s.score(drawn[(first+i)%len(drawn)])
 			if r != nil && (best == nil || score < bestScore) {
@@ -268,7 +276,7 @@
 func (s *search) score(g *group) (*replica, float64) {
 	var best *replica
 	var least, greatest float64
-	first := s.router.rng.IntN(len(g.members))
+	first := s.start(len(g.members))
 	for i := range g.members {
 		r := g.members[(first+i)%len(g.members)]
 		load := r.load(s.now)
