--- a/entry/send/attempt.go
+++ b/entry/send/attempt.go
@@ -154,6 +154,15 @@
 	return second, c.start(ctx, r, second)
 }
 
+// overloaded reports whether the replica turned the attempt away for want of room.
+func (t *transfer) overloaded() bool {
+	switch t.status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return true
+	}
+	return t.final != nil && t.final.Refusal == track.RefusedFull && !t.isolated
+}
+
 // settle tells everybody concerned how an attempt ended.
 func (r *run) settle(ctx context.Context, t *transfer) {
 	o := r.step.options
@@ -181,7 +190,7 @@
 		Outcome:    t.outcome(),
 		Failed:     !t.lost && t.replicaFailed(),
 		Down:       t.final != nil && (t.final.Crashed || t.final.Refusal == track.RefusedDown),
-		Overloaded: r.overloaded(ctx, t),
+		Overloaded: t.overloaded() || ctx.Err() != nil && t.firstByte == 0 && r.expired(),
 		FirstByte:  t.firstByte,
 		Duration:   r.step.options.Clock.Since(t.started),
 	}
@@ -192,18 +201,6 @@
 	return result
 }
 
-// overloaded reports whether the replica declined for load, or gave no sign until
-// the deadline.
-func (r *run) overloaded(ctx context.Context, t *transfer) bool {
-	switch {
-	case t.status == http.StatusServiceUnavailable, t.status == http.StatusTooManyRequests:
-		return true
-	case t.final != nil && t.final.Refusal == track.RefusedFull:
-		return !t.isolated
-	}
-	return ctx.Err() != nil && t.firstByte == 0 && r.expired()
-}
-
 // again decides whether the call is tried again, and waits for that. If not, it
 // puts into the refusal when the caller may come back.
 func (r *run) again(ctx context.Context, refusal *flow.RefusalError) bool {
--- a/member/contacts.go
+++ b/member/contacts.go
@@ -33,11 +33,13 @@
 		found[i.ID] = Contact{Instance: i, Every: s.timing.Retry}
 	}
 	interval := s.Interval()
+	// An agent of a zone without entries answers whoever greets it.
+	orphan := s.self.Role == track.RoleAgent && len(s.Entries()) == 0
 	for id, p := range s.members {
 		switch {
 		case p.gone:
 		case p.instance.Role == track.RoleEntry:
-			if _, wanted := found[id]; wanted || p.instance.Zone == s.self.Zone {
+			if p.instance.Zone == s.self.Zone || orphan {
 				found[id] = Contact{Instance: p.instance, Every: interval}
 			}
 		case p.suspect:
@@ -91,6 +93,26 @@
 	return entries[:min(len(entries), s.timing.Adopters)]
 }
 
+// Known returns all other instances that are heard, listed or named by a peer,
+// without those known to be gone, sorted by ID.
+func (s *State) Known() []track.Instance {
+	known := make(map[track.InstanceID]track.Instance)
+	for id, e := range s.learned {
+		known[id] = e.instance
+	}
+	maps.Copy(known, s.book)
+	for id, p := range s.members {
+		known[id] = p.instance
+		if p.gone {
+			delete(known, id)
+		}
+	}
+	delete(known, s.self.ID)
+	return slices.SortedFunc(maps.Values(known), func(a, b track.Instance) int {
+		return cmp.Compare(a.ID, b.ID)
+	})
+}
+
 // Find returns what is known of an instance: as heard, as listed, or as named by
 // a peer.
 func (s *State) Find(id track.InstanceID) (track.Instance, bool) {
