fix: while the log is known to be away, a new booking is refused at once

Cause: each new key waited 3 s for its claim, although the log had been away for minutes; a caller is to hear at once, and when to come back. Change: after 1 s of failed reads a claim waits 200 ms only.

--- a/claims/append.go
+++ b/claims/append.go
@@ -26,7 +26,7 @@
 // Where it fails, the records may still be added later.
 func (b *Book) add(ctx context.Context, records ...Record) (uint64, error) {
 	const op = "append claim"
-	ctx, cancel := context.WithTimeout(ctx, b.options.Settings.ClaimTimeout)
+	ctx, cancel := context.WithTimeout(ctx, b.patience())
 	defer cancel()
 	waiting := &batch{ctx: ctx, offset: make(chan uint64, 1)}
 	for _, r := range records {
--- a/claims/book.go
+++ b/claims/book.go
@@ -41,6 +41,8 @@
 	mu     sync.Mutex
 	index  *Index
 	readAt time.Time
+	// failingSince is the time from which all reads have failed; zero if none has.
+	failingSince time.Time
 	// moved is closed and replaced whenever the index has read on.
 	moved chan struct{}
 }
@@ -122,12 +124,16 @@
 	from := b.index.Next()
 	b.mu.Unlock()
 	page, err := b.options.Log.Read(ctx, track.StreamClaims, from, b.options.Settings.PageLimit)
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	if err != nil {
 		b.count("claims_read_failures_total")
+		if b.failingSince.IsZero() {
+			b.failingSince = b.options.Clock.Now()
+		}
 		return false
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
+	b.failingSince = time.Time{}
 	b.index.Apply(page, b.options.Clock.Now())
 	if len(page.Records) == 0 {
 		return false
@@ -138,6 +144,18 @@
 	return b.index.Next() < page.Next
 }
 
+// patience returns the time for which a caller waits for an append. While the
+// log is away, a caller is told so soon.
+func (b *Book) patience() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.options.Settings
+	if !b.failingSince.IsZero() && b.options.Clock.Since(b.failingSince) >= s.AwayAfter {
+		return s.AwayTimeout
+	}
+	return s.ClaimTimeout
+}
+
 // readBack waits until the record at the offset has been read.
 func (b *Book) readBack(ctx context.Context, offset uint64) error {
 	b.waiting.Add(1)
--- a/claims/load_test.go
+++ b/claims/load_test.go
@@ -67,6 +67,10 @@
 
 // During an outage of the log every new booking is refused in time and none
 // runs; after it service is back within the wait for one claim.
+// maxRefusal bounds the wait for a refusal while the log is known to be away. It
+// is well under the time in which a caller would rather hear no.
+const maxRefusal = 250 * time.Millisecond
+
 func TestOutageOfTheLog(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 2, 2, 1)
@@ -98,6 +102,9 @@
 		t.Logf("outage of %d s, one booking a second: %d refused, slowest refusal %v, first success %d s after the end",
 			to-from, lost, slices.Max(slowest[from:to]), max(0, back-to))
 		assert.Check(t, len(w.runs) == length-lost)
+		// Once the outage is known, callers are told at once, not after the whole wait.
+		const known = 3
+		assert.Check(t, slices.Max(slowest[from+known:to]) <= maxRefusal)
 	})
 }
 
--- a/claims/settings.go
+++ b/claims/settings.go
@@ -16,6 +16,10 @@
 	AppendInterval time.Duration
 	// AppendTimeout bounds one call of the log.
 	AppendTimeout time.Duration
+	// AwayAfter is the time for which all reads fail until the log counts as away.
+	AwayAfter time.Duration
+	// AwayTimeout bounds the wait for a claim while the log counts as away.
+	AwayTimeout time.Duration
 	// ClaimTimeout bounds the wait for a claim to be appended and read back.
 	ClaimTimeout time.Duration
 	// MaxBatch bounds the records of one append.
@@ -51,6 +55,8 @@
 		MaxKeys:          500_000,
 		AppendInterval:   25 * time.Millisecond,
 		AppendTimeout:    time.Second,
+		AwayAfter:        time.Second,
+		AwayTimeout:      200 * time.Millisecond,
 		ClaimTimeout:     3 * time.Second,
 		MaxBatch:         256,
 		QueueSize:        1024,
