feat: limits of client accounts hold over availability zones

Cause: entries shared usage within their zone only, so that today's three zones granted three times the set rate. Change: an entry that is asked for its zone's digest adds the zone's demand and number of entries; a limiter counts other zones with its own.

--- a/beat/exchange.go
+++ b/beat/exchange.go
@@ -157,9 +157,12 @@
 
 // Digest implements track.Peer for an entry of another zone.
 func (x *Exchange) Digest(_ context.Context, q track.DigestQuery) (track.Digest, error) {
+	payloads := x.summaries()
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.state.Digest(q), nil
+	digest := x.state.Digest(q)
+	digest.Payloads = payloads
+	return digest, nil
 }
 
 // publish hands the replicas to the router and logs what changed.
--- a/beat/exchange_test.go
+++ b/beat/exchange_test.go
@@ -321,6 +321,28 @@
 	assert.Equal(t, agents, len(m.live(track.RoleAgent, "z0")))
 }
 
+func TestSummariesReachOtherZones(t *testing.T) {
+	t.Parallel()
+	m := newMesh()
+	heard := make(map[track.InstanceID]map[track.AvailabilityZone]string)
+	for n := range 3 {
+		gossip := NewNotices(track.TopicUsage)
+		zone := track.AvailabilityZone(fmt.Sprint("z", n))
+		gossip.Summarize(track.TopicUsage, func() []byte { return []byte("demand of " + zone) })
+		id := track.InstanceID(fmt.Sprint("entry-", n))
+		heard[id] = make(map[track.AvailabilityZone]string)
+		gossip.Subscribe(track.TopicUsage, func(n track.Notice) { heard[id][n.Zone] = string(n.Data) })
+		m.start(track.RoleEntry, "r0", zone, string(id), 1, gossip.Handlers()...)
+	}
+	m.listAll()
+	m.run(10 * time.Second)
+	assert.DeepEqual(t, heard, map[track.InstanceID]map[track.AvailabilityZone]string{
+		"entry-0": {"z1": "demand of z1", "z2": "demand of z2"},
+		"entry-1": {"z0": "demand of z0", "z2": "demand of z2"},
+		"entry-2": {"z0": "demand of z0", "z1": "demand of z1"},
+	})
+}
+
 // echo is a topic that offers a fixed payload and notes what it receives.
 type echo struct {
 	name  track.Topic
--- a/beat/gossip.go
+++ b/beat/gossip.go
@@ -21,6 +21,8 @@
 	// sent holds the version that each peer was sent last.
 	sent   map[track.InstanceID]uint64
 	handle []func(track.Notice)
+	// summary returns what other zones are told; nil if they are told nothing.
+	summary func() []byte
 }
 
 // NewGossip returns the carrier of a topic.
@@ -55,6 +57,27 @@
 	}
 }
 
+// Summary returns what other zones are told, or nil.
+func (g *Gossip) Summary() []byte {
+	g.mu.Lock()
+	summary := g.summary
+	g.mu.Unlock()
+	if summary == nil {
+		return nil
+	}
+	return summary()
+}
+
+// Summarized takes the summary of another zone.
+func (g *Gossip) Summarized(from track.InstanceID, zone track.AvailabilityZone, data []byte) {
+	g.mu.Lock()
+	handle := g.handle
+	g.mu.Unlock()
+	for _, h := range handle {
+		h(track.Notice{Topic: g.topic, From: from, Zone: zone, Data: data})
+	}
+}
+
 // Fetch implements track.TopicHandler. Notices are not fetched.
 func (g *Gossip) Fetch(track.InstanceID, []byte) ([]byte, error) {
 	return nil, track.Fail("fetch notices", UnknownTopic, nil)
@@ -122,3 +145,12 @@
 		g.subscribe(handle)
 	}
 }
+
+// Summarize implements track.Gossip.
+func (n *Notices) Summarize(topic track.Topic, summary func() []byte) {
+	if g := n.carriers[topic]; g != nil {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.summary = summary
+	}
+}
--- a/beat/run.go
+++ b/beat/run.go
@@ -177,6 +177,9 @@
 	x.mu.Unlock()
 	to := z.Entries[turn]
 	digest, err := x.digestFrom(ctx, to, z.Query)
+	if err == nil {
+		x.summarized(digest)
+	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.zones[z.Zone].busy = false
--- a/beat/topics.go
+++ b/beat/topics.go
@@ -84,3 +84,35 @@
 	}
 	return peer.Fetch(ctx, x.options.Self.ID, request)
 }
+
+// summarizer is a topic that sums up its zone for the entries of other zones.
+type summarizer interface {
+	Summary() []byte
+	Summarized(from track.InstanceID, zone track.AvailabilityZone, data []byte)
+}
+
+// summaries returns what the topics tell another zone.
+func (x *Exchange) summaries() []track.Payload {
+	var payloads []track.Payload
+	for _, h := range x.options.Topics {
+		s, ok := h.(summarizer)
+		if !ok {
+			continue
+		}
+		data := s.Summary()
+		if len(data) > 0 && len(data) <= track.MaxPayloadBytes {
+			payloads = append(payloads, track.Payload{Topic: h.Topic(), Data: data})
+		}
+	}
+	return payloads
+}
+
+// summarized hands the topics what another zone told.
+func (x *Exchange) summarized(d track.Digest) {
+	for _, p := range d.Payloads {
+		s, ok := x.handler(p.Topic).(summarizer)
+		if ok && len(p.Data) <= track.MaxPayloadBytes {
+			s.Summarized(d.From, d.Zone, p.Data)
+		}
+	}
+}
--- a/cmd/capacity/entries.go
+++ b/cmd/capacity/entries.go
@@ -65,6 +65,9 @@
 	g.largest = max(g.largest, len(n.Data))
 }
 
+// Summarize implements track.Gossip.
+func (*gossip) Summarize(track.Topic, func() []byte) {}
+
 // Subscribe implements track.Gossip.
 func (*gossip) Subscribe(track.Topic, func(track.Notice)) {}
 
--- a/crash/crash_test.go
+++ b/crash/crash_test.go
@@ -33,6 +33,8 @@
 	b.held = append(b.held, d)
 }
 
+func (*bus) Summarize(track.Topic, func() []byte) {}
+
 func (b *bus) Subscribe(_ track.Topic, handle func(track.Notice)) {
 	b.handlers = append(b.handlers, handle)
 }
--- a/entry/send/settle_test.go
+++ b/entry/send/settle_test.go
@@ -21,6 +21,8 @@
 
 func (quiet) Publish(track.Notice) {}
 
+func (quiet) Summarize(track.Topic, func() []byte) {}
+
 func (quiet) Subscribe(track.Topic, func(track.Notice)) {}
 
 // TestRefusalClearsNoSuspect ends attempts at a suspect in several ways.
--- a/limit/digest.go
+++ b/limit/digest.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -30,10 +31,49 @@
 
 var rowSize = binary.Size(row{})
 
-// peer is what another entry last reported.
+// peer is what another entry, or another zone, last reported.
 type peer struct {
 	seen time.Time
 	rows []row
+	// entries is the number of entries of the zone; 1 for an entry.
+	entries int
+}
+
+// maxZoneEntries bounds the entries that a summary of a zone may claim.
+const maxZoneEntries = 1000
+
+// summary returns the demand of the own zone, for the entries of other zones: the
+// number of entries, then a row for each account.
+func (l *Limiter) summary() []byte {
+	l.mu.Lock()
+	sums := make(map[uint64]row)
+	addRows(sums, l.own)
+	for _, p := range l.peers {
+		addRows(sums, p.rows)
+	}
+	entries := l.zoneEntries(l.clock.Now())
+	l.mu.Unlock()
+	rows := slices.SortedFunc(maps.Values(sums), func(a, b row) int {
+		return cmp.Or(cmp.Compare(b.Requests, a.Requests), cmp.Compare(b.Tokens, a.Tokens), cmp.Compare(a.Account, b.Account))
+	})
+	data := binary.LittleEndian.AppendUint32(nil, uint32(entries))
+	data, err := binary.Append(data, binary.LittleEndian, rows[:min(len(rows), MaxDigestRows)])
+	if err != nil {
+		l.logger.Error("encoding a usage summary", zap.Error(err))
+		return nil
+	}
+	return data
+}
+
+// addRows adds the demand in the rows to the sums.
+func addRows(sums map[uint64]row, rows []row) {
+	for _, in := range rows {
+		sum := sums[in.Account]
+		sum.Account = in.Account
+		sum.Requests += in.Requests
+		sum.Tokens += in.Tokens
+		sums[in.Account] = sum
+	}
 }
 
 // Publish takes the shares of this entry anew and sends its demand to the other
@@ -76,7 +116,8 @@
 	slices.SortFunc(rows, func(a, b row) int {
 		return cmp.Or(cmp.Compare(pressure[b.Account], pressure[a.Account]), cmp.Compare(a.Account, b.Account))
 	})
-	return rows[:min(len(rows), MaxDigestRows)]
+	l.own = rows[:min(len(rows), MaxDigestRows)]
+	return l.own
 }
 
 // pressure returns the local demand as a part of the whole limit.
@@ -91,17 +132,39 @@
 func (l *Limiter) elsewhere() map[uint64]row {
 	sums := make(map[uint64]row)
 	for _, p := range l.peers {
-		for _, in := range p.rows {
-			sum := sums[in.Account]
-			sum.Requests += in.Requests
-			sum.Tokens += in.Tokens
-			sums[in.Account] = sum
-		}
+		addRows(sums, p.rows)
+	}
+	for _, z := range l.zones {
+		addRows(sums, z.rows)
 	}
 	return sums
 }
 
+// zoneHeaderBytes is the length of the number of entries before a summary's rows.
+const zoneHeaderBytes = 4
+
+// receiveZone takes the summary of another zone.
+func (l *Limiter) receiveZone(d track.Notice) {
+	if len(d.Data) < zoneHeaderBytes {
+		l.logger.Warn("usage summary refused", zap.String("from", string(d.From)))
+		return
+	}
+	entries := binary.LittleEndian.Uint32(d.Data)
+	rows, err := decode(d.Data[zoneHeaderBytes:])
+	if err != nil || entries > maxZoneEntries {
+		l.logger.Warn("usage summary refused", zap.String("from", string(d.From)), zap.Error(err))
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.zones[d.Zone] = &peer{seen: l.clock.Now(), rows: rows, entries: int(entries)}
+}
+
 func (l *Limiter) receive(d track.Notice) {
+	if d.Zone != "" {
+		l.receiveZone(d)
+		return
+	}
 	rows, err := decode(d.Data)
 	if err != nil {
 		l.logger.Warn("usage digest refused", zap.String("from", string(d.From)), zap.Error(err))
@@ -110,7 +173,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if d.From != l.self {
-		l.peers[d.From] = &peer{seen: l.clock.Now(), rows: rows}
+		l.peers[d.From] = &peer{seen: l.clock.Now(), rows: rows, entries: 1}
 	}
 }
 
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -20,6 +20,9 @@
 	Interval = 2 * time.Second
 	// peerTimeout is the silence after which an entry counts as gone.
 	peerTimeout = 10 * time.Second
+	// zoneTimeout is the silence after which another zone counts as gone. Zones of
+	// other regions are asked every 10 s.
+	zoneTimeout = 30 * time.Second
 	// idleTimeout is the time after which an account that sent nothing is forgotten.
 	idleTimeout = time.Minute
 	// burst is the time for which unused rate is saved up.
@@ -59,7 +62,10 @@
 
 	mu       sync.Mutex
 	accounts map[uint64]*account
-	peers    map[track.InstanceID]*peer
+	// own holds the rows that were published last.
+	own   []row
+	peers map[track.InstanceID]*peer
+	zones map[track.AvailabilityZone]*peer
 }
 
 // account is the use of one client account at this entry.
@@ -78,8 +84,10 @@
 		refused:  set.GetOrCreateCounter("filberttrack_limit_refused_total"),
 		accounts: make(map[uint64]*account),
 		peers:    make(map[track.InstanceID]*peer),
+		zones:    make(map[track.AvailabilityZone]*peer),
 	}
 	gossip.Subscribe(track.TopicUsage, l.receive)
+	gossip.Summarize(track.TopicUsage, l.summary)
 	return l
 }
 
@@ -134,9 +142,23 @@
 	return a
 }
 
-// entries returns the number of entries that were heard of lately, this one
-// included.
+// entries returns the number of entries of all zones that were heard of lately,
+// this one included.
 func (l *Limiter) entries(now time.Time) int {
+	n := l.zoneEntries(now)
+	for zone, p := range l.zones {
+		if now.Sub(p.seen) >= zoneTimeout {
+			delete(l.zones, zone)
+			continue
+		}
+		n += p.entries
+	}
+	return n
+}
+
+// zoneEntries returns the number of entries of the own zone that were heard of
+// lately, this one included.
+func (l *Limiter) zoneEntries(now time.Time) int {
 	for id, p := range l.peers {
 		if now.Sub(p.seen) >= peerTimeout {
 			delete(l.peers, id)
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -24,9 +24,10 @@
 	os.Exit(m.Run())
 }
 
-// bus delivers digests late and loses some.
+// bus delivers digests late and loses some. It joins the entries of a zone.
 type bus struct {
 	handlers []func(track.Notice)
+	summary  func() []byte
 	held     []track.Notice
 	lost     func() bool
 	bytes    int
@@ -42,6 +43,19 @@
 	b.handlers = append(b.handlers, handle)
 }
 
+// Summarize keeps the summary of the entry that joined last.
+func (b *bus) Summarize(_ track.Topic, summary func() []byte) { b.summary = summary }
+
+// tell hands the summary of the zone to the entries of another.
+func (b *bus) tell(zone track.AvailabilityZone, other *bus) {
+	data := b.summary()
+	for _, handle := range other.handlers {
+		if b.lost == nil || !b.lost() {
+			handle(track.Notice{Zone: zone, Data: data})
+		}
+	}
+}
+
 func (b *bus) deliver() {
 	for _, d := range b.held {
 		for _, handle := range b.handlers {
@@ -53,6 +67,20 @@
 	b.held = nil
 }
 
+// asking is the time between two questions of an entry to another zone.
+const asking = 1500 * time.Millisecond
+
+// newZones returns entries spread over zones, and the buses of the zones.
+func newZones(n, zones int, clock clockwork.Clock, lost func() bool) ([]*limit.Limiter, []*bus) {
+	buses := make([]*bus, zones)
+	var entries []*limit.Limiter
+	for z := range buses {
+		buses[z] = &bus{lost: lost}
+		entries = append(entries, newEntries(n/zones, clock, buses[z])...)
+	}
+	return entries, buses
+}
+
 func newEntries(n int, clock clockwork.Clock, b *bus) []*limit.Limiter {
 	entries := make([]*limit.Limiter, n)
 	for i := range entries {
@@ -88,10 +116,10 @@
 
 // offered runs an account's demand, a multiple of the set rate, over nine entries and returns what each
 // window of ten seconds admitted, as a part of what the limit allows.
-func offered(seed uint64, client track.ClientAccount, set, demand, exponent float64, shift bool) []float64 {
+func offered(seed uint64, client track.ClientAccount, set, demand, exponent float64, shift bool, zones int) []float64 {
 	rng := rand.New(rand.NewPCG(seed, 2))
-	clock, b := clockwork.NewFakeClock(), &bus{lost: func() bool { return rng.Float64() < 0.1 }}
-	limiters := newEntries(entries, clock, b)
+	clock := clockwork.NewFakeClock()
+	limiters, buses := newZones(entries, zones, clock, func() bool { return rng.Float64() < 0.1 })
 	shares := zipf(entries, exponent)
 	const tick = 10 * time.Millisecond
 	var windows []float64
@@ -115,7 +143,12 @@
 			}
 		}
 		if now%(300*time.Millisecond) == 0 {
-			b.deliver()
+			for _, b := range buses {
+				b.deliver()
+			}
+		}
+		if now%asking == 0 {
+			tellAll(buses)
 		}
 		if (now+tick)%(window*time.Second) == 0 {
 			windows = append(windows, float64(admitted)/(set*window))
@@ -125,6 +158,17 @@
 	return windows[warmUp/window:]
 }
 
+// tellAll has each zone hear the summaries of all others.
+func tellAll(buses []*bus) {
+	for from, b := range buses {
+		for to, other := range buses {
+			if from != to {
+				b.tell(track.AvailabilityZone(fmt.Sprint("zone-", from)), other)
+			}
+		}
+	}
+}
+
 func poisson(rng *rand.Rand, mean float64) int {
 	n := 0
 	for p := rng.Float64(); p > math.Exp(-mean); p *= rng.Float64() {
@@ -155,20 +199,22 @@
 		{"slow", slow, slowRate, 3, 1.2, false},
 	}
 	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			windows := offered(11, c.client, c.set, c.demand, c.exponent, c.shift)
-			t.Logf("admitted / limit in windows of %d s: %.3f", window, windows)
-			for _, w := range windows {
-				assert.Assert(t, math.Abs(w-1) <= tolerance, "%.3f", w)
-			}
-		})
+		for _, zones := range []int{1, 3} {
+			t.Run(fmt.Sprintf("%s/%d zones", c.name, zones), func(t *testing.T) {
+				windows := offered(11, c.client, c.set, c.demand, c.exponent, c.shift, zones)
+				t.Logf("admitted / limit in windows of %d s: %.3f", window, windows)
+				for _, w := range windows {
+					assert.Check(t, math.Abs(w-1) <= tolerance, "%.3f", w)
+				}
+			})
+		}
 	}
 }
 
 func TestBelowLimitNothingIsRefused(t *testing.T) {
 	const demand = 0.7
 	client := track.ClientAccount{Name: "large", RequestsPerSecond: rate}
-	windows := offered(12, client, rate, demand, 1.2, false)
+	windows := offered(12, client, rate, demand, 1.2, false, 1)
 	t.Logf("admitted / limit at a demand of %.1f: %.3f", demand, windows)
 	sum := 0.0
 	for _, w := range windows {
--- a/peer.go
+++ b/peer.go
@@ -107,6 +107,8 @@
 	// Candidates lists replicas that the asking entry may use; empty if it
 	// already holds those of CandidatesHash.
 	Candidates []Candidate
+	// Payloads sum up topics for the whole zone.
+	Payloads []Payload
 }
 
 // TargetDigest sums up the replicas of one target in a zone.
--- a/wire/peer_test.go
+++ b/wire/peer_test.go
@@ -50,7 +50,7 @@
 
 func sampleDigest() track.Digest {
 	return track.Digest{
-		From: "entry-1", Zone: "kl-b", CandidatesHash: 9,
+		From: "entry-1", Zone: "kl-b", Payloads: []track.Payload{{Topic: "Usage", Data: []byte("sum")}}, CandidatesHash: 9,
 		Targets:    []track.TargetDigest{{Target: "tempo-llm", Ready: 4, Running: 3, Queued: 2, Capacity: 128}},
 		Candidates: []track.Candidate{{Agent: "a", Incarnation: 5, Address: "10.20.2.1:7000", Target: "tempo-llm"}},
 	}
--- a/wire/peercodec.go
+++ b/wire/peercodec.go
@@ -98,6 +98,7 @@
 				Agent: string(c.Agent), Incarnation: uint64(c.Incarnation), Address: c.Address, Target: c.Target,
 			}
 		}),
+		Payloads: convert(d.Payloads, encodePayload),
 	}
 }
 
@@ -118,6 +119,7 @@
 				Address: c.GetAddress(), Target: c.GetTarget(),
 			}
 		}),
+		Payloads: convert(m.GetPayloads(), decodePayload),
 	}
 }
 
