fix: filberttrack dev stops without waiting for a balancer

Cause: dev has no balancer in front, and yet waited 5 s for one to notice the stop, taking new requests meanwhile. Change: no wait.

--- a/cmd/filberttrack/dev.go
+++ b/cmd/filberttrack/dev.go
@@ -27,6 +27,8 @@
 			if err != nil {
 				return err
 			}
+			// No balancer stands in front that would need time to notice a stop.
+			s.Entry.BalancerDelay = 0
 			if c.IsSet("listen") {
 				s.Entry.Listen = c.String("listen")
 			}
