--- a/boot/rolling_test.go
+++ b/boot/rolling_test.go
@@ -114,7 +114,7 @@
 func (r *rolling) bookOnce(n int) {
 	const tries = 5
 	for try := range tries {
-		request := httptest.NewRequest("POST", "/services/pickup-desk/bookings", strings.NewReader(fmt.Sprintf(`{"Key":"key-%d;"}`, n)))
+		request := httptest.NewRequest(http.MethodPost, "/services/pickup-desk/bookings", strings.NewReader(fmt.Sprintf(`{"Key":"key-%d;"}`, n)))
 		request.Header.Set("Authorization", "Bearer "+token)
 		request.Header.Set("Idempotency-Key", fmt.Sprintf("key-%d", n))
 		if try == 0 {
