--- a/admit/gates.go
+++ b/admit/gates.go
@@ -8,6 +8,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
+
+	"filberttrack.example/track/duty"
 )
 
 // RefreshInterval is the time between two looks at those who wait.
@@ -54,18 +56,11 @@
 // Run decides anew at each interval, until the context ends. It is a duty of an
 // entry.
 func (g *Gates) Run(ctx context.Context) error {
-	ticker := g.clock.NewTicker(RefreshInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return context.Cause(ctx)
-		case <-ticker.Chan():
-			for _, gate := range g.all() {
-				gate.Refresh()
-			}
+	return duty.Every(ctx, g.clock, RefreshInterval, func() {
+		for _, gate := range g.all() {
+			gate.Refresh()
 		}
-	}
+	})
 }
 
 func (g *Gates) all() []*Gate {
--- a/bench/trace/trace.go
+++ b/bench/trace/trace.go
@@ -31,15 +31,11 @@
 			return newTwoChoices(uint64(entry))
 		}},
 		{"filberttrack", func(clock clockwork.Clock, entry int, zone track.AvailabilityZone) track.Router {
-			return router.New(clock, rand.New(rand.NewPCG(uint64(entry), 3)), zone, allReachable{})
+			return router.New(clock, rand.New(rand.NewPCG(uint64(entry), 3)), zone, router.AllReachable{})
 		}},
 	}
 }
 
-type allReachable struct{}
-
-func (allReachable) CutOff(track.AvailabilityZone) bool { return false }
-
 // Report is what came of a trace.
 type Report struct {
 	Requests int
--- a/boot/policies.go
+++ b/boot/policies.go
@@ -9,6 +9,7 @@
 	"filberttrack.example/track"
 	"filberttrack.example/track/admit"
 	"filberttrack.example/track/crash"
+	"filberttrack.example/track/duty"
 	"filberttrack.example/track/limit"
 	"filberttrack.example/track/router"
 )
@@ -16,7 +17,8 @@
 // joinPolicies makes the parts of an entry that route, limit and admit requests.
 func (c *EntryCore) joinPolicies(gossip track.Gossip) {
 	p := c.ports
-	c.router = router.New(p.Clock, c.random("route"), c.instance.Zone, allReachable{})
+	// The membership never offers the replicas of a zone that is cut off.
+	c.router = router.New(p.Clock, c.random("route"), c.instance.Zone, router.AllReachable{})
 	c.limiter = limit.New(p.Clock, c.instance.ID, gossip, p.Logger, c.metrics)
 	c.gates = admit.NewGates(p.Clock, c.random("admit"), c.router, c.metrics)
 	c.crashes = crash.New(p.Clock, crash.DefaultPolicy(), c.instance.ID, gossip, p.Logger, c.metrics)
@@ -31,21 +33,8 @@
 // share publishes the demand of accounts and the standing of crashing requests
 // at each interval. It is a duty of an entry.
 func (c *EntryCore) share(ctx context.Context) error {
-	ticker := c.ports.Clock.NewTicker(limit.Interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return context.Cause(ctx)
-		case <-ticker.Chan():
-			c.limiter.Publish()
-			c.crashes.Publish()
-		}
-	}
+	return duty.Every(ctx, c.ports.Clock, limit.Interval, func() {
+		c.limiter.Publish()
+		c.crashes.Publish()
+	})
 }
-
-// allReachable names no zone as cut off: the membership never offers the
-// replicas of a zone that is.
-type allReachable struct{}
-
-func (allReachable) CutOff(track.AvailabilityZone) bool { return false }
--- a/certs/store.go
+++ b/certs/store.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/duty"
 )
 
 // reloadInterval is the time between looks at the files.
@@ -63,16 +64,7 @@
 // Run looks at the files again and again until the context ends. A set that is
 // not whole and valid is logged and counted, and the former stays in use.
 func (s *Store) Run(ctx context.Context) error {
-	ticker := s.clock.NewTicker(reloadInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return context.Cause(ctx)
-		case <-ticker.Chan():
-			s.reload()
-		}
-	}
+	return duty.Every(ctx, s.clock, reloadInterval, s.reload)
 }
 
 func (s *Store) reload() {
--- a/cmd/capacity/entries.go
+++ b/cmd/capacity/entries.go
@@ -124,16 +124,10 @@
 	return []float64{heap, used / measuredRounds, float64(peers.largest)}, nil
 }
 
-// reachable says that no zone is cut off.
-type reachable struct{}
-
-// CutOff implements track.Reachability.
-func (reachable) CutOff(track.AvailabilityZone) bool { return false }
-
 func measureRouter(_ context.Context, replicas int) ([]float64, error) {
 	before := gauge.HeapBytes()
 	clock := clockwork.NewFakeClock()
-	r := router.New(clock, rand.New(rand.NewPCG(1, 2)), rigZone, reachable{})
+	r := router.New(clock, rand.New(rand.NewPCG(1, 2)), rigZone, router.AllReachable{})
 	servers := make([]track.BackendServer, replicas)
 	for i := range servers {
 		h := zoneAgent(i)
--- a/crash/digest.go
+++ b/crash/digest.go
@@ -31,18 +31,16 @@
 // and when the owner calls it at each tick, for entries that are new or missed a
 // digest.
 func (t *Tracker) Publish() {
-	t.publish(t.rows())
-}
-
-func (t *Tracker) publish(rows []row) {
-	if len(rows) > 0 {
-		data, err := binary.Append(nil, binary.LittleEndian, rows)
-		if err != nil {
-			t.logger.Error("encoding a quarantine digest", zap.Error(err))
-			return
-		}
-		t.gossip.Publish(track.Notice{Topic: track.TopicQuarantine, From: t.self, Data: data})
+	rows := t.rows()
+	if len(rows) == 0 {
+		return
+	}
+	data, err := binary.Append(nil, binary.LittleEndian, rows)
+	if err != nil {
+		t.logger.Error("encoding a quarantine digest", zap.Error(err))
+		return
 	}
+	t.gossip.Publish(track.Notice{Topic: track.TopicQuarantine, From: t.self, Data: data})
 }
 
 // rows returns the gravest and latest records, up to the size of a digest.
--- a/router/router.go
+++ b/router/router.go
@@ -176,3 +176,10 @@
 	}
 	return slots
 }
+
+// AllReachable is the view of a router that is offered replicas of reachable
+// zones only.
+type AllReachable struct{}
+
+// CutOff implements track.Reachability.
+func (AllReachable) CutOff(track.AvailabilityZone) bool { return false }
--- a/stand/ranks/ranks.go
+++ b/stand/ranks/ranks.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/duty"
 )
 
 // Load gives the time that a rank needs for a step with a map.
@@ -326,16 +327,7 @@
 // Run steps the group until the context ends. A step takes at least the given
 // time; one that a rank holds is tried again after that time.
 func (g *Group) Run(ctx context.Context, clock clockwork.Clock, stepTime time.Duration) error {
-	ticker := clock.NewTicker(stepTime)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return context.Cause(ctx)
-		case <-ticker.Chan():
-			g.Step()
-		}
-	}
+	return duty.Every(ctx, clock, stepTime, func() { g.Step() })
 }
 
 // Engines returns the ranks as engines.
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/duty"
 	"filberttrack.example/track/expert"
 	"filberttrack.example/track/swap"
 )
@@ -87,16 +88,9 @@
 
 // Run plans and drives until the context ends.
 func (s *Steer) Run(ctx context.Context) error {
-	ticker := s.options.Clock.NewTicker(watchInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return context.Cause(ctx)
-		case <-ticker.Chan():
-			s.Tick(ctx)
-		}
-	}
+	return duty.Every(ctx, s.options.Clock, watchInterval, func() {
+		s.Tick(ctx)
+	})
 }
 
 // Tick does what is due: settle what holds the group, or plan.
