--- /dev/null
+++ b/batch/pool.go
@@ -0,0 +1,427 @@
+// Package batch places requests on the replicas of a service: it bounds what runs
+// at once, lets requests wait for a place in the order of their urgency, and
+// refuses at once what would wait too long.
+package batch
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"filberttrack.example/track"
+)
+
+// Reason says why a request was refused.
+type Reason string
+
+// The reasons for a refusal.
+const (
+	// ReasonNoReplica means that no replica of the service is known to serve.
+	ReasonNoReplica Reason = "NoReplica"
+	// ReasonGroupBroken means that the rank groups of the service are broken.
+	ReasonGroupBroken Reason = "GroupBroken"
+	// ReasonBusy means that no place will be free in time.
+	ReasonBusy Reason = "Busy"
+	// ReasonGone means that the client left while its request waited.
+	ReasonGone Reason = "ClientGone"
+)
+
+// RefusalError tells that a request got no place.
+type RefusalError struct {
+	Reason Reason
+	// RetryAfter is the time after which a place is expected.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *RefusalError) Error() string {
+	return fmt.Sprintf("no place: %s, expected in %s", e.Reason, e.RetryAfter)
+}
+
+// Ask describes a request that needs a place.
+type Ask struct {
+	Request track.RequestID
+	// Priority is 0 for the most urgent requests.
+	Priority int
+	// Tokens estimates the tokens that the request holds while it runs.
+	Tokens int
+	// Due is the time until which a place is worth full value, Until that at which
+	// the request gives up waiting.
+	Due   time.Time
+	Until time.Time
+	// Excluded lists replicas that failed the request already.
+	Excluded []track.ReplicaID
+}
+
+// Result tells how an attempt ended.
+type Result struct {
+	// Verdict classifies the end.
+	Verdict Verdict
+	// FirstByte is the time to the first byte of the answer; 0 if there was none.
+	FirstByte time.Duration
+	// AtFault names the replica that broke the group, if any.
+	AtFault string
+}
+
+// Verdict says what an attempt showed about its replica.
+type Verdict int
+
+// The verdicts.
+const (
+	// Served means that the replica gave a whole answer.
+	Served Verdict = iota
+	// Abandoned means that the client left, which says nothing of the replica.
+	Abandoned
+	// Full means that the replica refused for want of room.
+	Full
+	// Unreachable means that no connection could be made.
+	Unreachable
+	// Misplaced means that another replica has the address.
+	Misplaced
+	// Erred means that the replica answered with a failure of its own.
+	Erred
+	// Broke means that the answer broke off or never came.
+	Broke
+)
+
+// Grant is a place on a replica. Its owner must call Done once.
+type Grant struct {
+	Replica track.Replica
+	// Waited is the time spent waiting for the place.
+	Waited time.Duration
+	// Load is the number of requests on the replica when it was chosen, this one
+	// included, and Candidates the number of replicas weighed.
+	Load       int
+	Candidates int
+
+	pool    *Pool
+	tokens  int
+	granted time.Time
+}
+
+// Done frees the place and learns from the result.
+func (g *Grant) Done(r Result) {
+	g.pool.done(g, r)
+}
+
+// Options holds what a Pool is made of.
+type Options struct {
+	Service string
+	// Zone is the availability zone of this entry; its replicas are preferred among
+	// equals.
+	Zone  track.AvailabilityZone
+	Clock clockwork.Clock
+	// Draw returns random numbers that are uniform in [0, 1).
+	Draw   func() float64
+	Logger *zap.Logger
+}
+
+// Pool holds the places of one service as this entry sees them. It is safe for
+// concurrent use.
+type Pool struct {
+	options Options
+
+	mu       sync.Mutex
+	engine   *track.EngineSpec
+	replicas map[track.ReplicaID]*replica
+	waiting  []*waiter
+	// hold is the moving mean of the time for which a place is held.
+	hold time.Duration
+}
+
+type waiter struct {
+	ask     Ask
+	arrived time.Time
+	granted chan *Grant
+}
+
+// New returns a pool without replicas.
+func New(options Options) *Pool {
+	return &Pool{options: options, replicas: make(map[track.ReplicaID]*replica)}
+}
+
+// Configure takes the description of the service's engines; nil for plain services.
+func (p *Pool) Configure(engine *track.EngineSpec) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.engine = engine
+}
+
+// Update replaces the list of replicas.
+func (p *Pool) Update(replicas []track.Replica) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	present := make(map[track.ReplicaID]bool, len(replicas))
+	for _, r := range replicas {
+		if r.Service != p.options.Service {
+			continue
+		}
+		present[r.ID] = true
+		if old := p.replicas[r.ID]; old != nil {
+			old.Replica, old.listed = r, true
+		} else {
+			p.replicas[r.ID] = &replica{Replica: r, listed: true}
+		}
+	}
+	for id, r := range p.replicas {
+		if present[id] {
+			continue
+		}
+		r.listed = false
+		if r.own == 0 {
+			delete(p.replicas, id)
+		}
+	}
+	p.dispatch()
+}
+
+// Acquire waits for a place. It fails with a *RefusalError.
+func (p *Pool) Acquire(ctx context.Context, ask Ask) (*Grant, error) {
+	w, grant, err := p.arrive(ask)
+	if w == nil {
+		return grant, err
+	}
+	timer := p.options.Clock.NewTimer(ask.Until.Sub(p.options.Clock.Now()))
+	defer timer.Stop()
+	select {
+	case g := <-w.granted:
+		return g, nil
+	case <-timer.Chan():
+		return p.leave(w, ReasonBusy)
+	case <-ctx.Done():
+		return p.leave(w, ReasonGone)
+	}
+}
+
+// arrive grants a place, refuses, or returns a waiter.
+func (p *Pool) arrive(ask Ask) (*waiter, *Grant, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.options.Clock.Now()
+	if reason, after := p.unserved(ask, now); reason != "" {
+		return nil, nil, &RefusalError{Reason: reason, RetryAfter: after}
+	}
+	w := &waiter{ask: ask, arrived: now, granted: make(chan *Grant, 1)}
+	p.waiting = append(p.waiting, w)
+	p.dispatch()
+	select {
+	case g := <-w.granted:
+		return nil, g, nil
+	default:
+	}
+	if wait := p.expectedWait(); now.Add(wait).After(ask.Until) {
+		p.remove(w)
+		return nil, nil, &RefusalError{Reason: ReasonBusy, RetryAfter: p.retryAfter(wait)}
+	}
+	return w, nil, nil
+}
+
+// leave takes a waiter out of the queue; a place that it got meanwhile is its own.
+func (p *Pool) leave(w *waiter, reason Reason) (*Grant, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case g := <-w.granted:
+		return g, nil
+	default:
+	}
+	p.remove(w)
+	return nil, &RefusalError{Reason: reason, RetryAfter: p.retryAfter(p.expectedWait())}
+}
+
+func (p *Pool) remove(w *waiter) {
+	if i := slices.Index(p.waiting, w); i >= 0 {
+		p.waiting = slices.Delete(p.waiting, i, i+1)
+	}
+}
+
+// unserved returns why no replica serves the request, if none does.
+func (p *Pool) unserved(ask Ask, now time.Time) (Reason, time.Duration) {
+	broken, usable := time.Duration(0), 0
+	for _, r := range p.replicas {
+		if !r.listed || slices.Contains(ask.Excluded, r.ID) {
+			continue
+		}
+		switch wait := r.closedFor(now); {
+		case wait <= 0:
+			usable++
+		case r.broken && (broken == 0 || wait < broken):
+			broken = wait
+		}
+	}
+	switch {
+	case usable > 0:
+		return "", 0
+	case broken > 0:
+		return ReasonGroupBroken, max(broken, minRetryAfter)
+	}
+	return ReasonNoReplica, noReplicaRetryAfter
+}
+
+// expectedWait predicts the wait of the last one in the queue.
+func (p *Pool) expectedWait() time.Duration {
+	places, own, all := 0, 0, 0
+	now := p.options.Clock.Now()
+	for _, r := range p.replicas {
+		own += r.own
+		all += r.load()
+		if r.listed && r.closedFor(now) <= 0 {
+			places += p.limit(r)
+		}
+	}
+	if places == 0 || p.hold == 0 {
+		return 0
+	}
+	// Of the places that become free, this entry gets about the share that it
+	// holds now.
+	share := 1.0
+	if all > 0 {
+		share = max(float64(own)/float64(all), minShare)
+	}
+	gap := float64(p.hold) / (float64(places) * share)
+	return time.Duration(gap * float64(len(p.waiting)))
+}
+
+// retryAfter spreads those who come back around the predicted wait.
+func (p *Pool) retryAfter(wait time.Duration) time.Duration {
+	wait = max(wait, minRetryAfter)
+	return wait + time.Duration(retryJitter*p.options.Draw()*float64(wait))
+}
+
+// dispatch grants free places to those who wait.
+func (p *Pool) dispatch() {
+	now := p.options.Clock.Now()
+	slices.SortStableFunc(p.waiting, func(a, b *waiter) int { return compare(a, b, now) })
+	for i := 0; i < len(p.waiting); {
+		w := p.waiting[i]
+		r, candidates := p.choose(w.ask, now)
+		if r == nil {
+			i++
+			continue
+		}
+		p.waiting = slices.Delete(p.waiting, i, i+1)
+		r.own++
+		r.tokens += w.ask.Tokens
+		w.granted <- &Grant{
+			Replica: r.Replica, Waited: now.Sub(w.arrived), Load: r.load(), Candidates: candidates,
+			pool: p, tokens: w.ask.Tokens, granted: now,
+		}
+	}
+}
+
+// compare orders waiters: the more urgent first, and among equals those that can
+// still be served in time before those that can't.
+func compare(a, b *waiter, now time.Time) int {
+	if a.ask.Priority != b.ask.Priority {
+		return a.ask.Priority - b.ask.Priority
+	}
+	lateA, lateB := now.After(a.ask.Due), now.After(b.ask.Due)
+	switch {
+	case lateA && !lateB:
+		return 1
+	case lateB && !lateA:
+		return -1
+	}
+	return a.arrived.Compare(b.arrived)
+}
+
+// choose returns the open replica with the least load below its limit.
+func (p *Pool) choose(ask Ask, now time.Time) (*replica, int) {
+	var best *replica
+	bestScore, candidates := 0.0, 0
+	for _, r := range p.replicas {
+		if !r.listed || r.closedFor(now) > 0 || slices.Contains(ask.Excluded, r.ID) || r.load() >= p.limit(r) {
+			continue
+		}
+		candidates++
+		if score := p.score(r); best == nil || score < bestScore {
+			best, bestScore = r, score
+		}
+	}
+	return best, candidates
+}
+
+func (p *Pool) done(g *Grant, result Result) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.options.Clock.Now()
+	r := p.replicas[g.Replica.ID]
+	if r == nil {
+		return
+	}
+	r.own--
+	r.tokens -= g.tokens
+	if result.Verdict == Served {
+		p.learn(now.Sub(g.granted))
+	}
+	if change := r.observe(result, now, p.engine); change != "" {
+		p.options.Logger.Info("replica health", zap.String("Replica", string(r.ID)), zap.String("Change", change),
+			zap.Duration("ClosedFor", r.closedFor(now)), zap.String("AtFault", result.AtFault))
+	}
+	if !r.listed && r.own == 0 {
+		delete(p.replicas, r.ID)
+	}
+	p.dispatch()
+}
+
+func (p *Pool) learn(held time.Duration) {
+	if p.hold == 0 {
+		p.hold = held
+		return
+	}
+	p.hold += time.Duration(holdSmoothing * float64(held-p.hold))
+}
+
+// InFlight returns the number of this entry's requests on each replica.
+func (p *Pool) InFlight() map[track.ReplicaID]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	counts := make(map[track.ReplicaID]int, len(p.replicas))
+	for id, r := range p.replicas {
+		if r.own > 0 {
+			counts[id] = r.own
+		}
+	}
+	return counts
+}
+
+// SetOthers takes the number of requests that all other entries have on each
+// replica.
+func (p *Pool) SetOthers(counts map[track.ReplicaID]int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, r := range p.replicas {
+		r.others = counts[id]
+	}
+	p.dispatch()
+}
+
+// SetGroup takes what the agent beside a replica reports of its rank group.
+func (p *Pool) SetGroup(id track.ReplicaID, group string, open bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.replicas[id]
+	if r == nil {
+		return
+	}
+	r.group = group
+	now := p.options.Clock.Now()
+	if open {
+		r.broken, r.closedUntil = false, minTime(r.closedUntil, now)
+	} else {
+		r.broken, r.closedUntil = true, now.Add(brokenClosed)
+	}
+	p.dispatch()
+}
+
+// Tick grants the places of replicas that are open again.
+func (p *Pool) Tick() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dispatch()
+}
--- /dev/null
+++ b/batch/replica.go
@@ -0,0 +1,153 @@
+package batch
+
+import (
+	"time"
+
+	"filberttrack.example/track"
+)
+
+const (
+	// minRetryAfter is the least delay after which a client is asked to return.
+	minRetryAfter = 100 * time.Millisecond
+	// noReplicaRetryAfter is the delay while no replica serves: replicas report
+	// about once a second.
+	noReplicaRetryAfter = time.Second
+	// retryJitter is the spread of the delay, as a part of it.
+	retryJitter = 0.3
+	// minShare is the least share of the free places that an entry counts on.
+	minShare = 0.05
+	// holdSmoothing is the weight of the newest sample in the mean holding time.
+	holdSmoothing = 0.05
+	// queueFactor is the number of requests on a replica of a plain service for
+	// each of its slots, so that the next request is there when one ends.
+	queueFactor = 2
+	// defaultSlots is assumed of a replica that names no slots.
+	defaultSlots = 4
+
+	// firstClosed is the time for which a replica is left alone after a failure.
+	// It doubles with each further one, up to maxClosed.
+	firstClosed = 250 * time.Millisecond
+	maxClosed   = 4 * time.Second
+	// fullClosed is the time for which a replica without room is left alone.
+	fullClosed = 60 * time.Millisecond
+	// misplacedClosed is longer than the list of replicas takes to tell that the
+	// replica has left.
+	misplacedClosed = 5 * time.Second
+	// brokenClosed is the time between two looks at a broken group.
+	brokenClosed = time.Second
+	// errorSmoothing is the weight of the newest answer in the share of errors.
+	errorSmoothing = 0.1
+	// maxErrorShare is the share of errors beyond which a replica is left alone.
+	maxErrorShare = 0.5
+	// latencySmoothing is the weight of the newest sample in the mean latency.
+	latencySmoothing = 0.2
+	// minLatency keeps idle replicas comparable.
+	minLatency = time.Millisecond
+)
+
+// replica is what this entry knows of a replica.
+type replica struct {
+	track.Replica
+	// listed is unset once the replica is draining or gone.
+	listed bool
+	// own and others count the requests of this entry and of all others.
+	own    int
+	others int
+	// tokens estimates the tokens that own requests hold.
+	tokens int
+	// group names the rank group, if known.
+	group string
+	// broken is set while the replica's group is broken.
+	broken      bool
+	closedUntil time.Time
+	failures    int
+	errorShare  float64
+	latency     time.Duration
+}
+
+func (r *replica) load() int {
+	return r.own + r.others
+}
+
+// closedFor returns the time for which the replica is to be left alone.
+func (r *replica) closedFor(now time.Time) time.Duration {
+	return r.closedUntil.Sub(now)
+}
+
+// limit returns the number of requests that may be on a replica at once.
+func (p *Pool) limit(r *replica) int {
+	slots := r.Slots
+	if slots <= 0 {
+		slots = defaultSlots
+	}
+	if p.engine != nil {
+		return slots
+	}
+	return slots * queueFactor
+}
+
+// score orders replicas for the next request, least first. The ranks of a group
+// run in lock-step, so for engines only the size of the batch counts.
+func (p *Pool) score(r *replica) float64 {
+	score := float64(r.load() + 1)
+	if p.engine == nil {
+		score *= float64(max(r.latency, minLatency))
+	} else {
+		score += float64(r.tokens) / float64(max(p.engine.MemoryTokens, 1))
+	}
+	if r.Zone != p.options.Zone {
+		score *= farFactor
+	}
+	return score
+}
+
+// farFactor makes a replica of the own zone win among equals.
+const farFactor = 1.01
+
+// observe learns from the end of an attempt and returns what changed, for logs.
+func (r *replica) observe(result Result, now time.Time, engine *track.EngineSpec) string {
+	switch result.Verdict {
+	case Served:
+		r.failures, r.broken = 0, false
+		r.errorShare -= errorSmoothing * r.errorShare
+		if r.latency == 0 {
+			r.latency = result.FirstByte
+		}
+		r.latency += time.Duration(latencySmoothing * float64(result.FirstByte-r.latency))
+	case Erred:
+		r.errorShare += errorSmoothing * (1 - r.errorShare)
+		if r.errorShare > maxErrorShare {
+			return r.close(now, "Errors")
+		}
+	case Full:
+		if result.AtFault != "" && engine != nil {
+			r.broken = true
+			r.closedUntil = now.Add(max(brokenClosed, engine.FormTime))
+			return "GroupBroken"
+		}
+		r.closedUntil = now.Add(fullClosed)
+	case Unreachable:
+		return r.close(now, "Unreachable")
+	case Misplaced:
+		r.closedUntil = now.Add(misplacedClosed)
+		return "Misplaced"
+	case Broke:
+		return r.close(now, "Broke")
+	}
+	return ""
+}
+
+// close leaves the replica alone, longer after each failure in a row.
+func (r *replica) close(now time.Time, change string) string {
+	closed := min(firstClosed<<min(r.failures, 8), maxClosed)
+	r.failures++
+	r.closedUntil = now.Add(closed)
+	return change
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/edge/entry.go
@@ -0,0 +1,310 @@
+// Package edge assembles the processes that serve configured routes: entries in
+// front of replicas, and agents beside model engines.
+package edge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/batch"
+	"filberttrack.example/track/duty"
+	"filberttrack.example/track/fleet"
+	"filberttrack.example/track/gossip"
+	"filberttrack.example/track/hosts"
+	"filberttrack.example/track/keyed"
+	"filberttrack.example/track/latest"
+	"filberttrack.example/track/proxy"
+	"filberttrack.example/track/retry"
+)
+
+const (
+	// configWait is the time for which a read of the configuration waits for news.
+	configWait = 10 * time.Second
+	// membersWait is the time for which a read of the members waits for news.
+	membersWait = 15 * time.Second
+	// replicasPause is the time between two reads of the replicas, which report
+	// about once a second each; a change has to be known within two seconds.
+	replicasPause = 700 * time.Millisecond
+	// noteInterval is the time between two notes of an entry. Counts of requests in
+	// flight are that old at most.
+	noteInterval = 100 * time.Millisecond
+	// tickInterval is the time between two looks at what time alone changes.
+	tickInterval = 50 * time.Millisecond
+)
+
+// Topics names the platform's topics.
+type Topics struct {
+	Config   string
+	Replicas string
+	// ConfigKey is the key of the configuration in its topic.
+	ConfigKey string
+}
+
+// Options holds what an Entry is made of.
+type Options struct {
+	Self   track.InstanceID
+	Zone   track.AvailabilityZone
+	Member Member
+	Seeds  []string
+
+	Log           track.KeyedLog
+	Topics        Topics
+	DecodeConfig  latest.Decode
+	DecodeReplica fleet.Decode
+	Caller        track.ReplicaCaller
+	Refuse        func(http.ResponseWriter, proxy.Refusal)
+	Notes         net.PacketConn
+	Retries       retry.SharedLimit
+
+	Clock   clockwork.Clock
+	Draw    func() float64
+	Logger  *zap.Logger
+	Metrics *metrics.Set
+}
+
+// Entry is the core of an entry, without listeners.
+type Entry struct {
+	options  Options
+	members  *members
+	holder   *latest.Holder
+	fleet    *fleet.Fleet
+	node     *gossip.Node
+	proxy    *proxy.Proxy
+	config   *keyed.Follower
+	replicas *keyed.Follower
+	list     *keyed.Follower
+	leaving  atomic.Bool
+
+	mu      sync.Mutex
+	pools   map[string]*batch.Pool
+	budgets map[string]*retry.Shared
+	listed  []track.Replica
+}
+
+// NewEntry returns an entry that knows nothing yet.
+func NewEntry(o Options) *Entry {
+	e := &Entry{
+		options: o,
+		members: newMembers(o.Self, o.Seeds, o.Logger),
+		pools:   make(map[string]*batch.Pool),
+		budgets: make(map[string]*retry.Shared),
+	}
+	e.holder = latest.New(o.DecodeConfig, e.configured, o.Logger)
+	e.fleet = fleet.New(fleet.Options{
+		Decode: o.DecodeReplica, Away: func() (time.Time, time.Time) { return e.replicas.Away() },
+		Changed: e.listChanged, Clock: o.Clock, Logger: o.Logger,
+	})
+	e.config = e.follow(o.Topics.Config, configWait, 0, e.offerConfig)
+	e.replicas = e.follow(o.Topics.Replicas, 0, replicasPause, e.fleet.Apply)
+	e.list = e.follow(TopicMembers, membersWait, 0, e.members.apply)
+	e.node = gossip.New(gossip.Options{
+		Conn: o.Notes, Interval: noteInterval, Compose: e.note, Receive: e.receive, Self: o.Self,
+		Targets: func() []gossip.Peer { return e.members.targets(track.RoleEntry) },
+		Clock:   o.Clock, Logger: o.Logger,
+	})
+	e.proxy = proxy.New(proxy.Options{
+		Table: e.holder.Table, Services: e, Caller: o.Caller, Refuse: o.Refuse,
+		Clock: o.Clock, Draw: o.Draw, Logger: o.Logger, Metrics: proxy.NewMetrics(o.Metrics),
+	})
+	return e
+}
+
+func (e *Entry) follow(topic string, wait, pause time.Duration, apply func([]track.KeyedRecord)) *keyed.Follower {
+	return keyed.New(keyed.Options{
+		Topic: topic, Log: e.options.Log, Wait: wait, Pause: pause, Apply: apply,
+		Peers: func() []track.KeyedLog { return e.members.logs(e.node.Live()) },
+		Clock: e.options.Clock, Logger: e.options.Logger,
+	})
+}
+
+// Start starts the entry's duties.
+func (e *Entry) Start(ctx context.Context) []*duty.Duty {
+	o := e.options
+	return []*duty.Duty{
+		duty.Start(ctx, "follow configuration", e.config.Run),
+		duty.Start(ctx, "ask peers for configuration", e.config.RunPeers),
+		duty.Start(ctx, "follow replicas", e.replicas.Run),
+		duty.Start(ctx, "ask peers for replicas", e.replicas.RunPeers),
+		duty.Start(ctx, "follow members", e.list.Run),
+		duty.Start(ctx, "make known", func(ctx context.Context) error {
+			return announce(ctx, o.Log, o.Clock, o.Self, o.Member, o.Logger)
+		}),
+		duty.Start(ctx, "send notes", e.node.RunSend),
+		duty.Start(ctx, "receive notes", e.node.RunReceive),
+		duty.Start(ctx, "tick", func(ctx context.Context) error {
+			return duty.Every(ctx, o.Clock, tickInterval, e.tick)
+		}),
+	}
+}
+
+// Proxy returns the way of clients' requests.
+func (e *Entry) Proxy() *proxy.Proxy {
+	return e.proxy
+}
+
+// ServePeers adds the paths on which peers ask this entry.
+func (e *Entry) ServePeers(mux *http.ServeMux) {
+	keyed.Serve(mux, map[string]*keyed.Mirror{
+		e.options.Topics.Config:   e.config.Mirror(),
+		e.options.Topics.Replicas: e.replicas.Mirror(),
+		TopicMembers:              e.list.Mirror(),
+	})
+}
+
+// Ready reports whether the entry takes new connections.
+func (e *Entry) Ready() bool {
+	return !e.leaving.Load() && e.holder.Table() != nil && e.replicas.Mirror().Known()
+}
+
+// Leave has the entry report that it takes no new connections.
+func (e *Entry) Leave() {
+	e.leaving.Store(true)
+	e.node.Soon()
+}
+
+// MaxBodyBytes returns the bound on a request's body; 0 while it isn't known.
+func (e *Entry) MaxBodyBytes() int64 {
+	if table := e.holder.Table(); table != nil {
+		return table.Limits().MaxBodyBytes
+	}
+	return 0
+}
+
+// Limits returns what clients may send, once a configuration is known.
+func (e *Entry) Limits() (track.RequestLimits, bool) {
+	if table := e.holder.Table(); table != nil {
+		return table.Limits(), true
+	}
+	return track.RequestLimits{}, false
+}
+
+// Configured returns a channel that is closed once a configuration is known.
+func (e *Entry) Configured() <-chan struct{} {
+	return e.holder.Ready()
+}
+
+func (e *Entry) offerConfig(records []track.KeyedRecord) {
+	for _, r := range records {
+		if r.Key == e.options.Topics.ConfigKey && len(r.Value) > 0 {
+			e.holder.Offer(r.Value)
+		}
+	}
+}
+
+func (e *Entry) configured(table *hosts.Table) {
+	for _, s := range table.Services() {
+		e.Pool(s.Name).Configure(s.Engine)
+	}
+	e.node.Soon()
+}
+
+func (e *Entry) listChanged(replicas []track.Replica) {
+	e.mu.Lock()
+	e.listed = replicas
+	pools := make([]*batch.Pool, 0, len(e.pools))
+	for _, p := range e.pools {
+		pools = append(pools, p)
+	}
+	e.mu.Unlock()
+	for _, p := range pools {
+		p.Update(replicas)
+	}
+}
+
+// Pool implements proxy.Services.
+func (e *Entry) Pool(service string) *batch.Pool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.pools[service]
+	if p == nil {
+		o := e.options
+		p = batch.New(batch.Options{Service: service, Zone: o.Zone, Clock: o.Clock, Draw: o.Draw, Logger: o.Logger})
+		p.Update(e.listed)
+		e.pools[service] = p
+	}
+	return p
+}
+
+// Budget implements proxy.Services.
+func (e *Entry) Budget(service string) *retry.Shared {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	b := e.budgets[service]
+	if b == nil {
+		b = retry.NewShared(e.options.Retries, e.options.Clock, e.members.entries)
+		e.budgets[service] = b
+	}
+	return b
+}
+
+func (e *Entry) allPools() []*batch.Pool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	pools := make([]*batch.Pool, 0, len(e.pools))
+	for _, p := range e.pools {
+		pools = append(pools, p)
+	}
+	return pools
+}
+
+// note returns what peers are told.
+func (e *Entry) note() gossip.Note {
+	note := gossip.Note{
+		Role: track.RoleEntry, Zone: e.options.Zone, Leaving: e.leaving.Load(),
+		Ends: map[string]uint64{
+			e.options.Topics.Config:   e.config.Mirror().End(),
+			e.options.Topics.Replicas: e.replicas.Mirror().End(),
+		},
+		InFlight: make(map[track.ReplicaID]int),
+	}
+	for _, p := range e.allPools() {
+		for id, n := range p.InFlight() {
+			note.InFlight[id] += n
+		}
+	}
+	return note
+}
+
+// receive takes a peer's note.
+func (e *Entry) receive(note gossip.Note) {
+	if note.Rank != nil {
+		for _, p := range e.allPools() {
+			p.SetGroup(note.Rank.Replica, note.Rank.Group, note.Rank.Open)
+		}
+		return
+	}
+	e.config.Heard(note.Ends[e.options.Topics.Config])
+	if since, _ := e.replicas.Away(); !since.IsZero() {
+		e.replicas.Heard(note.Ends[e.options.Topics.Replicas])
+	}
+	e.sumInFlight()
+}
+
+// sumInFlight adds up what the other entries have in flight.
+func (e *Entry) sumInFlight() {
+	counts := make(map[track.ReplicaID]int)
+	for _, note := range e.node.Live() {
+		for id, n := range note.InFlight {
+			counts[id] += n
+		}
+	}
+	for _, p := range e.allPools() {
+		p.SetOthers(counts)
+	}
+}
+
+func (e *Entry) tick() {
+	e.fleet.Tick()
+	for _, p := range e.allPools() {
+		p.Tick()
+	}
+}
--- /dev/null
+++ b/gossip/gossip.go
@@ -0,0 +1,228 @@
+// Package gossip exchanges short notes between own processes over UDP. Notes may
+// be lost, late or doubled; each one holds the whole of what its sender has to
+// say.
+package gossip
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"filberttrack.example/track"
+)
+
+const (
+	// maxNoteBytes bounds a note.
+	maxNoteBytes = 60 << 10
+	// Silence is the time without a note after which a peer counts as gone.
+	Silence = 1500 * time.Millisecond
+)
+
+// Note is what a process tells its peers.
+type Note struct {
+	From track.InstanceID
+	Role track.Role
+	Zone track.AvailabilityZone
+	// Started is the time at which the sender started, in Unix ms, and Seq the
+	// number of the note since then.
+	Started int64
+	Seq     uint64
+	// Leaving is set once the sender takes no new work.
+	Leaving bool
+	// Ends holds the offset up to which the sender has read each topic.
+	Ends map[string]uint64
+	// InFlight holds the number of the sender's requests on each replica.
+	InFlight map[track.ReplicaID]int
+	// Rank is set by an agent.
+	Rank *RankNote
+	// Payload is the data of topics, opaque to this package.
+	Payload map[track.Topic][]byte
+}
+
+// RankNote is what an agent tells of the rank beside it.
+type RankNote struct {
+	Replica track.ReplicaID
+	Group   string
+	Epoch   int64
+	Rank    int
+	Ranks   int
+	// Open is set while the rank group works.
+	Open    bool
+	Running int
+	Queued  int
+	// Address takes the calls of other agents.
+	Address string
+}
+
+// Peer is a process to send notes to.
+type Peer struct {
+	Name    track.InstanceID
+	Address string
+}
+
+// Options holds what a Node is made of.
+type Options struct {
+	Conn     net.PacketConn
+	Interval time.Duration
+	// Compose returns the note to send; From, Started and Seq are set by the node.
+	Compose func() Note
+	// Targets returns the peers to send to.
+	Targets func() []Peer
+	// Receive takes a note that is newer than the last one of its sender.
+	Receive func(Note)
+	Self    track.InstanceID
+	Clock   clockwork.Clock
+	Logger  *zap.Logger
+}
+
+// Node sends and receives notes. It is safe for concurrent use.
+type Node struct {
+	options Options
+	started int64
+	soon    chan struct{}
+
+	mu       sync.Mutex
+	seq      uint64
+	heard    map[track.InstanceID]hearing
+	resolved map[string]*net.UDPAddr
+}
+
+type hearing struct {
+	note Note
+	at   time.Time
+}
+
+// New returns a node that has heard nobody.
+func New(options Options) *Node {
+	return &Node{
+		options:  options,
+		started:  options.Clock.Now().UnixMilli(),
+		soon:     make(chan struct{}, 1),
+		heard:    make(map[track.InstanceID]hearing),
+		resolved: make(map[string]*net.UDPAddr),
+	}
+}
+
+// Soon has a note sent at once.
+func (n *Node) Soon() {
+	select {
+	case n.soon <- struct{}{}:
+	default:
+	}
+}
+
+// RunSend sends notes until the context ends.
+func (n *Node) RunSend(ctx context.Context) error {
+	ticker := n.options.Clock.NewTicker(n.options.Interval)
+	defer ticker.Stop()
+	for {
+		n.send()
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-ticker.Chan():
+		case <-n.soon:
+		}
+	}
+}
+
+func (n *Node) send() {
+	note := n.options.Compose()
+	n.mu.Lock()
+	n.seq++
+	note.From, note.Started, note.Seq = n.options.Self, n.started, n.seq
+	n.mu.Unlock()
+	data, err := json.Marshal(note)
+	if err != nil || len(data) > maxNoteBytes {
+		n.options.Logger.Error("note can't be sent", zap.Int("Bytes", len(data)), zap.Error(err))
+		return
+	}
+	for _, peer := range n.options.Targets() {
+		if peer.Name == n.options.Self {
+			continue
+		}
+		address, err := n.resolve(peer.Address)
+		if err != nil {
+			n.options.Logger.Warn("peer has no address", zap.String("Peer", string(peer.Name)), zap.Error(err))
+			continue
+		}
+		// Notes may be lost; the next one follows.
+		_, _ = n.options.Conn.WriteTo(data, address)
+	}
+}
+
+func (n *Node) resolve(address string) (*net.UDPAddr, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if known := n.resolved[address]; known != nil {
+		return known, nil
+	}
+	resolved, err := net.ResolveUDPAddr("udp", address)
+	if err == nil {
+		n.resolved[address] = resolved
+	}
+	return resolved, err
+}
+
+// RunReceive takes notes until the connection is closed.
+func (n *Node) RunReceive(ctx context.Context) error {
+	buffer := make([]byte, maxNoteBytes)
+	for {
+		size, from, err := n.options.Conn.ReadFrom(buffer)
+		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
+			return context.Cause(ctx)
+		}
+		if err != nil {
+			n.options.Logger.Warn("receive note", zap.Error(err))
+			continue
+		}
+		var note Note
+		if err := json.Unmarshal(buffer[:size], &note); err != nil {
+			n.options.Logger.Warn("note can't be read", zap.Stringer("From", from), zap.Error(err))
+			continue
+		}
+		if n.take(note) {
+			n.options.Receive(note)
+		}
+	}
+}
+
+// take reports whether a note is news.
+func (n *Node) take(note Note) bool {
+	if note.From == "" || note.From == n.options.Self {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.options.Clock.Now()
+	old, known := n.heard[note.From]
+	if known && (note.Started < old.note.Started || note.Started == old.note.Started && note.Seq <= old.note.Seq) {
+		return false
+	}
+	if !known || now.Sub(old.at) >= Silence || note.Started != old.note.Started || note.Leaving != old.note.Leaving {
+		n.options.Logger.Info("peer heard", zap.String("Peer", string(note.From)), zap.String("Role", string(note.Role)),
+			zap.Int64("Started", note.Started), zap.Bool("Leaving", note.Leaving))
+	}
+	n.heard[note.From] = hearing{note: note, at: now}
+	return true
+}
+
+// Live returns the latest notes of the peers that were heard lately.
+func (n *Node) Live() []Note {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.options.Clock.Now()
+	var live []Note
+	for _, h := range n.heard {
+		if now.Sub(h.at) < Silence {
+			live = append(live, h.note)
+		}
+	}
+	return live
+}
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -22,12 +22,7 @@
 	// Sampling would drop decision lines under load.
 	config.Sampling = nil
 	config.DisableStacktrace = true
-	config.EncoderConfig.TimeKey = "Time"
-	config.EncoderConfig.LevelKey = "Level"
-	config.EncoderConfig.MessageKey = "Message"
-	config.EncoderConfig.NameKey = "Name"
-	config.EncoderConfig.CallerKey = zapcore.OmitKey
-	config.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	config.EncoderConfig = encoderConfig()
 	built, err := config.Build()
 	if err != nil {
 		return nil, fmt.Errorf("build logger: %w", err)
--- /dev/null
+++ b/proxy/send.go
@@ -0,0 +1,258 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/batch"
+)
+
+const (
+	// maxUnreached bounds the replicas that are tried without reaching one.
+	maxUnreached = 3
+	// waitShare is the part of the objective for which a request waits for a place
+	// before it counts as late.
+	waitShare = 0.5
+	// minTimeLeft is the least time left that makes an attempt worth sending.
+	minTimeLeft = 20 * time.Millisecond
+	// silenceTimeout is the pause after which a stream's replica is given up.
+	// Clients leave after two seconds.
+	silenceTimeout = 1700 * time.Millisecond
+	// bookingUrgency and streamUrgency order admission at replicas.
+	usualUrgency = 5
+)
+
+// verdict is what an attempt means for the request.
+type verdict struct {
+	result batch.Result
+	// again is set if another attempt may be made.
+	again bool
+	// refusal is the answer if there is none.
+	refusal *Refusal
+}
+
+// send places the request and sends it, again if need be.
+func (x *exchange) send(ctx context.Context) *Refusal {
+	clock := x.proxy.options.Clock
+	ctx, cancel := clockwork.WithDeadline(ctx, clock, x.deadline)
+	defer cancel()
+	for {
+		grant, refusal := x.place(ctx)
+		if refusal != nil {
+			return refusal
+		}
+		x.grant = grant
+		v := x.attempt(ctx, grant)
+		grant.Done(v.result)
+		if v.refusal == nil {
+			return nil
+		}
+		x.excluded = append(x.excluded, grant.Replica.ID)
+		if !v.again || ctx.Err() != nil || x.deadline.Sub(clock.Now()) < minTimeLeft {
+			return v.refusal
+		}
+		if x.sent > 0 && !x.budget.Repeat() {
+			x.fault = "NoRetryBudget"
+			return v.refusal
+		}
+	}
+}
+
+// place waits for a place on a replica.
+func (x *exchange) place(ctx context.Context) (*batch.Grant, *Refusal) {
+	due := x.arrived.Add(time.Duration(waitShare * float64(x.route.Objective)))
+	grant, err := x.pool.Acquire(ctx, batch.Ask{
+		Request:  x.request.ID,
+		Priority: x.priority,
+		Tokens:   x.request.PromptTokens + x.answerTokens(),
+		Due:      due,
+		Until:    x.waitUntil(due),
+		Excluded: x.excluded,
+	})
+	if err == nil {
+		return grant, nil
+	}
+	var refused *batch.RefusalError
+	if !errors.As(err, &refused) {
+		return nil, x.fail(http.StatusBadGateway, err.Error())
+	}
+	if ctx.Err() != nil {
+		return nil, x.ended(ctx)
+	}
+	refusal := x.fail(http.StatusServiceUnavailable, string(refused.Reason))
+	if refusal.Status == http.StatusServiceUnavailable {
+		refusal.RetryAfter = refused.RetryAfter
+	}
+	return nil, refusal
+}
+
+// answerTokens estimates the size of the answer.
+func (x *exchange) answerTokens() int {
+	if x.request.AnswerTokens > 0 {
+		return min(x.request.AnswerTokens, max(x.request.MaxTokens, 1))
+	}
+	return x.request.MaxTokens
+}
+
+// waitUntil returns the time at which the request gives up waiting for a place.
+func (x *exchange) waitUntil(due time.Time) time.Time {
+	if x.deadline.Before(due) {
+		return x.deadline
+	}
+	return due
+}
+
+// fail returns a refusal that promises no more than is known.
+func (x *exchange) fail(status int, reason string) *Refusal {
+	if x.mayHaveRun && status == http.StatusServiceUnavailable {
+		status = http.StatusBadGateway
+	}
+	return &Refusal{Status: status, Reason: reason}
+}
+
+// ended returns the refusal of a request whose time is over or whose client left.
+func (x *exchange) ended(ctx context.Context) *Refusal {
+	reason := "ClientGone"
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) || !x.proxy.options.Clock.Now().Before(x.deadline) {
+		reason = "DeadlineExceeded"
+	}
+	if x.mayHaveRun {
+		return &Refusal{Status: http.StatusGatewayTimeout, Reason: reason}
+	}
+	return &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: startRetryAfter, Reason: reason}
+}
+
+// attempt sends the request to the replica and relays the answer.
+func (x *exchange) attempt(ctx context.Context, grant *batch.Grant) verdict {
+	clock := x.proxy.options.Clock
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	started := clock.Now()
+	call := track.ReplicaCall{
+		Replica: grant.Replica, Request: x.request.ID, Host: x.request.Host, Method: x.request.Method,
+		Target: x.request.Target, Header: x.request.Header, Body: x.request.Body, Account: x.account.Name,
+		TimeLeft: x.deadline.Sub(started), ResumeAfter: x.resumeAfter(), Urgency: usualUrgency,
+	}
+	var silence clockwork.Timer
+	if x.route.Stream {
+		silence = clock.AfterFunc(silenceTimeout, cancel)
+		defer silence.Stop()
+	}
+	answer, err := x.proxy.options.Caller.Call(ctx, call)
+	if err != nil {
+		return x.lost(ctx, err)
+	}
+	defer answer.Body.Close()
+	x.sent++
+	switch {
+	case answer.NotRun:
+		return x.declined(answer)
+	case answer.Status >= http.StatusMultipleChoices:
+		x.mayHaveRun = true
+		return x.failure(answer)
+	case !answer.Sealed:
+		x.mayHaveRun = true
+		return x.broke("AnswerNotSealed")
+	}
+	x.mayHaveRun = true
+	if x.route.Stream {
+		return x.relayStream(answer, silence, started)
+	}
+	return x.relayWhole(answer, started)
+}
+
+func (x *exchange) resumeAfter() string {
+	if x.splitter != nil && x.splitter.LastID() != "" {
+		return x.splitter.LastID()
+	}
+	return x.request.ResumeAfter
+}
+
+// lost judges an attempt without an answer.
+func (x *exchange) lost(ctx context.Context, err error) verdict {
+	x.fault = err.Error()
+	if track.IsKind(err, track.Unavailable) {
+		x.unreached++
+		v := verdict{result: batch.Result{Verdict: batch.Unreachable}, again: x.unreached < maxUnreached}
+		if ctx.Err() != nil {
+			v.result.Verdict = batch.Abandoned
+			v.refusal = x.ended(ctx)
+			return v
+		}
+		v.refusal = x.fail(http.StatusServiceUnavailable, "Unreachable")
+		v.refusal.RetryAfter = startRetryAfter
+		return v
+	}
+	x.sent++
+	x.mayHaveRun = true
+	return x.broke("NoAnswer")
+}
+
+// broke judges an attempt whose answer broke off, never came or can't be used.
+func (x *exchange) broke(reason string) verdict {
+	return verdict{
+		result:  batch.Result{Verdict: batch.Broke},
+		again:   x.mayRepeat(),
+		refusal: &Refusal{Status: http.StatusBadGateway, Reason: reason},
+	}
+}
+
+// mayRepeat reports whether the request may be sent to another replica although
+// it may have run.
+func (x *exchange) mayRepeat() bool {
+	return x.route.Repeat != track.RepeatNever && x.sent < x.route.MaxAttempts
+}
+
+// declined judges an answer that says that the request did not run.
+func (x *exchange) declined(answer track.ReplicaAnswer) verdict {
+	v := verdict{result: batch.Result{Verdict: batch.Full, AtFault: answer.AtFault}}
+	v.again = x.sent < x.route.MaxAttempts && answer.AtFault == ""
+	if answer.OtherReplica && answer.AtFault == "" {
+		v.result.Verdict = batch.Misplaced
+	}
+	v.refusal = x.fail(http.StatusServiceUnavailable, "Declined")
+	if v.refusal.Status == http.StatusServiceUnavailable {
+		v.refusal.RetryAfter = declinedRetryAfter
+	}
+	x.fault = "status " + http.StatusText(answer.Status) + " at " + answer.AtFault
+	return v
+}
+
+// declinedRetryAfter is the time after which a replica that was full is expected
+// to have room.
+const declinedRetryAfter = 300 * time.Millisecond
+
+// failure judges a replica's own failure: another replica is tried if that is
+// allowed, else the client gets the answer as it is.
+func (x *exchange) failure(answer track.ReplicaAnswer) verdict {
+	if answer.Status >= http.StatusInternalServerError && x.mayRepeat() && !x.committed && x.budget.Left() > 1 {
+		v := x.broke("ReplicaFailed")
+		v.result.Verdict = batch.Erred
+		return v
+	}
+	if x.committed || promisesNotRun(answer.Status) {
+		v := x.broke("ReplicaFailed")
+		v.result.Verdict, v.again = batch.Erred, false
+		return v
+	}
+	v := x.relayWhole(answer, x.proxy.options.Clock.Now())
+	if answer.Status >= http.StatusInternalServerError {
+		v.result.Verdict = batch.Erred
+	}
+	return v
+}
+
+// promisesNotRun reports whether clients read the status as a promise that the
+// request has not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
