feat: agents keep the expert maps of rank groups even on the users' machines

Change: agents read their rank's counts, one plans copies within what ranks can stage, and the switch protocol runs over the engine's orders with fences, epochs and a hold before the step.

--- a/batch/pool.go
+++ b/batch/pool.go
@@ -401,20 +401,26 @@
 	p.dispatch()
 }
 
-// SetGroup takes what the agent beside a replica reports of its rank group.
-func (p *Pool) SetGroup(id track.ReplicaID, group string, open bool) {
+// SetGroup takes what the agent beside the replica at an address reports of its
+// rank group.
+func (p *Pool) SetGroup(address, group string, open bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := p.replicas[id]
-	if r == nil {
-		return
-	}
-	r.group = group
 	now := p.options.Clock.Now()
-	if open {
-		r.broken, r.closedUntil = false, minTime(r.closedUntil, now)
-	} else {
-		r.broken, r.closedUntil = true, now.Add(brokenClosed)
+	for _, r := range p.replicas {
+		if r.Address != address {
+			continue
+		}
+		switch {
+		case !open:
+			r.broken, r.closedUntil = true, now.Add(brokenClosed)
+		case r.broken:
+			r.broken, r.closedUntil = false, now
+		}
+		if r.group != group {
+			p.options.Logger.Info("replica in group", zap.String("Replica", string(r.ID)), zap.String("Group", group))
+			r.group = group
+		}
 	}
 	p.dispatch()
 }
--- a/batch/replica.go
+++ b/batch/replica.go
@@ -144,10 +144,3 @@
 	r.closedUntil = now.Add(closed)
 	return change
 }
-
-func minTime(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
--- a/cmd/trackd/main.go
+++ b/cmd/trackd/main.go
@@ -31,6 +31,7 @@
 		Usage: "daemons of the load balancer on the platform's machines",
 		Commands: []*cli.Command{
 			{Name: "entry", Usage: "take clients' requests", Action: daemon(launch.Entry)},
+			{Name: "agent", Usage: "keep the expert map of a rank group even", Action: daemon(launch.Agent)},
 		},
 	}
 }
--- /dev/null
+++ b/edge/agent.go
@@ -0,0 +1,197 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/duty"
+	"filberttrack.example/track/gossip"
+	"filberttrack.example/track/hosts"
+	"filberttrack.example/track/keyed"
+	"filberttrack.example/track/latest"
+	"filberttrack.example/track/steer"
+	"filberttrack.example/track/swap"
+	"filberttrack.example/track/talk"
+)
+
+// agentNoteInterval is the time between two notes of an agent whose rank's state
+// doesn't change.
+const agentNoteInterval = 400 * time.Millisecond
+
+// The paths on which agents of a group call each other.
+const (
+	pathShare = "/rank/share"
+	pathOrder = "/rank/order"
+)
+
+// RankPort is the port to the rank beside an agent.
+type RankPort interface {
+	track.RankEngine
+	track.RankReader
+}
+
+// AgentOptions holds what an Agent is made of.
+type AgentOptions struct {
+	Self   track.InstanceID
+	Zone   track.AvailabilityZone
+	Member Member
+	Seeds  []string
+	// Server is the address of the replica beside the agent, Service its service.
+	Server  string
+	Service string
+
+	Log          track.KeyedLog
+	Topics       Topics
+	DecodeConfig latest.Decode
+	Rank         RankPort
+	Notes        net.PacketConn
+
+	Clock   clockwork.Clock
+	Logger  *zap.Logger
+	Metrics *metrics.Set
+}
+
+// Agent is the core of an agent beside one rank, without listeners.
+type Agent struct {
+	options  AgentOptions
+	members  *members
+	holder   *latest.Holder
+	config   *keyed.Follower
+	list     *keyed.Follower
+	node     *gossip.Node
+	door     *swap.Door
+	balancer *steer.Balancer
+	client   *talk.Client
+	share    atomic.Pointer[track.RankShare]
+}
+
+// NewAgent returns an agent that knows nothing yet.
+func NewAgent(o AgentOptions) *Agent {
+	a := &Agent{options: o, members: newMembers(o.Self, o.Seeds, o.Logger), client: talk.NewClient()}
+	a.holder = latest.New(o.DecodeConfig, func(*hosts.Table) {}, o.Logger)
+	a.config = a.follow(o.Topics.Config, configWait, a.offerConfig)
+	a.list = a.follow(TopicMembers, membersWait, a.members.apply)
+	incarnation := track.Incarnation(o.Clock.Now().UnixMilli())
+	a.door = swap.NewDoor(o.Self, incarnation, []track.RankEngine{o.Rank}, nil, o.Clock)
+	a.node = gossip.New(gossip.Options{
+		Conn: o.Notes, Interval: agentNoteInterval, Compose: a.note, Receive: a.receive, Self: o.Self,
+		Targets: func() []gossip.Peer { return a.members.targets(track.RoleEntry, track.RoleAgent) },
+		Clock:   o.Clock, Logger: o.Logger,
+	})
+	a.balancer = steer.NewBalancer(steer.BalancerOptions{
+		Self: o.Self, Reader: o.Rank, Door: a.door, Mates: a.mates,
+		AskShare: func(ctx context.Context, mate steer.Mate) (track.RankShare, error) {
+			return talk.Call[struct{}, track.RankShare](ctx, a.client, mate.Address, pathShare, struct{}{})
+		},
+		SendOrder: func(ctx context.Context, mate steer.Mate, order track.MapOrder) (track.MapReply, error) {
+			return talk.Call[track.MapOrder, track.MapReply](ctx, a.client, mate.Address, pathOrder, order)
+		},
+		Spec: a.spec, Seen: a.seen, Clock: o.Clock, Logger: o.Logger, Metrics: o.Metrics,
+	})
+	return a
+}
+
+func (a *Agent) follow(topic string, wait time.Duration, apply func([]track.KeyedRecord)) *keyed.Follower {
+	return keyed.New(keyed.Options{
+		Topic: topic, Log: a.options.Log, Wait: wait, Apply: apply,
+		Peers: func() []track.KeyedLog { return a.members.logs(a.node.Live()) },
+		Clock: a.options.Clock, Logger: a.options.Logger,
+	})
+}
+
+// Start starts the agent's duties.
+func (a *Agent) Start(ctx context.Context) []*duty.Duty {
+	o := a.options
+	return []*duty.Duty{
+		duty.Start(ctx, "follow configuration", a.config.Run),
+		duty.Start(ctx, "ask peers for configuration", a.config.RunPeers),
+		duty.Start(ctx, "follow members", a.list.Run),
+		duty.Start(ctx, "make known", func(ctx context.Context) error {
+			return announce(ctx, o.Log, o.Clock, o.Self, o.Member, o.Logger)
+		}),
+		duty.Start(ctx, "send notes", a.node.RunSend),
+		duty.Start(ctx, "receive notes", a.node.RunReceive),
+		duty.Start(ctx, "balance experts", a.balancer.Run),
+	}
+}
+
+// ServePeers adds the paths on which other agents call this one.
+func (a *Agent) ServePeers(mux *http.ServeMux) {
+	talk.Handle(mux, pathShare, func(ctx context.Context, _ struct{}) (track.RankShare, error) {
+		share, err := a.options.Rank.Share(ctx)
+		if err != nil {
+			return share, err
+		}
+		return a.options.Rank.Detail(ctx, share)
+	})
+	talk.Handle(mux, pathOrder, a.door.Order)
+}
+
+func (a *Agent) offerConfig(records []track.KeyedRecord) {
+	for _, r := range records {
+		if r.Key == a.options.Topics.ConfigKey && len(r.Value) > 0 {
+			a.holder.Offer(r.Value)
+		}
+	}
+}
+
+// spec returns the description of the engines of the own service.
+func (a *Agent) spec() (track.ExpertSpec, bool) {
+	table := a.holder.Table()
+	if table == nil {
+		return track.ExpertSpec{}, false
+	}
+	service, ok := table.Service(a.options.Service)
+	if !ok || service.Engine == nil {
+		return track.ExpertSpec{}, false
+	}
+	return service.Engine.Experts, true
+}
+
+// seen takes a look at the own rank, and tells peers at once if the group opened
+// or broke.
+func (a *Agent) seen(share track.RankShare) {
+	old := a.share.Swap(&share)
+	if old != nil && old.Open == share.Open && old.Epoch == share.Epoch {
+		return
+	}
+	a.options.Logger.Info("rank group", zap.String("Group", share.Group), zap.Int64("Epoch", share.Epoch),
+		zap.Int("Rank", share.Rank), zap.Bool("Open", share.Open))
+	a.node.Soon()
+}
+
+func (a *Agent) note() gossip.Note {
+	note := gossip.Note{Role: track.RoleAgent, Zone: a.options.Zone}
+	if share := a.share.Load(); share != nil {
+		note.Rank = &gossip.RankNote{
+			Server: a.options.Server, Group: share.Group, Epoch: share.Epoch, Rank: share.Rank, Ranks: share.Ranks,
+			Open: share.Open, Running: share.Running, Queued: share.Queued, Address: a.options.Member.API,
+		}
+	}
+	return note
+}
+
+func (a *Agent) receive(note gossip.Note) {
+	if note.Rank == nil {
+		a.config.Heard(note.Ends[a.options.Topics.Config])
+	}
+}
+
+// mates returns the live agents of a group.
+func (a *Agent) mates(group string) []steer.Mate {
+	var mates []steer.Mate
+	for _, note := range a.node.Live() {
+		if note.Rank != nil && note.Rank.Group == group {
+			mates = append(mates, steer.Mate{Agent: note.From, Rank: note.Rank.Rank, Address: note.Rank.Address})
+		}
+	}
+	return mates
+}
--- a/expert.go
+++ b/expert.go
@@ -51,10 +51,14 @@
 	Experts int
 	// Slots is the number of expert copies that a rank holds in each layer.
 	Slots int
-	// Layers holds for each layer the expert in each slot, rank by rank.
+	// Layers holds for each layer the expert in each slot, rank by rank; NoExpert
+	// marks an empty slot.
 	Layers [][]int32
 }
 
+// NoExpert marks an empty slot of a map.
+const NoExpert int32 = -1
+
 // SlotChange puts another expert into a slot of a layer.
 type SlotChange struct {
 	Layer int32
@@ -69,6 +73,9 @@
 	Version Ballot
 	Base    Ballot
 	Slots   []SlotChange
+	// Whole is the new map in full, for ranks that know only their own part of the
+	// map in use. Slots is empty then.
+	Whole *ExpertMap
 }
 
 // Apply returns the map after the change. It returns an error if the map is not
@@ -77,6 +84,11 @@
 	if m.Version != c.Base {
 		return m, Fail("change map", Refused, fmt.Errorf("in use is map %v, the change is to map %v", m.Version, c.Base))
 	}
+	if c.Whole != nil {
+		next := *c.Whole
+		next.Version = c.Version
+		return next, nil
+	}
 	next := m
 	next.Version = c.Version
 	next.Layers = make([][]int32, len(m.Layers))
@@ -288,3 +300,36 @@
 	Outcome       string
 	OutcomeReason string
 }
+
+// RankShare is one rank's part of what a group knows about its experts.
+type RankShare struct {
+	Group string
+	// Epoch rises each time the group forms anew; maps and counts start over then.
+	Epoch int64
+	// Rank numbers this rank from 0, of Ranks ranks.
+	Rank  int
+	Ranks int
+	// Open is set while the group works.
+	Open bool
+	// Born tells restarts of the rank apart.
+	Born    int64
+	Running int
+	Queued  int
+	Step    uint64
+	// Version is that of the map in use, Held its experts on this rank by layer.
+	Version Ballot
+	Held    [][]int32
+	// Unsettled is set while the rank waits for the decision on a switch.
+	Unsettled bool
+	// Counts holds how often this rank's requests chose each expert since it was
+	// born, layer by layer.
+	Counts []float64
+}
+
+// RankReader is the port by which an agent reads its rank's part.
+type RankReader interface {
+	// Share returns the state of the rank, without Held and Counts.
+	Share(ctx context.Context) (RankShare, error)
+	// Detail adds Held and Counts to a share that is still true.
+	Detail(ctx context.Context, share RankShare) (RankShare, error)
+}
--- a/expert/layer.go
+++ b/expert/layer.go
@@ -29,6 +29,27 @@
 	penalty []float64
 	// order lists the ranks by load, least first.
 	order []int
+	// kept is set for each rank and expert that the rank held at the start; nil
+	// without a limit on new copies.
+	kept []bool
+	// fresh counts the copies that each rank has got, maxFresh bounds them.
+	fresh    []int
+	maxFresh int
+}
+
+// limitFresh bounds the copies that each rank gets beyond those that it holds.
+func (st *layerState) limitFresh(most int) {
+	st.kept = append(st.kept[:0], st.holds...)
+	st.fresh = make([]int, st.Ranks)
+	st.maxFresh = most
+}
+
+// mayTake reports whether a rank may get a copy of expert b in place of a.
+func (st *layerState) mayTake(rank int, a, b int32) bool {
+	if st.kept == nil || st.kept[rank*st.Experts+int(b)] || st.fresh[rank] < st.maxFresh {
+		return true
+	}
+	return !st.kept[rank*st.Experts+int(a)]
 }
 
 func newLayerState(s Shape) *layerState {
@@ -153,6 +174,14 @@
 func (st *layerState) put(slot int, b int32) Move {
 	rank := slot / st.Slots
 	a := st.slots[slot]
+	if st.kept != nil {
+		if !st.kept[rank*st.Experts+int(a)] {
+			st.fresh[rank]--
+		}
+		if !st.kept[rank*st.Experts+int(b)] {
+			st.fresh[rank]++
+		}
+	}
 	st.shift(a, -1)
 	st.shift(b, 1)
 	i := slices.Index(st.holders[a], int32(rank))
@@ -255,7 +284,7 @@
 	newB := st.load[b] / float64(st.copies[b]+1)
 	for slot := rank * st.Slots; slot < (rank+1)*st.Slots; slot++ {
 		a := st.slots[slot]
-		if st.copies[a] < 2 {
+		if st.copies[a] < 2 || !st.mayTake(rank, a, b) {
 			continue
 		}
 		bound := relief + st.penalty[rank] - penalty(st.ranks[rank]-st.share[a]+newB)
@@ -303,7 +332,7 @@
 				continue
 			}
 			for b := rank * st.Slots; b < (rank+1)*st.Slots; b++ {
-				if st.holds[hot*st.Experts+int(st.slots[b])] {
+				if st.holds[hot*st.Experts+int(st.slots[b])] || !st.mayTake(rank, st.slots[b], st.slots[a]) || !st.mayTake(hot, st.slots[a], st.slots[b]) {
 					continue
 				}
 				if gain := st.swapGain(a, b) / 2; gain > best.gain {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -47,11 +47,12 @@
 
 // RankNote is what an agent tells of the rank beside it.
 type RankNote struct {
-	Replica track.ReplicaID
-	Group   string
-	Epoch   int64
-	Rank    int
-	Ranks   int
+	// Server is the address of the replica beside the agent.
+	Server string
+	Group  string
+	Epoch  int64
+	Rank   int
+	Ranks  int
 	// Open is set while the rank group works.
 	Open    bool
 	Running int
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -25,12 +26,12 @@
 
 // relayWhole relays an answer once it is whole, so that one that breaks off can be
 // asked for again.
-func (x *exchange) relayWhole(answer track.ReplicaAnswer, started time.Time) verdict {
+func (x *exchange) relayWhole(ctx context.Context, answer track.ReplicaAnswer, started time.Time) verdict {
 	clock := x.proxy.options.Clock
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes+1))
 	if err != nil {
 		x.fault = err.Error()
-		return x.broke("AnswerBrokeOff")
+		return x.broke(ctx, "AnswerBrokeOff")
 	}
 	result := batch.Result{Verdict: batch.Served, FirstByte: clock.Since(started)}
 	x.firstByte = clock.Since(x.arrived)
@@ -49,7 +50,7 @@
 	}
 	if _, err := io.Copy(x.w, answer.Body); err != nil {
 		x.fault = err.Error()
-		v := x.broke("AnswerBrokeOff")
+		v := x.broke(ctx, "AnswerBrokeOff")
 		v.again = false
 		return v
 	}
@@ -71,7 +72,7 @@
 }
 
 // relayStream relays whole events as they come.
-func (x *exchange) relayStream(answer track.ReplicaAnswer, silence clockwork.Timer, started time.Time) verdict {
+func (x *exchange) relayStream(ctx context.Context, answer track.ReplicaAnswer, silence clockwork.Timer, started time.Time) verdict {
 	clock := x.proxy.options.Clock
 	if x.splitter == nil {
 		x.splitter = events.New(x.request.ResumeAfter)
@@ -93,20 +94,20 @@
 			}
 			if err != nil {
 				x.fault = err.Error()
-				return x.streamBroke("EventsOutOfOrder")
+				return x.streamBroke(ctx, "EventsOutOfOrder")
 			}
 		}
 		switch {
 		case errors.Is(readErr, io.EOF) && x.splitter.Partial():
-			return x.streamBroke("EventCutOff")
+			return x.streamBroke(ctx, "EventCutOff")
 		case errors.Is(readErr, io.EOF):
 			if !x.committed {
-				return x.streamBroke("NoEvents")
+				return x.streamBroke(ctx, "NoEvents")
 			}
 			return verdict{result: result}
 		case readErr != nil:
 			x.fault = readErr.Error()
-			return x.streamBroke("StreamBrokeOff")
+			return x.streamBroke(ctx, "StreamBrokeOff")
 		}
 	}
 }
@@ -130,9 +131,9 @@
 
 // streamBroke judges a stream that broke off. It is continued after the last
 // whole event, if the route allows that.
-func (x *exchange) streamBroke(reason string) verdict {
+func (x *exchange) streamBroke(ctx context.Context, reason string) verdict {
 	x.splitter.DropPartial()
-	return x.broke(reason)
+	return x.broke(ctx, reason)
 }
 
 func copyHeader(to, from http.Header) {
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -130,7 +130,7 @@
 // attempt sends the request to the replica and relays the answer.
 func (x *exchange) attempt(ctx context.Context, grant *batch.Grant) verdict {
 	clock := x.proxy.options.Clock
-	ctx, cancel := context.WithCancel(ctx)
+	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	started := clock.Now()
 	call := track.ReplicaCall{
@@ -143,7 +143,7 @@
 		silence = clock.AfterFunc(silenceTimeout, cancel)
 		defer silence.Stop()
 	}
-	answer, err := x.proxy.options.Caller.Call(ctx, call)
+	answer, err := x.proxy.options.Caller.Call(attemptCtx, call)
 	if err != nil {
 		return x.lost(ctx, err)
 	}
@@ -154,16 +154,16 @@
 		return x.declined(answer)
 	case answer.Status >= http.StatusMultipleChoices:
 		x.mayHaveRun = true
-		return x.failure(answer)
+		return x.failure(ctx, answer)
 	case !answer.Sealed:
 		x.mayHaveRun = true
-		return x.broke("AnswerNotSealed")
+		return x.broke(ctx, "AnswerNotSealed")
 	}
 	x.mayHaveRun = true
 	if x.route.Stream {
-		return x.relayStream(answer, silence, started)
+		return x.relayStream(ctx, answer, silence, started)
 	}
-	return x.relayWhole(answer, started)
+	return x.relayWhole(ctx, answer, started)
 }
 
 func (x *exchange) resumeAfter() string {
@@ -190,11 +190,15 @@
 	}
 	x.sent++
 	x.mayHaveRun = true
-	return x.broke("NoAnswer")
+	return x.broke(ctx, "NoAnswer")
 }
 
-// broke judges an attempt whose answer broke off, never came or can't be used.
-func (x *exchange) broke(reason string) verdict {
+// broke judges an attempt whose answer broke off, never came or can't be used. The
+// end of the request's own time says nothing of the replica.
+func (x *exchange) broke(ctx context.Context, reason string) verdict {
+	if ctx.Err() != nil {
+		return verdict{result: batch.Result{Verdict: batch.Abandoned}, refusal: x.ended(ctx)}
+	}
 	return verdict{
 		result:  batch.Result{Verdict: batch.Broke},
 		again:   x.mayRepeat(),
@@ -229,18 +233,18 @@
 
 // failure judges a replica's own failure: another replica is tried if that is
 // allowed, else the client gets the answer as it is.
-func (x *exchange) failure(answer track.ReplicaAnswer) verdict {
+func (x *exchange) failure(ctx context.Context, answer track.ReplicaAnswer) verdict {
 	if answer.Status >= http.StatusInternalServerError && x.mayRepeat() && !x.committed && x.budget.Left() > 1 {
-		v := x.broke("ReplicaFailed")
+		v := x.broke(ctx, "ReplicaFailed")
 		v.result.Verdict = batch.Erred
 		return v
 	}
 	if x.committed || promisesNotRun(answer.Status) {
-		v := x.broke("ReplicaFailed")
+		v := x.broke(ctx, "ReplicaFailed")
 		v.result.Verdict, v.again = batch.Erred, false
 		return v
 	}
-	v := x.relayWhole(answer, x.proxy.options.Clock.Now())
+	v := x.relayWhole(ctx, answer, x.proxy.options.Clock.Now())
 	if answer.Status >= http.StatusInternalServerError {
 		v.result.Verdict = batch.Erred
 	}
--- /dev/null
+++ b/steer/balance.go
@@ -0,0 +1,351 @@
+package steer
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/expert"
+	"filberttrack.example/track/swap"
+)
+
+const (
+	// balanceInterval is the time between two plans. Demand shifts every few
+	// seconds, and a change takes about one.
+	balanceInterval = 600 * time.Millisecond
+	// lookInterval is the time between two looks at the agent's own rank.
+	lookInterval = 200 * time.Millisecond
+	// holdPatience is the time for which a switch may wait for its decision before
+	// another agent settles it; each later agent waits that much longer.
+	holdPatience = 500 * time.Millisecond
+	// countsDecay is the weight of the counts of one interval in the next.
+	countsDecay = 0.35
+	// minTokens is the number of choices in a layer that make a plan worth while.
+	minTokens = 2000
+	// minGain is the least fall of the skew that is worth a change.
+	minGain = 0.08
+	// moveCost is the fall of the skew that pays for one copy on each rank.
+	moveCost = 0.02
+	// balanceAhead is the number of passes between the latest one and the switch.
+	// Ranks hold before it, so an order that comes late only makes them wait.
+	balanceAhead = 2
+	// askTimeout bounds a question to another agent.
+	askTimeout = 400 * time.Millisecond
+)
+
+// Mate is another agent of the same rank group.
+type Mate struct {
+	Agent   track.InstanceID
+	Rank    int
+	Address string
+}
+
+// BalancerOptions holds what a Balancer is made of.
+type BalancerOptions struct {
+	Self   track.InstanceID
+	Reader track.RankReader
+	Door   *swap.Door
+	// Mates returns the live agents of the group with the given name and size, this
+	// one excluded.
+	Mates func(group string) []Mate
+	// AskShare and SendOrder reach the agent of a mate.
+	AskShare  func(ctx context.Context, mate Mate) (track.RankShare, error)
+	SendOrder func(ctx context.Context, mate Mate, o track.MapOrder) (track.MapReply, error)
+	// Spec returns the description of the engines; false while it isn't known.
+	Spec    func() (track.ExpertSpec, bool)
+	Clock   clockwork.Clock
+	Logger  *zap.Logger
+	Metrics *metrics.Set
+	// Seen takes each look at the agent's own rank.
+	Seen func(track.RankShare)
+}
+
+// Balancer is the duty of an agent beside one rank of a group: one agent plans
+// changes of the expert map and drives them, the others take over when it falls
+// silent. Two that drive at once do no harm.
+type Balancer struct {
+	options BalancerOptions
+	runner  swap.Runner
+	highest uint64
+	due     time.Time
+	// unsettledSince is the time since which the own rank waits for a decision.
+	unsettledSince time.Time
+	// counted holds the counts of each rank at the latest plan.
+	counted map[int]track.RankShare
+	loads   expert.Loads
+	skew    *metrics.Gauge
+	changes *metrics.Counter
+	copies  *metrics.Counter
+
+	mu   sync.Mutex
+	seen track.RankShare
+}
+
+// NewBalancer returns the duty of an agent.
+func NewBalancer(options BalancerOptions) *Balancer {
+	b := &Balancer{options: options, counted: make(map[int]track.RankShare)}
+	b.runner = swap.Runner{Clock: options.Clock, Send: b.send, Timing: swap.Timing{
+		Repeat: 50 * time.Millisecond, Patience: 800 * time.Millisecond, FetchPatience: 5 * time.Second,
+	}}
+	b.skew = options.Metrics.GetOrCreateGauge("filberttrack_expert_skew", nil)
+	b.changes = options.Metrics.GetOrCreateCounter("filberttrack_expert_changes_total")
+	b.copies = options.Metrics.GetOrCreateCounter("filberttrack_expert_copies_total")
+	return b
+}
+
+// Run looks after the group until the context ends.
+func (b *Balancer) Run(ctx context.Context) error {
+	for {
+		b.Tick(ctx)
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-b.options.Clock.After(lookInterval):
+		}
+	}
+}
+
+// Share returns the latest look at the own rank.
+func (b *Balancer) Share() track.RankShare {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.seen
+}
+
+// Tick looks at the own rank, and plans or settles if that is this agent's turn.
+func (b *Balancer) Tick(ctx context.Context) {
+	share, err := b.options.Reader.Share(ctx)
+	if err != nil {
+		b.options.Logger.Warn("rank state unknown", zap.Error(err))
+		return
+	}
+	b.mu.Lock()
+	b.seen = share
+	b.mu.Unlock()
+	b.options.Seen(share)
+	if !share.Open || share.Ranks < 2 {
+		return
+	}
+	now := b.options.Clock.Now()
+	mates := b.options.Mates(share.Group)
+	turn := 0
+	for _, mate := range mates {
+		if mate.Rank < share.Rank {
+			turn++
+		}
+	}
+	settle := b.mustSettle(share, now, turn)
+	if !settle && (turn > 0 || now.Before(b.due)) {
+		return
+	}
+	b.due = now.Add(balanceInterval)
+	b.drive(ctx, share, mates, settle)
+}
+
+// mustSettle reports whether the own rank has waited for a decision for so long
+// that this agent brings one about.
+func (b *Balancer) mustSettle(share track.RankShare, now time.Time, turn int) bool {
+	if !share.Unsettled {
+		b.unsettledSince = time.Time{}
+		return false
+	}
+	if b.unsettledSince.IsZero() {
+		b.unsettledSince = now
+	}
+	return now.Sub(b.unsettledSince) >= time.Duration(1+turn)*holdPatience
+}
+
+// drive gathers the parts of all ranks, settles what is half done and, if a better
+// map is worth its copies, changes to it.
+func (b *Balancer) drive(ctx context.Context, own track.RankShare, mates []Mate, settle bool) {
+	own, err := b.options.Reader.Detail(ctx, own)
+	if err != nil {
+		b.options.Logger.Info("rank detail unknown", zap.Error(err))
+		return
+	}
+	shares, err := b.gather(ctx, own, mates)
+	if err != nil {
+		b.options.Logger.Info("group incomplete", zap.String("Group", own.Group), zap.Error(err))
+		return
+	}
+	plan := swap.Plan{ArmAhead: balanceAhead}
+	if !settle && !slices.ContainsFunc(shares, func(s track.RankShare) bool { return s.Unsettled }) {
+		plan.Change = b.plan(shares)
+		if plan.Change == nil {
+			return
+		}
+	}
+	b.highest = max(b.highest, b.options.Door.Highest()) + 1
+	ballot := track.Ballot{Number: b.number(own.Rank)}
+	driver, orders := swap.NewDriver(ballot, b.members(mates), plan)
+	began := b.options.Clock.Now()
+	result, err := b.runner.Run(ctx, driver, orders)
+	if err != nil {
+		return
+	}
+	b.highest = max(b.highest, result.Highest)
+	if result.Outcome == swap.Switched {
+		b.changes.Inc()
+	}
+	b.options.Logger.Info("expert map change", zap.String("Group", own.Group), zap.Int64("Epoch", own.Epoch),
+		zap.String("Outcome", string(result.Outcome)), zap.String("Reason", result.Reason),
+		zap.Uint64("Ballot", ballot.Number), zap.Uint64("Step", result.Switch.Step), zap.Bool("Settle", settle),
+		zap.Duration("Took", b.options.Clock.Since(began)))
+}
+
+// rankBits is the number of low bits of a ballot's number that tell the drivers of
+// a group apart; the rest rises with time, so that a driver that starts again
+// doesn't use a number twice.
+const rankBits = 8
+
+func (b *Balancer) number(rank int) uint64 {
+	base := max(b.highest>>rankBits+1, uint64(b.options.Clock.Now().UnixMilli()))
+	b.highest = base<<rankBits | uint64(rank)
+	return b.highest
+}
+
+func (b *Balancer) members(mates []Mate) []track.RankID {
+	ids := []track.RankID{{Agent: b.options.Self}}
+	for _, mate := range mates {
+		ids = append(ids, track.RankID{Agent: mate.Agent})
+	}
+	return ids
+}
+
+// gather returns the parts of all ranks, in their order. They must agree on the
+// group's epoch and map.
+func (b *Balancer) gather(ctx context.Context, own track.RankShare, mates []Mate) ([]track.RankShare, error) {
+	if len(mates) != own.Ranks-1 {
+		return nil, fmt.Errorf("%d of %d ranks known", len(mates)+1, own.Ranks)
+	}
+	type answer struct {
+		share track.RankShare
+		err   error
+	}
+	ctx, cancel := clockwork.WithTimeout(ctx, b.options.Clock, askTimeout)
+	defer cancel()
+	answers := make(chan answer, len(mates))
+	for _, mate := range mates {
+		go func() {
+			share, err := b.options.AskShare(ctx, mate)
+			answers <- answer{share, err}
+		}()
+	}
+	shares := make([]track.RankShare, own.Ranks)
+	found := make([]bool, own.Ranks)
+	shares[own.Rank], found[own.Rank] = own, true
+	var failed error
+	for range mates {
+		a := <-answers
+		switch {
+		case a.err != nil:
+			failed = a.err
+		case a.share.Group != own.Group || a.share.Epoch != own.Epoch || a.share.Rank < 0 || a.share.Rank >= own.Ranks || found[a.share.Rank]:
+			failed = fmt.Errorf("rank %d of %s in epoch %d doesn't fit rank %d of %s in epoch %d",
+				a.share.Rank, a.share.Group, a.share.Epoch, own.Rank, own.Group, own.Epoch)
+		case a.share.Version != own.Version && !a.share.Unsettled && !own.Unsettled:
+			failed = fmt.Errorf("rank %d uses map %d, rank %d uses map %d", a.share.Rank, a.share.Version.Number, own.Rank, own.Version.Number)
+		default:
+			shares[a.share.Rank], found[a.share.Rank] = a.share, true
+		}
+	}
+	return shares, failed
+}
+
+// plan returns the change to a better map, or nil.
+func (b *Balancer) plan(shares []track.RankShare) *track.MapChange {
+	spec, ok := b.options.Spec()
+	if !ok || spec.Experts == 0 || !b.observe(shares, spec) {
+		return nil
+	}
+	now, err := assemble(shares, spec)
+	if err != nil {
+		b.options.Logger.Warn("map of the group can't be assembled", zap.Error(err))
+		return nil
+	}
+	began := b.options.Clock.Now()
+	spreading, err := expert.Spread(now, b.loads, expert.SpreadLimits{FreshPerLayer: spec.StagedPerLayer, MoveCost: moveCost})
+	if err != nil {
+		b.options.Logger.Error("no plan", zap.Error(err))
+		return nil
+	}
+	b.skew.Set(spreading.Skew)
+	worth := spreading.Skew-spreading.Expected >= minGain
+	b.options.Logger.Info("expert placement", zap.Float64("Skew", spreading.Skew), zap.Float64("Expected", spreading.Expected),
+		zap.Int("Copies", spreading.Fresh), zap.Int("CopiesMost", spreading.FreshMost), zap.Bool("Change", worth),
+		zap.Duration("Took", b.options.Clock.Since(began)))
+	if !worth {
+		return nil
+	}
+	b.copies.Add(spreading.Fresh)
+	return &track.MapChange{Base: shares[0].Version, Whole: &spreading.Map}
+}
+
+// observe adds the choices since the latest plan to the loads. It reports whether
+// they are enough to plan from.
+func (b *Balancer) observe(shares []track.RankShare, spec track.ExpertSpec) bool {
+	shape := expert.Shape{Ranks: len(shares), Layers: spec.Layers, Experts: spec.Experts, Slots: spec.SlotsPerRank}
+	if len(b.loads) != spec.Layers || len(b.loads) > 0 && len(b.loads[0]) != spec.Experts {
+		b.loads = expert.NewLoads(shape)
+	}
+	fresh, total := expert.NewLoads(shape), 0.0
+	for _, s := range shares {
+		old, known := b.counted[s.Rank]
+		b.counted[s.Rank] = s
+		if len(s.Counts) != spec.Layers*spec.Experts || !known || old.Born != s.Born || len(old.Counts) != len(s.Counts) {
+			continue
+		}
+		for i, n := range s.Counts {
+			if more := n - old.Counts[i]; more > 0 {
+				fresh[i/spec.Experts][i%spec.Experts] += more
+				total += more
+			}
+		}
+	}
+	if total < float64(minTokens*spec.Layers) {
+		return false
+	}
+	for layer := range fresh {
+		for e := range fresh[layer] {
+			b.loads[layer][e] = countsDecay*b.loads[layer][e] + fresh[layer][e]
+		}
+	}
+	return true
+}
+
+// assemble returns the map in use from the parts of all ranks.
+func assemble(shares []track.RankShare, spec track.ExpertSpec) (track.ExpertMap, error) {
+	m := track.ExpertMap{Version: shares[0].Version, Experts: spec.Experts, Slots: spec.SlotsPerRank, Layers: make([][]int32, spec.Layers)}
+	for layer := range m.Layers {
+		for _, s := range shares {
+			if len(s.Held) != spec.Layers || len(s.Held[layer]) > spec.SlotsPerRank {
+				return m, fmt.Errorf("rank %d holds %d layers, the engine has %d with %d slots", s.Rank, len(s.Held), spec.Layers, spec.SlotsPerRank)
+			}
+			m.Layers[layer] = append(m.Layers[layer], s.Held[layer]...)
+			for range spec.SlotsPerRank - len(s.Held[layer]) {
+				m.Layers[layer] = append(m.Layers[layer], track.NoExpert)
+			}
+		}
+	}
+	return m, nil
+}
+
+// send carries an order to the agent of its rank.
+func (b *Balancer) send(ctx context.Context, o track.MapOrder) (track.MapReply, error) {
+	if o.To.Agent == b.options.Self {
+		return b.options.Door.Order(ctx, o)
+	}
+	mates := b.options.Mates(b.Share().Group)
+	i := slices.IndexFunc(mates, func(m Mate) bool { return m.Agent == o.To.Agent })
+	if i < 0 {
+		return track.MapReply{}, track.Fail("order rank", track.Unavailable, fmt.Errorf("%s has left the group", o.To.Agent))
+	}
+	return b.options.SendOrder(ctx, mates[i], o)
+}
--- a/swap/driver.go
+++ b/swap/driver.go
@@ -1,6 +1,7 @@
 package swap
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 
@@ -51,9 +52,9 @@
 	ended
 )
 
-// armAhead is the number of steps between the furthest rank and the step of a
-// switch; orders have that long to arrive before a rank holds.
-const armAhead = 8
+// defaultArmAhead is the number of steps between the furthest rank and the step of
+// a switch; orders have that long to arrive before a rank holds.
+const defaultArmAhead = 8
 
 // Plan is what a driver is to do once the group is settled.
 type Plan struct {
@@ -62,6 +63,9 @@
 	Change *track.MapChange
 	// Default is the map for a group whose ranks are all blank.
 	Default track.ExpertMap
+	// ArmAhead is the number of steps between the furthest rank and the step of the
+	// switch; 0 sets the default.
+	ArmAhead uint64
 }
 
 // Driver is one attempt under one ballot. It is not safe for concurrent use.
@@ -266,6 +270,6 @@
 	for _, r := range d.replies {
 		furthest = max(furthest, r.State.Step)
 	}
-	d.result.Switch = track.MapSwitch{Version: d.ballot, Step: furthest + armAhead}
+	d.result.Switch = track.MapSwitch{Version: d.ballot, Step: furthest + cmp.Or(d.plan.ArmAhead, defaultArmAhead)}
 	return d.enter(arming, everyone(track.MapOrder{Kind: track.OrderArm, Switch: d.result.Switch}))
 }
--- a/swap/member.go
+++ b/swap/member.go
@@ -173,7 +173,8 @@
 	switch {
 	case err != nil:
 		return err
-	case state.Armed == nil || *state.Armed != s:
+	case state.Armed == nil || state.Armed.Step != s.Step:
+		// A rank that only holds before the step names no version.
 		return nil
 	}
 	return m.engine.Disarm(ctx, fence, state.Arming)
