--- a/edge/agent.go
+++ b/edge/agent.go
@@ -126,11 +126,8 @@
 // ServePeers adds the paths on which other agents call this one.
 func (a *Agent) ServePeers(mux *http.ServeMux) {
 	talk.Handle(mux, pathShare, func(ctx context.Context, _ struct{}) (track.RankShare, error) {
-		share, err := a.options.Rank.Share(ctx)
-		if err != nil {
-			return share, err
-		}
-		return a.options.Rank.Detail(ctx, share)
+		share, _, err := a.balancer.Look(ctx)
+		return share, err
 	})
 	talk.Handle(mux, pathOrder, a.door.Order)
 }
--- a/expert.go
+++ b/expert.go
@@ -321,8 +321,8 @@
 	Held    [][]int32
 	// Unsettled is set while the rank waits for the decision on a switch.
 	Unsettled bool
-	// Counts holds how often this rank's requests chose each expert since it was
-	// born, layer by layer.
+	// Counts holds how often this rank's requests chose each expert, layer by
+	// layer: since it was born as an engine tells it, lately as an agent does.
 	Counts []float64
 }
 
--- a/expert/layer.go
+++ b/expert/layer.go
@@ -34,19 +34,26 @@
 	kept []bool
 	// fresh counts the copies that each rank has got, maxFresh bounds them.
 	fresh    []int
-	maxFresh int
+	maxFresh []int
 }
 
-// limitFresh bounds the copies that each rank gets beyond those that it holds.
-func (st *layerState) limitFresh(most int) {
+// limitFresh bounds the copies that each rank gets beyond those that it holds and
+// those that it fetches in other layers.
+func (st *layerState) limitFresh(limits SpreadLimits, fetched []int) {
 	st.kept = append(st.kept[:0], st.holds...)
 	st.fresh = make([]int, st.Ranks)
-	st.maxFresh = most
+	st.maxFresh = make([]int, st.Ranks)
+	for rank := range st.maxFresh {
+		st.maxFresh[rank] = limits.FreshPerLayer
+		if limits.FreshPerRank > 0 {
+			st.maxFresh[rank] = min(limits.FreshPerLayer, limits.FreshPerRank-fetched[rank])
+		}
+	}
 }
 
 // mayTake reports whether a rank may get a copy of expert b in place of a.
 func (st *layerState) mayTake(rank int, a, b int32) bool {
-	if st.kept == nil || st.kept[rank*st.Experts+int(b)] || st.fresh[rank] < st.maxFresh {
+	if st.kept == nil || st.kept[rank*st.Experts+int(b)] || st.fresh[rank] < st.maxFresh[rank] {
 		return true
 	}
 	return !st.kept[rank*st.Experts+int(a)]
--- a/expert/spread.go
+++ b/expert/spread.go
@@ -10,6 +10,9 @@
 type SpreadLimits struct {
 	// FreshPerLayer is the number of copies that a rank can stage in a layer.
 	FreshPerLayer int
+	// FreshPerRank is the number of copies that a rank may fetch in all layers; 0
+	// sets no bound.
+	FreshPerRank int
 	// MoveCost is the fall of the skew that pays for one copy on each rank.
 	MoveCost float64
 }
@@ -47,13 +50,16 @@
 			continue
 		}
 		out.Skew += st.peak()
-		best, peak := improve(st, limits)
+		best, peak := improve(st, limits, fresh)
 		out.Expected += peak
 		out.Map.Layers[layer] = best
 	}
 	out.Skew /= float64(len(m.Layers))
 	out.Expected /= float64(len(m.Layers))
-	countFresh(&out, m, fresh)
+	for _, n := range fresh {
+		out.Fresh += n
+		out.FreshMost = max(out.FreshMost, n)
+	}
 	for i := range out.Map.Layers {
 		empty(out.Map.Layers[i], m.Experts)
 	}
@@ -61,9 +67,11 @@
 }
 
 // improve takes single steps, and returns the slots after that prefix of them with
-// the largest gain for its copies.
-func improve(st *layerState, limits SpreadLimits) ([]int32, float64) {
-	st.limitFresh(limits.FreshPerLayer)
+// the largest gain for its copies. It adds the copies to those that the ranks fetch
+// in other layers.
+func improve(st *layerState, limits SpreadLimits, fetched []int) ([]int32, float64) {
+	st.limitFresh(limits, fetched)
+	bestFresh := make([]int, st.Ranks)
 	before := st.peak()
 	best, peak, net := slices.Clone(st.slots), before, 0.0
 	for range 2 * len(st.slots) {
@@ -78,11 +86,15 @@
 		if n := before - c.peak - limits.MoveCost*float64(taken)/float64(st.Ranks); n > net {
 			net, peak = n, c.peak
 			copy(best, st.slots)
+			copy(bestFresh, st.fresh)
 		}
 		if c.peak < evenPeak {
 			break
 		}
 	}
+	for rank, n := range bestFresh {
+		fetched[rank] += n
+	}
 	return best, peak
 }
 
@@ -119,17 +131,3 @@
 		}
 	}
 }
-
-func countFresh(out *Spreading, before track.ExpertMap, fresh []int) {
-	for i, layer := range out.Map.Layers {
-		for slot, e := range layer {
-			rank := slot / before.Slots
-			held := before.Layers[i][rank*before.Slots : (rank+1)*before.Slots]
-			if e < int32(before.Experts) && e != track.NoExpert && !slices.Contains(held, e) {
-				fresh[rank]++
-				out.Fresh++
-			}
-		}
-	}
-	out.FreshMost = slices.Max(fresh)
-}
--- a/steer/balance.go
+++ b/steer/balance.go
@@ -17,22 +17,24 @@
 )
 
 const (
-	// balanceInterval is the time between two plans. Demand shifts every few
-	// seconds, and a change takes about one.
+	// balanceInterval is the time between two plans while the demand is steady.
 	balanceInterval = 600 * time.Millisecond
 	// lookInterval is the time between two looks at the agent's own rank.
-	lookInterval = 200 * time.Millisecond
+	lookInterval = 100 * time.Millisecond
+	// shiftDelay is the time between a shift of the demand and the plan for it:
+	// after it, each agent has counts of the new demand alone.
+	shiftDelay = lookInterval
 	// holdPatience is the time for which a switch may wait for its decision before
 	// another agent settles it; each later agent waits that much longer.
 	holdPatience = 500 * time.Millisecond
-	// countsDecay is the weight of the counts of one interval in the next.
-	countsDecay = 0.35
-	// minTokens is the number of choices in a layer that make a plan worth while.
-	minTokens = 2000
 	// minGain is the least fall of the skew that is worth a change.
 	minGain = 0.08
-	// moveCost is the fall of the skew that pays for one copy on each rank.
-	moveCost = 0.02
+	// moveCost is the fall of the skew in a layer that pays for one copy on each
+	// rank.
+	moveCost = 0.06
+	// copiesPerChange is the number of copies that a rank fetches for one change:
+	// few, so that the hottest experts are spread soon.
+	copiesPerChange = 3
 	// balanceAhead is the number of passes between the latest one and the switch.
 	// Ranks hold before it, so an order that comes late only makes them wait.
 	balanceAhead = 2
@@ -77,20 +79,18 @@
 	due     time.Time
 	// unsettledSince is the time since which the own rank waits for a decision.
 	unsettledSince time.Time
-	// counted holds the counts of each rank at the latest plan.
-	counted map[int]track.RankShare
-	loads   expert.Loads
-	skew    *metrics.Gauge
-	changes *metrics.Counter
-	copies  *metrics.Counter
+	skew           *metrics.Gauge
+	changes        *metrics.Counter
+	copies         *metrics.Counter
 
-	mu   sync.Mutex
-	seen track.RankShare
+	mu     sync.Mutex
+	seen   track.RankShare
+	recent expert.Recent
 }
 
 // NewBalancer returns the duty of an agent.
 func NewBalancer(options BalancerOptions) *Balancer {
-	b := &Balancer{options: options, counted: make(map[int]track.RankShare)}
+	b := &Balancer{options: options}
 	b.runner = swap.Runner{Clock: options.Clock, Send: b.send, Timing: swap.Timing{
 		Repeat: 50 * time.Millisecond, Patience: 800 * time.Millisecond, FetchPatience: 5 * time.Second,
 	}}
@@ -112,8 +112,28 @@
 	}
 }
 
-// Share returns the latest look at the own rank.
-func (b *Balancer) Share() track.RankShare {
+// Look reads the own rank. The share holds the recent counts. It reports whether
+// the demand has shifted since the last look.
+func (b *Balancer) Look(ctx context.Context) (track.RankShare, bool, error) {
+	share, err := b.options.Reader.Share(ctx)
+	if err != nil {
+		return share, false, err
+	}
+	detail, err := b.options.Reader.Detail(ctx, share)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	shifted := false
+	if err == nil {
+		shifted = b.recent.Add(detail.Born, detail.Counts)
+		share = detail
+		share.Counts = b.recent.Profile()
+	}
+	b.seen = share
+	return share, shifted, err
+}
+
+// latest returns the latest look at the own rank.
+func (b *Balancer) latest() track.RankShare {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.seen
@@ -121,14 +141,11 @@
 
 // Tick looks at the own rank, and plans or settles if that is this agent's turn.
 func (b *Balancer) Tick(ctx context.Context) {
-	share, err := b.options.Reader.Share(ctx)
+	share, shifted, err := b.Look(ctx)
 	if err != nil {
 		b.options.Logger.Warn("rank state unknown", zap.Error(err))
 		return
 	}
-	b.mu.Lock()
-	b.seen = share
-	b.mu.Unlock()
 	b.options.Seen(share)
 	if !share.Open || share.Ranks < 2 {
 		return
@@ -141,6 +158,9 @@
 			turn++
 		}
 	}
+	if shifted {
+		b.due = now.Add(shiftDelay)
+	}
 	settle := b.mustSettle(share, now, turn)
 	if !settle && (turn > 0 || now.Before(b.due)) {
 		return
@@ -165,11 +185,6 @@
 // drive gathers the parts of all ranks, settles what is half done and, if a better
 // map is worth its copies, changes to it.
 func (b *Balancer) drive(ctx context.Context, own track.RankShare, mates []Mate, settle bool) {
-	own, err := b.options.Reader.Detail(ctx, own)
-	if err != nil {
-		b.options.Logger.Info("rank detail unknown", zap.Error(err))
-		return
-	}
 	shares, err := b.gather(ctx, own, mates)
 	if err != nil {
 		b.options.Logger.Info("group incomplete", zap.String("Group", own.Group), zap.Error(err))
@@ -262,7 +277,11 @@
 // plan returns the change to a better map, or nil.
 func (b *Balancer) plan(shares []track.RankShare) *track.MapChange {
 	spec, ok := b.options.Spec()
-	if !ok || spec.Experts == 0 || !b.observe(shares, spec) {
+	if !ok || spec.Experts == 0 {
+		return nil
+	}
+	loads, ok := sumCounts(shares, spec)
+	if !ok {
 		return nil
 	}
 	now, err := assemble(shares, spec)
@@ -271,7 +290,9 @@
 		return nil
 	}
 	began := b.options.Clock.Now()
-	spreading, err := expert.Spread(now, b.loads, expert.SpreadLimits{FreshPerLayer: spec.StagedPerLayer, MoveCost: moveCost})
+	spreading, err := expert.Spread(now, loads, expert.SpreadLimits{
+		FreshPerLayer: spec.StagedPerLayer, FreshPerRank: copiesPerChange, MoveCost: moveCost,
+	})
 	if err != nil {
 		b.options.Logger.Error("no plan", zap.Error(err))
 		return nil
@@ -288,36 +309,21 @@
 	return &track.MapChange{Base: shares[0].Version, Whole: &spreading.Map}
 }
 
-// observe adds the choices since the latest plan to the loads. It reports whether
-// they are enough to plan from.
-func (b *Balancer) observe(shares []track.RankShare, spec track.ExpertSpec) bool {
-	shape := expert.Shape{Ranks: len(shares), Layers: spec.Layers, Experts: spec.Experts, Slots: spec.SlotsPerRank}
-	if len(b.loads) != spec.Layers || len(b.loads) > 0 && len(b.loads[0]) != spec.Experts {
-		b.loads = expert.NewLoads(shape)
-	}
-	fresh, total := expert.NewLoads(shape), 0.0
+// sumCounts adds up the recent counts of all ranks. It reports whether there are
+// any.
+func sumCounts(shares []track.RankShare, spec track.ExpertSpec) (expert.Loads, bool) {
+	loads := expert.NewLoads(expert.Shape{Layers: spec.Layers, Experts: spec.Experts})
+	known := false
 	for _, s := range shares {
-		old, known := b.counted[s.Rank]
-		b.counted[s.Rank] = s
-		if len(s.Counts) != spec.Layers*spec.Experts || !known || old.Born != s.Born || len(old.Counts) != len(s.Counts) {
+		if len(s.Counts) != spec.Layers*spec.Experts {
 			continue
 		}
+		known = true
 		for i, n := range s.Counts {
-			if more := n - old.Counts[i]; more > 0 {
-				fresh[i/spec.Experts][i%spec.Experts] += more
-				total += more
-			}
-		}
-	}
-	if total < float64(minTokens*spec.Layers) {
-		return false
-	}
-	for layer := range fresh {
-		for e := range fresh[layer] {
-			b.loads[layer][e] = countsDecay*b.loads[layer][e] + fresh[layer][e]
+			loads[i/spec.Experts][i%spec.Experts] += n
 		}
 	}
-	return true
+	return loads, known
 }
 
 // assemble returns the map in use from the parts of all ranks.
@@ -342,7 +348,7 @@
 	if o.To.Agent == b.options.Self {
 		return b.options.Door.Order(ctx, o)
 	}
-	mates := b.options.Mates(b.Share().Group)
+	mates := b.options.Mates(b.latest().Group)
 	i := slices.IndexFunc(mates, func(m Mate) bool { return m.Agent == o.To.Agent })
 	if i < 0 {
 		return track.MapReply{}, track.Fail("order rank", track.Unavailable, fmt.Errorf("%s has left the group", o.To.Agent))
