fix: maps change only for what pays for the copies; ranks of silent agents are reached directly

Change: a copy on each rank has to lower a layer's peak by 0.6, a change the skew by 0.3; the driver settles the rank of a silent agent itself; prompts being read at once are bounded per replica; late requests wait for a place instead of being refused twice.

--- a/batch/pool.go
+++ b/batch/pool.go
@@ -99,9 +99,15 @@
 	Load       int
 	Candidates int
 
-	pool    *Pool
-	tokens  int
-	granted time.Time
+	pool     *Pool
+	tokens   int
+	granted  time.Time
+	starting bool
+}
+
+// Started tells that the replica has begun to answer, so that its prompt is read.
+func (g *Grant) Started() {
+	g.pool.started(g)
 }
 
 // Done frees the place and learns from the result.
@@ -114,8 +120,10 @@
 	Service string
 	// Zone is the availability zone of this entry; its replicas are preferred among
 	// equals.
-	Zone  track.AvailabilityZone
-	Clock clockwork.Clock
+	Zone track.AvailabilityZone
+	// Entries returns the number of entries that share the replicas.
+	Entries func() int
+	Clock   clockwork.Clock
 	// Draw returns random numbers that are uniform in [0, 1).
 	Draw   func() float64
 	Logger *zap.Logger
@@ -173,7 +181,7 @@
 			continue
 		}
 		r.listed = false
-		if r.own == 0 {
+		if r.own.Running == 0 {
 			delete(p.replicas, id)
 		}
 	}
@@ -203,7 +211,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.options.Clock.Now()
-	if reason, after := p.unserved(ask, now); reason != "" {
+	reason, after := p.unserved(ask, now)
+	hold := reason == ReasonGroupBroken && !ask.Due.After(now) && len(p.waiting) < p.heldMost()
+	if reason != "" && !hold {
 		return nil, nil, &RefusalError{Reason: reason, RetryAfter: after}
 	}
 	w := &waiter{ask: ask, arrived: now, granted: make(chan *Grant, 1)}
@@ -214,7 +224,7 @@
 		return nil, g, nil
 	default:
 	}
-	if wait := p.expectedWait(); now.Add(wait).After(ask.Until) {
+	if wait := p.expectedWait(); !hold && now.Add(wait).After(ask.Until) {
 		p.remove(w)
 		return nil, nil, &RefusalError{Reason: ReasonBusy, RetryAfter: p.retryAfter(wait)}
 	}
@@ -242,25 +252,35 @@
 
 // unserved returns why no replica serves the request, if none does.
 func (p *Pool) unserved(ask Ask, now time.Time) (Reason, time.Duration) {
-	broken, usable := time.Duration(0), 0
+	var brokenSince time.Time
 	for _, r := range p.replicas {
 		if !r.listed || slices.Contains(ask.Excluded, r.ID) {
 			continue
 		}
-		switch wait := r.closedFor(now); {
-		case wait <= 0:
-			usable++
-		case r.broken && (broken == 0 || wait < broken):
-			broken = wait
+		if r.closedFor(now) <= 0 {
+			return "", 0
+		}
+		if r.broken && (brokenSince.IsZero() || r.brokenSince.Before(brokenSince)) {
+			brokenSince = r.brokenSince
 		}
 	}
-	switch {
-	case usable > 0:
-		return "", 0
-	case broken > 0:
-		return ReasonGroupBroken, max(broken, minRetryAfter)
+	if brokenSince.IsZero() {
+		return ReasonNoReplica, noReplicaRetryAfter
 	}
-	return ReasonNoReplica, noReplicaRetryAfter
+	// What has been broken for a while is likely to stay so for as long again.
+	return ReasonGroupBroken, p.spread(min(max(now.Sub(brokenSince), minBrokenRetryAfter), maxBrokenRetryAfter))
+}
+
+// heldMost returns the number of late requests that this entry holds while a group
+// is broken: its part of what fits into the group once that opens.
+func (p *Pool) heldMost() int {
+	slots := 0
+	for _, r := range p.replicas {
+		if r.listed {
+			slots += p.limit(r)
+		}
+	}
+	return slots / max(p.options.Entries(), 1)
 }
 
 // expectedWait predicts the wait of the last one in the queue.
@@ -268,7 +288,7 @@
 	places, own, all := 0, 0, 0
 	now := p.options.Clock.Now()
 	for _, r := range p.replicas {
-		own += r.own
+		own += r.own.Running
 		all += r.load()
 		if r.listed && r.closedFor(now) <= 0 {
 			places += p.limit(r)
@@ -287,9 +307,16 @@
 	return time.Duration(gap * float64(len(p.waiting)))
 }
 
-// retryAfter spreads those who come back around the predicted wait.
+// retryAfter returns when to come back, from the predicted wait.
 func (p *Pool) retryAfter(wait time.Duration) time.Duration {
-	wait = max(wait, minRetryAfter)
+	if p.engine != nil {
+		return p.spread(max(wait, minEngineRetryAfter))
+	}
+	return p.spread(max(wait, minRetryAfter))
+}
+
+// spread keeps those who come back from coming all at once.
+func (p *Pool) spread(wait time.Duration) time.Duration {
 	return wait + time.Duration(retryJitter*p.options.Draw()*float64(wait))
 }
 
@@ -305,11 +332,12 @@
 			continue
 		}
 		p.waiting = slices.Delete(p.waiting, i, i+1)
-		r.own++
+		r.own.Running++
+		r.own.Starting++
 		r.tokens += w.ask.Tokens
 		w.granted <- &Grant{
 			Replica: r.Replica, Waited: now.Sub(w.arrived), Load: r.load(), Candidates: candidates,
-			pool: p, tokens: w.ask.Tokens, granted: now,
+			pool: p, tokens: w.ask.Tokens, granted: now, starting: true,
 		}
 	}
 }
@@ -335,7 +363,7 @@
 	var best *replica
 	bestScore, candidates := 0.0, 0
 	for _, r := range p.replicas {
-		if !r.listed || r.closedFor(now) > 0 || slices.Contains(ask.Excluded, r.ID) || r.load() >= p.limit(r) {
+		if !r.listed || r.closedFor(now) > 0 || slices.Contains(ask.Excluded, r.ID) || !p.hasRoom(r) {
 			continue
 		}
 		candidates++
@@ -354,7 +382,10 @@
 	if r == nil {
 		return
 	}
-	r.own--
+	r.own.Running--
+	if g.starting {
+		r.own.Starting--
+	}
 	r.tokens -= g.tokens
 	if result.Verdict == Served {
 		p.learn(now.Sub(g.granted))
@@ -363,12 +394,24 @@
 		p.options.Logger.Info("replica health", zap.String("Replica", string(r.ID)), zap.String("Change", change),
 			zap.Duration("ClosedFor", r.closedFor(now)), zap.String("AtFault", result.AtFault))
 	}
-	if !r.listed && r.own == 0 {
+	if !r.listed && r.own.Running == 0 {
 		delete(p.replicas, r.ID)
 	}
 	p.dispatch()
 }
 
+func (p *Pool) started(g *Grant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.replicas[g.Replica.ID]
+	if r == nil || !g.starting {
+		return
+	}
+	g.starting = false
+	r.own.Starting--
+	p.dispatch()
+}
+
 func (p *Pool) learn(held time.Duration) {
 	if p.hold == 0 {
 		p.hold = held
@@ -377,22 +420,21 @@
 	p.hold += time.Duration(holdSmoothing * float64(held-p.hold))
 }
 
-// InFlight returns the number of this entry's requests on each replica.
-func (p *Pool) InFlight() map[track.ReplicaID]int {
+// InFlight returns this entry's requests on each replica that has any.
+func (p *Pool) InFlight() map[track.ReplicaID]track.InFlight {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	counts := make(map[track.ReplicaID]int, len(p.replicas))
+	counts := make(map[track.ReplicaID]track.InFlight, len(p.replicas))
 	for id, r := range p.replicas {
-		if r.own > 0 {
+		if r.own.Running > 0 {
 			counts[id] = r.own
 		}
 	}
 	return counts
 }
 
-// SetOthers takes the number of requests that all other entries have on each
-// replica.
-func (p *Pool) SetOthers(counts map[track.ReplicaID]int) {
+// SetOthers takes the requests that all other entries have on each replica.
+func (p *Pool) SetOthers(counts map[track.ReplicaID]track.InFlight) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, r := range p.replicas {
@@ -413,7 +455,7 @@
 		}
 		switch {
 		case !open:
-			r.broken, r.closedUntil = true, now.Add(brokenClosed)
+			r.breakGroup(now, brokenClosed)
 		case r.broken:
 			r.broken, r.closedUntil = false, now
 		}
--- a/batch/replica.go
+++ b/batch/replica.go
@@ -9,6 +9,14 @@
 const (
 	// minRetryAfter is the least delay after which a client is asked to return.
 	minRetryAfter = 100 * time.Millisecond
+	// minEngineRetryAfter is that delay for model engines, whose batches turn over
+	// in a second or two.
+	minEngineRetryAfter = time.Second
+	// minBrokenRetryAfter and maxBrokenRetryAfter bound the delay while a rank group
+	// is broken. A rank that crashed is back after some seconds; clients wait no
+	// longer than a third of the time that they have left.
+	minBrokenRetryAfter = 1500 * time.Millisecond
+	maxBrokenRetryAfter = 2500 * time.Millisecond
 	// noReplicaRetryAfter is the delay while no replica serves: replicas report
 	// about once a second.
 	noReplicaRetryAfter = time.Second
@@ -21,6 +29,11 @@
 	// queueFactor is the number of requests on a replica of a plain service for
 	// each of its slots, so that the next request is there when one ends.
 	queueFactor = 2
+	// maxStarting bounds the requests of a model engine that have no event yet: the
+	// prompts that are read make the passes of the whole group longer.
+	maxStarting = 3
+	// engineBatch bounds the requests of a model engine.
+	engineBatch = 12
 	// defaultSlots is assumed of a replica that names no slots.
 	defaultSlots = 4
 
@@ -51,14 +64,15 @@
 	// listed is unset once the replica is draining or gone.
 	listed bool
 	// own and others count the requests of this entry and of all others.
-	own    int
-	others int
+	own    track.InFlight
+	others track.InFlight
 	// tokens estimates the tokens that own requests hold.
 	tokens int
 	// group names the rank group, if known.
 	group string
 	// broken is set while the replica's group is broken.
 	broken      bool
+	brokenSince time.Time
 	closedUntil time.Time
 	failures    int
 	errorShare  float64
@@ -66,7 +80,15 @@
 }
 
 func (r *replica) load() int {
-	return r.own + r.others
+	return r.own.Running + r.others.Running
+}
+
+// hasRoom reports whether the replica may get another request.
+func (p *Pool) hasRoom(r *replica) bool {
+	if p.engine != nil && r.own.Starting+r.others.Starting >= maxStarting {
+		return false
+	}
+	return r.load() < p.limit(r)
 }
 
 // closedFor returns the time for which the replica is to be left alone.
@@ -81,7 +103,7 @@
 		slots = defaultSlots
 	}
 	if p.engine != nil {
-		return slots
+		return min(slots, engineBatch)
 	}
 	return slots * queueFactor
 }
@@ -121,8 +143,7 @@
 		}
 	case Full:
 		if result.AtFault != "" && engine != nil {
-			r.broken = true
-			r.closedUntil = now.Add(max(brokenClosed, engine.FormTime))
+			r.breakGroup(now, max(brokenClosed, engine.FormTime))
 			return "GroupBroken"
 		}
 		r.closedUntil = now.Add(fullClosed)
@@ -137,6 +158,14 @@
 	return ""
 }
 
+// breakGroup notes that the replica's group is broken.
+func (r *replica) breakGroup(now time.Time, look time.Duration) {
+	if !r.broken {
+		r.broken, r.brokenSince = true, now
+	}
+	r.closedUntil = now.Add(look)
+}
+
 // close leaves the replica alone, longer after each failure in a row.
 func (r *replica) close(now time.Time, change string) string {
 	closed := min(firstClosed<<min(r.failures, 8), maxClosed)
--- a/edge/agent.go
+++ b/edge/agent.go
@@ -26,18 +26,16 @@
 // doesn't change.
 const agentNoteInterval = 400 * time.Millisecond
 
+// mateSilence is the time without a note after which an agent's rank is reached
+// directly: two notes were lost and the third is late.
+const mateSilence = 3*agentNoteInterval + 100*time.Millisecond
+
 // The paths on which agents of a group call each other.
 const (
 	pathShare = "/rank/share"
 	pathOrder = "/rank/order"
 )
 
-// RankPort is the port to the rank beside an agent.
-type RankPort interface {
-	track.RankEngine
-	track.RankReader
-}
-
 // AgentOptions holds what an Agent is made of.
 type AgentOptions struct {
 	Self   track.InstanceID
@@ -51,8 +49,10 @@
 	Log          track.KeyedLog
 	Topics       Topics
 	DecodeConfig latest.Decode
-	Rank         RankPort
-	Notes        net.PacketConn
+	Rank         steer.RemoteRank
+	// Remote opens the port to a rank elsewhere, by its address.
+	Remote func(server string) steer.RemoteRank
+	Notes  net.PacketConn
 
 	Clock   clockwork.Clock
 	Logger  *zap.Logger
@@ -94,7 +94,7 @@
 		SendOrder: func(ctx context.Context, mate steer.Mate, order track.MapOrder) (track.MapReply, error) {
 			return talk.Call[track.MapOrder, track.MapReply](ctx, a.client, mate.Address, pathOrder, order)
 		},
-		Spec: a.spec, Seen: a.seen, Clock: o.Clock, Logger: o.Logger, Metrics: o.Metrics,
+		Remote: o.Remote, Spec: a.spec, Seen: a.seen, Clock: o.Clock, Logger: o.Logger, Metrics: o.Metrics,
 	})
 	return a
 }
@@ -182,13 +182,16 @@
 	}
 }
 
-// mates returns the live agents of a group.
-func (a *Agent) mates(group string) []steer.Mate {
+// mates returns the agents of a group that were heard in its epoch.
+func (a *Agent) mates(group string, epoch int64) []steer.Mate {
 	var mates []steer.Mate
-	for _, note := range a.node.Live() {
-		if note.Rank != nil && note.Rank.Group == group {
-			mates = append(mates, steer.Mate{Agent: note.From, Rank: note.Rank.Rank, Address: note.Rank.Address})
+	for _, h := range a.node.Last() {
+		if h.Rank == nil || h.Rank.Group != group || h.Rank.Epoch != epoch {
+			continue
 		}
+		mates = append(mates, steer.Mate{
+			Agent: h.From, Rank: h.Rank.Rank, Address: h.Rank.Address, Server: h.Rank.Server, Silent: h.Silence >= mateSilence,
+		})
 	}
 	return mates
 }
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -227,7 +227,7 @@
 	p := e.pools[service]
 	if p == nil {
 		o := e.options
-		p = batch.New(batch.Options{Service: service, Zone: o.Zone, Clock: o.Clock, Draw: o.Draw, Logger: o.Logger})
+		p = batch.New(batch.Options{Service: service, Zone: o.Zone, Entries: e.members.entries, Clock: o.Clock, Draw: o.Draw, Logger: o.Logger})
 		p.Update(e.listed)
 		e.pools[service] = p
 	}
@@ -264,11 +264,11 @@
 			e.options.Topics.Config:   e.config.Mirror().End(),
 			e.options.Topics.Replicas: e.replicas.Mirror().End(),
 		},
-		InFlight: make(map[track.ReplicaID]int),
+		InFlight: make(map[track.ReplicaID]track.InFlight),
 	}
 	for _, p := range e.allPools() {
 		for id, n := range p.InFlight() {
-			note.InFlight[id] += n
+			note.InFlight[id] = n
 		}
 	}
 	return note
@@ -291,10 +291,11 @@
 
 // sumInFlight adds up what the other entries have in flight.
 func (e *Entry) sumInFlight() {
-	counts := make(map[track.ReplicaID]int)
+	counts := make(map[track.ReplicaID]track.InFlight)
 	for _, note := range e.node.Live() {
 		for id, n := range note.InFlight {
-			counts[id] += n
+			sum := counts[id]
+			counts[id] = track.InFlight{Running: sum.Running + n.Running, Starting: sum.Starting + n.Starting}
 		}
 	}
 	for _, p := range e.allPools() {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -37,8 +37,8 @@
 	Leaving bool
 	// Ends holds the offset up to which the sender has read each topic.
 	Ends map[string]uint64
-	// InFlight holds the number of the sender's requests on each replica.
-	InFlight map[track.ReplicaID]int
+	// InFlight holds the sender's requests on each replica.
+	InFlight map[track.ReplicaID]track.InFlight
 	// Rank is set by an agent.
 	Rank *RankNote
 	// Payload is the data of topics, opaque to this package.
@@ -214,6 +214,25 @@
 	return true
 }
 
+// Heard is the latest note of a peer.
+type Heard struct {
+	Note
+	// Silence is the time since the note arrived.
+	Silence time.Duration
+}
+
+// Last returns the latest note of each peer that was ever heard.
+func (n *Node) Last() []Heard {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.options.Clock.Now()
+	heard := make([]Heard, 0, len(n.heard))
+	for _, h := range n.heard {
+		heard = append(heard, Heard{Note: h.note, Silence: now.Sub(h.at)})
+	}
+	return heard
+}
+
 // Live returns the latest notes of the peers that were heard lately.
 func (n *Node) Live() []Note {
 	n.mu.Lock()
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -87,6 +87,7 @@
 			if len(whole) > 0 {
 				if result.FirstByte == 0 {
 					result.FirstByte = clock.Since(started)
+					x.grant.Started()
 				}
 				if err := x.relayEvents(answer, whole); err != nil {
 					return x.abandoned(err)
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -18,12 +18,15 @@
 	// waitShare is the part of the objective for which a request waits for a place
 	// before it counts as late.
 	waitShare = 0.5
+	// lateWaitShare is the part of the time left for which a request waits that is
+	// late already.
+	lateWaitShare = 0.5
 	// minTimeLeft is the least time left that makes an attempt worth sending.
 	minTimeLeft = 20 * time.Millisecond
 	// silenceTimeout is the pause after which a stream's replica is given up.
 	// Clients leave after two seconds.
 	silenceTimeout = 1700 * time.Millisecond
-	// bookingUrgency and streamUrgency order admission at replicas.
+	// usualUrgency is the middle of the range by which replicas admit requests.
 	usualUrgency = 5
 )
 
@@ -65,7 +68,7 @@
 
 // place waits for a place on a replica.
 func (x *exchange) place(ctx context.Context) (*batch.Grant, *Refusal) {
-	due := x.arrived.Add(time.Duration(waitShare * float64(x.route.Objective)))
+	due := x.arrived.Add(time.Duration(waitShare*float64(x.route.Objective)) - x.age())
 	grant, err := x.pool.Acquire(ctx, batch.Ask{
 		Request:  x.request.ID,
 		Priority: x.priority,
@@ -99,8 +102,22 @@
 	return x.request.MaxTokens
 }
 
-// waitUntil returns the time at which the request gives up waiting for a place.
+// age returns the time since the client first asked, as far as it shows: a client
+// that was told to come back has less time left than the route allows.
+func (x *exchange) age() time.Duration {
+	if x.request.TimeLeft <= 0 {
+		return 0
+	}
+	return max(x.route.Timeout-x.request.TimeLeft, 0)
+}
+
+// waitUntil returns the time at which the request gives up waiting for a place. A
+// client that can't be answered within the objective any more, because it came
+// back, is better served late than told to come back once more.
 func (x *exchange) waitUntil(due time.Time) time.Time {
+	if now := x.proxy.options.Clock.Now(); !due.After(now) {
+		return now.Add(time.Duration(lateWaitShare * float64(x.deadline.Sub(now))))
+	}
 	if x.deadline.Before(due) {
 		return x.deadline
 	}
--- a/replica.go
+++ b/replica.go
@@ -55,3 +55,11 @@
 	// Ambiguous that it may have run. The caller closes the answer's body.
 	Call(ctx context.Context, c ReplicaCall) (ReplicaAnswer, error)
 }
+
+// InFlight counts requests on a replica.
+type InFlight struct {
+	// Running is the number of requests sent and not ended, Starting the number of
+	// those without a first byte.
+	Running  int
+	Starting int
+}
--- a/steer/balance.go
+++ b/steer/balance.go
@@ -28,10 +28,10 @@
 	// another agent settles it; each later agent waits that much longer.
 	holdPatience = 500 * time.Millisecond
 	// minGain is the least fall of the skew that is worth a change.
-	minGain = 0.08
+	minGain = 0.3
 	// moveCost is the fall of the skew in a layer that pays for one copy on each
 	// rank.
-	moveCost = 0.06
+	moveCost = 0.6
 	// copiesPerChange is the number of copies that a rank fetches for one change:
 	// few, so that the hottest experts are spread soon.
 	copiesPerChange = 3
@@ -44,9 +44,20 @@
 
 // Mate is another agent of the same rank group.
 type Mate struct {
-	Agent   track.InstanceID
-	Rank    int
+	Agent track.InstanceID
+	Rank  int
+	// Address takes calls to the agent, Server those to its rank.
 	Address string
+	Server  string
+	// Silent is set while the agent isn't heard; its rank is then reached directly.
+	Silent bool
+}
+
+// RemoteRank is the port to a rank beside an agent that is silent. What a silent
+// agent may still order when it wakes carries an older fencing number.
+type RemoteRank interface {
+	track.RankEngine
+	track.RankReader
 }
 
 // BalancerOptions holds what a Balancer is made of.
@@ -54,9 +65,11 @@
 	Self   track.InstanceID
 	Reader track.RankReader
 	Door   *swap.Door
-	// Mates returns the live agents of the group with the given name and size, this
-	// one excluded.
-	Mates func(group string) []Mate
+	// Mates returns the agents of a group that were heard in its epoch, this one
+	// excluded.
+	Mates func(group string, epoch int64) []Mate
+	// Remote opens the port to a rank by its address.
+	Remote func(server string) RemoteRank
 	// AskShare and SendOrder reach the agent of a mate.
 	AskShare  func(ctx context.Context, mate Mate) (track.RankShare, error)
 	SendOrder func(ctx context.Context, mate Mate, o track.MapOrder) (track.MapReply, error)
@@ -77,6 +90,12 @@
 	runner  swap.Runner
 	highest uint64
 	due     time.Time
+	// remotes holds the doors to ranks of silent agents by address.
+	remotes map[string]*swap.Door
+	// known holds the latest part of each rank.
+	known map[int]track.RankShare
+	// stuck is set if the latest attempt left something half done.
+	stuck bool
 	// unsettledSince is the time since which the own rank waits for a decision.
 	unsettledSince time.Time
 	skew           *metrics.Gauge
@@ -90,9 +109,9 @@
 
 // NewBalancer returns the duty of an agent.
 func NewBalancer(options BalancerOptions) *Balancer {
-	b := &Balancer{options: options}
+	b := &Balancer{options: options, remotes: make(map[string]*swap.Door), known: make(map[int]track.RankShare)}
 	b.runner = swap.Runner{Clock: options.Clock, Send: b.send, Timing: swap.Timing{
-		Repeat: 50 * time.Millisecond, Patience: 800 * time.Millisecond, FetchPatience: 5 * time.Second,
+		Repeat: 50 * time.Millisecond, Patience: 500 * time.Millisecond, FetchPatience: 3 * time.Second,
 	}}
 	b.skew = options.Metrics.GetOrCreateGauge("filberttrack_expert_skew", nil)
 	b.changes = options.Metrics.GetOrCreateCounter("filberttrack_expert_changes_total")
@@ -151,17 +170,17 @@
 		return
 	}
 	now := b.options.Clock.Now()
-	mates := b.options.Mates(share.Group)
+	mates := b.options.Mates(share.Group, share.Epoch)
 	turn := 0
 	for _, mate := range mates {
-		if mate.Rank < share.Rank {
+		if mate.Rank < share.Rank && !mate.Silent {
 			turn++
 		}
 	}
 	if shifted {
 		b.due = now.Add(shiftDelay)
 	}
-	settle := b.mustSettle(share, now, turn)
+	settle := b.mustSettle(share, now, turn) || b.stuck
 	if !settle && (turn > 0 || now.Before(b.due)) {
 		return
 	}
@@ -206,6 +225,7 @@
 		return
 	}
 	b.highest = max(b.highest, result.Highest)
+	b.stuck = result.Outcome == swap.Stuck
 	if result.Outcome == swap.Switched {
 		b.changes.Inc()
 	}
@@ -249,7 +269,7 @@
 	answers := make(chan answer, len(mates))
 	for _, mate := range mates {
 		go func() {
-			share, err := b.options.AskShare(ctx, mate)
+			share, err := b.ask(ctx, mate)
 			answers <- answer{share, err}
 		}()
 	}
@@ -271,9 +291,32 @@
 			shares[a.share.Rank], found[a.share.Rank] = a.share, true
 		}
 	}
+	for rank := range shares {
+		shares[rank] = b.complete(shares[rank])
+	}
 	return shares, failed
 }
 
+// ask reads the part of a mate's rank, without the counts and experts if its agent
+// is silent.
+func (b *Balancer) ask(ctx context.Context, mate Mate) (track.RankShare, error) {
+	if mate.Silent {
+		return b.options.Remote(mate.Server).Share(ctx)
+	}
+	return b.options.AskShare(ctx, mate)
+}
+
+// complete fills in the experts that a rank held when it was last read, if it still
+// uses the same map.
+func (b *Balancer) complete(share track.RankShare) track.RankShare {
+	old := b.known[share.Rank]
+	if share.Held == nil && old.Group == share.Group && old.Epoch == share.Epoch && old.Version == share.Version {
+		share.Held = old.Held
+	}
+	b.known[share.Rank] = share
+	return share
+}
+
 // plan returns the change to a better map, or nil.
 func (b *Balancer) plan(shares []track.RankShare) *track.MapChange {
 	spec, ok := b.options.Spec()
@@ -343,15 +386,34 @@
 	return m, nil
 }
 
-// send carries an order to the agent of its rank.
+// send carries an order to the agent of its rank, or to the rank itself while the
+// agent is silent.
 func (b *Balancer) send(ctx context.Context, o track.MapOrder) (track.MapReply, error) {
 	if o.To.Agent == b.options.Self {
 		return b.options.Door.Order(ctx, o)
 	}
-	mates := b.options.Mates(b.latest().Group)
+	own := b.latest()
+	mates := b.options.Mates(own.Group, own.Epoch)
 	i := slices.IndexFunc(mates, func(m Mate) bool { return m.Agent == o.To.Agent })
 	if i < 0 {
 		return track.MapReply{}, track.Fail("order rank", track.Unavailable, fmt.Errorf("%s has left the group", o.To.Agent))
 	}
+	if mates[i].Silent {
+		return b.remote(mates[i]).Order(ctx, o)
+	}
 	return b.options.SendOrder(ctx, mates[i], o)
 }
+
+func (b *Balancer) remote(mate Mate) *swap.Door {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	door := b.remotes[mate.Server]
+	if door == nil {
+		now := b.options.Clock.Now()
+		engines := []track.RankEngine{b.options.Remote(mate.Server)}
+		door = swap.NewDoor(mate.Agent, track.Incarnation(now.UnixMilli()), engines, nil, b.options.Clock)
+		b.remotes[mate.Server] = door
+		b.options.Logger.Warn("agent silent, its rank is reached directly", zap.String("Agent", string(mate.Agent)), zap.String("Server", mate.Server))
+	}
+	return door
+}
