fix: requests wait behind those that go first only, and experts leave a slow rank

Change: the predicted wait counts who is ahead; loads of ranks are weighed by their pace; beyond a skew of 4 a change fetches whatever can be staged.

--- a/batch/pool.go
+++ b/batch/pool.go
@@ -51,9 +51,10 @@
 	// Tokens estimates the tokens that the request holds while it runs.
 	Tokens int
 	// Due is the time until which a place is worth full value, Until that at which
-	// the request gives up waiting.
-	Due   time.Time
-	Until time.Time
+	// the request gives up waiting, Deadline that by which it must be answered.
+	Due      time.Time
+	Until    time.Time
+	Deadline time.Time
 	// Excluded lists replicas that failed the request already.
 	Excluded []track.ReplicaID
 }
@@ -194,7 +195,7 @@
 	if w == nil {
 		return grant, err
 	}
-	timer := p.options.Clock.NewTimer(ask.Until.Sub(p.options.Clock.Now()))
+	timer := p.options.Clock.NewTimer(w.ask.Until.Sub(p.options.Clock.Now()))
 	defer timer.Stop()
 	select {
 	case g := <-w.granted:
@@ -216,6 +217,10 @@
 	if reason != "" && !hold {
 		return nil, nil, &RefusalError{Reason: reason, RetryAfter: after}
 	}
+	if last := ask.Deadline.Add(-p.hold); !ask.Due.After(now) && last.Before(ask.Until) {
+		// A late request that gets its place later can't be answered any more.
+		ask.Until = last
+	}
 	w := &waiter{ask: ask, arrived: now, granted: make(chan *Grant, 1)}
 	p.waiting = append(p.waiting, w)
 	p.dispatch()
@@ -224,7 +229,7 @@
 		return nil, g, nil
 	default:
 	}
-	if wait := p.expectedWait(); !hold && now.Add(wait).After(ask.Until) {
+	if wait := p.expectedWait(w); !hold && now.Add(wait).After(ask.Until) || !now.Before(ask.Until) {
 		p.remove(w)
 		return nil, nil, &RefusalError{Reason: ReasonBusy, RetryAfter: p.retryAfter(wait)}
 	}
@@ -241,7 +246,7 @@
 	default:
 	}
 	p.remove(w)
-	return nil, &RefusalError{Reason: reason, RetryAfter: p.retryAfter(p.expectedWait())}
+	return nil, &RefusalError{Reason: reason, RetryAfter: p.retryAfter(p.expectedWait(w))}
 }
 
 func (p *Pool) remove(w *waiter) {
@@ -283,10 +288,15 @@
 	return slots / max(p.options.Entries(), 1)
 }
 
-// expectedWait predicts the wait of the last one in the queue.
-func (p *Pool) expectedWait() time.Duration {
-	places, own, all := 0, 0, 0
+// expectedWait predicts the wait of a request from those that go before it.
+func (p *Pool) expectedWait(w *waiter) time.Duration {
+	places, own, all, ahead := 0, 0, 0, 1
 	now := p.options.Clock.Now()
+	for _, other := range p.waiting {
+		if other != w && compare(other, w, now) <= 0 {
+			ahead++
+		}
+	}
 	for _, r := range p.replicas {
 		own += r.own.Running
 		all += r.load()
@@ -304,7 +314,7 @@
 		share = max(float64(own)/float64(all), minShare)
 	}
 	gap := float64(p.hold) / (float64(places) * share)
-	return time.Duration(gap * float64(len(p.waiting)))
+	return time.Duration(gap * float64(ahead))
 }
 
 // retryAfter returns when to come back, from the predicted wait.
@@ -443,9 +453,18 @@
 	p.dispatch()
 }
 
-// SetGroup takes what the agent beside the replica at an address reports of its
-// rank group.
-func (p *Pool) SetGroup(address, group string, open bool) {
+// RankState is what an agent tells of the rank beside it.
+type RankState struct {
+	Group string
+	// Open is set while the rank group works.
+	Open bool
+	// Pace is the time that the rank needs for the same work, relative to one in
+	// good health; 0 if unknown.
+	Pace float64
+}
+
+// SetRank takes what the agent beside the replica at an address tells.
+func (p *Pool) SetRank(address string, state RankState) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.options.Clock.Now()
@@ -454,14 +473,15 @@
 			continue
 		}
 		switch {
-		case !open:
+		case !state.Open:
 			r.breakGroup(now, brokenClosed)
 		case r.broken:
 			r.broken, r.closedUntil = false, now
 		}
-		if r.group != group {
-			p.options.Logger.Info("replica in group", zap.String("Replica", string(r.ID)), zap.String("Group", group))
-			r.group = group
+		if r.rank != state {
+			p.options.Logger.Info("rank of replica", zap.String("Replica", string(r.ID)), zap.String("Group", state.Group),
+				zap.Bool("Open", state.Open), zap.Float64("Pace", state.Pace))
+			r.rank = state
 		}
 	}
 	p.dispatch()
--- a/batch/replica.go
+++ b/batch/replica.go
@@ -31,9 +31,7 @@
 	queueFactor = 2
 	// maxStarting bounds the requests of a model engine that have no event yet: the
 	// prompts that are read make the passes of the whole group longer.
-	maxStarting = 3
-	// engineBatch bounds the requests of a model engine.
-	engineBatch = 12
+	maxStarting = 5
 	// defaultSlots is assumed of a replica that names no slots.
 	defaultSlots = 4
 
@@ -68,8 +66,8 @@
 	others track.InFlight
 	// tokens estimates the tokens that own requests hold.
 	tokens int
-	// group names the rank group, if known.
-	group string
+	// rank is what the agent beside the replica tells.
+	rank RankState
 	// broken is set while the replica's group is broken.
 	broken      bool
 	brokenSince time.Time
@@ -103,7 +101,7 @@
 		slots = defaultSlots
 	}
 	if p.engine != nil {
-		return min(slots, engineBatch)
+		return slots
 	}
 	return slots * queueFactor
 }
@@ -116,6 +114,8 @@
 		score *= float64(max(r.latency, minLatency))
 	} else {
 		score += float64(r.tokens) / float64(max(p.engine.MemoryTokens, 1))
+		// A slow rank makes the passes of all ranks longer by its own requests.
+		score *= max(r.rank.Pace, 1)
 	}
 	if r.Zone != p.options.Zone {
 		score *= farFactor
--- a/edge/agent.go
+++ b/edge/agent.go
@@ -170,7 +170,7 @@
 	if share := a.share.Load(); share != nil {
 		note.Rank = &gossip.RankNote{
 			Server: a.options.Server, Group: share.Group, Epoch: share.Epoch, Rank: share.Rank, Ranks: share.Ranks,
-			Open: share.Open, Running: share.Running, Queued: share.Queued, Address: a.options.Member.API,
+			Open: share.Open, Running: share.Running, Queued: share.Queued, Pace: share.Pace, Address: a.options.Member.API,
 		}
 	}
 	return note
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -278,7 +278,7 @@
 func (e *Entry) receive(note gossip.Note) {
 	if note.Rank != nil {
 		for _, p := range e.allPools() {
-			p.SetGroup(note.Rank.Server, note.Rank.Group, note.Rank.Open)
+			p.SetRank(note.Rank.Server, batch.RankState{Group: note.Rank.Group, Open: note.Rank.Open, Pace: note.Rank.Pace})
 		}
 		return
 	}
--- a/expert.go
+++ b/expert.go
@@ -316,6 +316,9 @@
 	Running int
 	Queued  int
 	Step    uint64
+	// Pace is the time that the rank needs for the same work, relative to a rank in
+	// good health.
+	Pace float64
 	// Version is that of the map in use, Held its experts on this rank by layer.
 	Version Ballot
 	Held    [][]int32
--- a/expert/layer.go
+++ b/expert/layer.go
@@ -24,7 +24,10 @@
 	holders [][]int32
 	// holds is set for each rank and expert if the rank has a copy.
 	holds []bool
+	// ranks is the load of each rank, weighed by its pace.
 	ranks []float64
+	// pace is the time that each rank needs for the same work, relative to others.
+	pace []float64
 	// penalty is the penalty of each rank's load.
 	penalty []float64
 	// order lists the ranks by load, least first.
@@ -68,6 +71,7 @@
 		copies:  make([]int, s.Experts),
 		holders: make([][]int32, s.Experts),
 		holds:   make([]bool, s.Ranks*s.Experts),
+		pace:    slices.Repeat([]float64{1}, s.Ranks),
 		ranks:   make([]float64, s.Ranks),
 		penalty: make([]float64, s.Ranks),
 		order:   make([]int, s.Ranks),
@@ -106,7 +110,7 @@
 	}
 	clear(st.ranks)
 	for i, e := range st.slots {
-		st.ranks[i/st.Slots] += st.share[e]
+		st.ranks[i/st.Slots] += st.share[e] * st.pace[i/st.Slots]
 	}
 	for r, x := range st.ranks {
 		st.penalty[r] = penalty(x)
@@ -156,25 +160,25 @@
 		if r == rank {
 			continue
 		}
-		x := st.ranks[r] + riseA
+		x := st.ranks[r] + riseA*st.pace[r]
 		if st.holds[int(r)*st.Experts+int(b)] {
-			x -= fallB
+			x -= fallB * st.pace[r]
 		}
 		gain += st.penalty[r] - penalty(x)
 	}
 	for _, r := range st.holders[b] {
 		if !st.holds[int(r)*st.Experts+int(a)] {
-			gain += st.penalty[r] - penalty(st.ranks[r]-fallB)
+			gain += st.penalty[r] - penalty(st.ranks[r]-fallB*st.pace[r])
 		}
 	}
-	return gain + st.penalty[rank] - penalty(st.ranks[rank]-st.share[a]+newB)
+	return gain + st.penalty[rank] - penalty(st.ranks[rank]+(newB-st.share[a])*st.pace[rank])
 }
 
 // swapGain returns how much the penalty falls if two slots exchange experts.
 func (st *layerState) swapGain(slotA, slotB int) float64 {
 	ra, rb := slotA/st.Slots, slotB/st.Slots
 	d := st.share[st.slots[slotA]] - st.share[st.slots[slotB]]
-	return st.penalty[ra] + st.penalty[rb] - penalty(st.ranks[ra]-d) - penalty(st.ranks[rb]+d)
+	return st.penalty[ra] + st.penalty[rb] - penalty(st.ranks[ra]-d*st.pace[ra]) - penalty(st.ranks[rb]+d*st.pace[rb])
 }
 
 // put replaces the expert of a slot and updates the loads.
@@ -193,7 +197,7 @@
 	st.shift(b, 1)
 	i := slices.Index(st.holders[a], int32(rank))
 	st.holders[a] = slices.Delete(st.holders[a], i, i+1)
-	st.ranks[rank] += st.share[b] - st.share[a]
+	st.ranks[rank] += (st.share[b] - st.share[a]) * st.pace[rank]
 	st.holders[b] = append(st.holders[b], int32(rank))
 	st.holds[rank*st.Experts+int(a)] = false
 	st.holds[rank*st.Experts+int(b)] = true
@@ -210,7 +214,7 @@
 		share = st.load[e] / float64(st.copies[e])
 	}
 	for _, r := range st.holders[e] {
-		st.ranks[r] += share - st.share[e]
+		st.ranks[r] += (share - st.share[e]) * st.pace[r]
 		st.penalty[r] = penalty(st.ranks[r])
 	}
 	st.share[e] = share
@@ -276,7 +280,7 @@
 	fall := st.share[b] - st.load[b]/float64(st.copies[b]+1)
 	gain := 0.0
 	for _, r := range st.holders[b] {
-		gain += st.penalty[r] - penalty(st.ranks[r]-fall)
+		gain += st.penalty[r] - penalty(st.ranks[r]-fall*st.pace[r])
 	}
 	return gain
 }
@@ -294,7 +298,7 @@
 		if st.copies[a] < 2 || !st.mayTake(rank, a, b) {
 			continue
 		}
-		bound := relief + st.penalty[rank] - penalty(st.ranks[rank]-st.share[a]+newB)
+		bound := relief + st.penalty[rank] - penalty(st.ranks[rank]+(newB-st.share[a])*st.pace[rank])
 		if st.outweighed(slot, b, bound-best.gain) {
 			continue
 		}
@@ -320,10 +324,10 @@
 		}
 		x, before := st.ranks[r], st.penalty[r]
 		if st.holds[int(r)*st.Experts+int(b)] {
-			x -= fall
+			x -= fall * st.pace[r]
 			before = penalty(x)
 		}
-		gain -= penalty(x+rise) - before
+		gain -= penalty(x+rise*st.pace[r]) - before
 		if gain < -rounding {
 			return true
 		}
--- a/expert/spread.go
+++ b/expert/spread.go
@@ -13,6 +13,9 @@
 	// FreshPerRank is the number of copies that a rank may fetch in all layers; 0
 	// sets no bound.
 	FreshPerRank int
+	// Pace is the time that each rank needs for the same work, relative to a rank in
+	// good health; nil if all are.
+	Pace []float64
 	// MoveCost is the fall of the skew that pays for one copy on each rank.
 	MoveCost float64
 }
@@ -40,6 +43,9 @@
 	out := Spreading{Map: m}
 	out.Map.Layers = make([][]int32, len(m.Layers))
 	st := newLayerState(shape)
+	if len(limits.Pace) == shape.Ranks {
+		st.pace = limits.Pace
+	}
 	fresh := make([]int, shape.Ranks)
 	for layer := range m.Layers {
 		tokens := make([]float64, shape.Experts)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -57,6 +57,9 @@
 	Open    bool
 	Running int
 	Queued  int
+	// Pace is the time that the rank needs for the same work, relative to one in
+	// good health.
+	Pace float64
 	// Address takes the calls of other agents.
 	Address string
 }
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -20,7 +20,7 @@
 	waitShare = 0.5
 	// lateWaitShare is the part of the time left for which a request waits that is
 	// late already.
-	lateWaitShare = 0.5
+	lateWaitShare = 0.3
 	// minTimeLeft is the least time left that makes an attempt worth sending.
 	minTimeLeft = 20 * time.Millisecond
 	// silenceTimeout is the pause after which a stream's replica is given up.
@@ -75,6 +75,7 @@
 		Tokens:   x.request.PromptTokens + x.answerTokens(),
 		Due:      due,
 		Until:    x.waitUntil(due),
+		Deadline: x.deadline,
 		Excluded: x.excluded,
 	})
 	if err == nil {
--- a/steer/balance.go
+++ b/steer/balance.go
@@ -35,6 +35,9 @@
 	// copiesPerChange is the number of copies that a rank fetches for one change:
 	// few, so that the hottest experts are spread soon.
 	copiesPerChange = 3
+	// strickenSkew is the skew beyond which a change fetches whatever the ranks can
+	// stage: a rank is slow, and each pass until the switch takes long.
+	strickenSkew = 4.0
 	// balanceAhead is the number of passes between the latest one and the switch.
 	// Ranks hold before it, so an order that comes late only makes them wait.
 	balanceAhead = 2
@@ -333,9 +336,14 @@
 		return nil
 	}
 	began := b.options.Clock.Now()
-	spreading, err := expert.Spread(now, loads, expert.SpreadLimits{
-		FreshPerLayer: spec.StagedPerLayer, FreshPerRank: copiesPerChange, MoveCost: moveCost,
-	})
+	limits := expert.SpreadLimits{
+		FreshPerLayer: spec.StagedPerLayer, FreshPerRank: copiesPerChange, MoveCost: moveCost, Pace: paces(shares),
+	}
+	spreading, err := expert.Spread(now, loads, limits)
+	if err == nil && spreading.Skew > strickenSkew {
+		limits.FreshPerRank = 0
+		spreading, err = expert.Spread(now, loads, limits)
+	}
 	if err != nil {
 		b.options.Logger.Error("no plan", zap.Error(err))
 		return nil
@@ -352,6 +360,15 @@
 	return &track.MapChange{Base: shares[0].Version, Whole: &spreading.Map}
 }
 
+// paces returns the pace of each rank.
+func paces(shares []track.RankShare) []float64 {
+	out := make([]float64, len(shares))
+	for i, s := range shares {
+		out[i] = max(s.Pace, 1)
+	}
+	return out
+}
+
 // sumCounts adds up the recent counts of all ranks. It reports whether there are
 // any.
 func sumCounts(shares []track.RankShare, spec track.ExpertSpec) (expert.Loads, bool) {
