--- a/cmd/trackd/main.go
+++ b/cmd/trackd/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -53,7 +54,6 @@
 		written := duty.Start(writing, "write log", lines.Run)
 		err = run(ctx, s, log.With(zap.String("Instance", string(s.Name))))
 		finish()
-		<-written.Done()
-		return err
+		return errors.Join(err, duty.Wait(zap.NewNop(), written))
 	}
 }
