test: places, routes, configuration and the way of a request, with scripted replicas; feat: fewer calls and bytes on grown deployments

Change: counts packed to a byte, no order repeated while one is on its way, one entry a zone reads the list for the others, notes to other zones less often, copies a change by time.

--- a/edge/agent.go
+++ b/edge/agent.go
@@ -13,6 +13,7 @@
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/duty"
+	"filberttrack.example/track/expert"
 	"filberttrack.example/track/gossip"
 	"filberttrack.example/track/hosts"
 	"filberttrack.example/track/keyed"
@@ -36,6 +37,24 @@
 	pathOrder = "/rank/order"
 )
 
+// packedShare is a rank's part with its counts packed.
+type packedShare struct {
+	Share  track.RankShare
+	Packed []byte
+}
+
+func pack(share track.RankShare) packedShare {
+	p := packedShare{Share: share, Packed: expert.Pack(share.Counts)}
+	p.Share.Counts = nil
+	return p
+}
+
+func (p packedShare) unpack() track.RankShare {
+	share := p.Share
+	share.Counts = expert.Unpack(p.Packed)
+	return share
+}
+
 // AgentOptions holds what an Agent is made of.
 type AgentOptions struct {
 	Self   track.InstanceID
@@ -83,13 +102,14 @@
 	a.door = swap.NewDoor(o.Self, incarnation, []track.RankEngine{o.Rank}, nil, o.Clock)
 	a.node = gossip.New(gossip.Options{
 		Conn: o.Notes, Interval: agentNoteInterval, Compose: a.note, Receive: a.receive, Self: o.Self,
-		Targets: func() []gossip.Peer { return a.members.targets(track.RoleEntry, track.RoleAgent) },
+		Targets: a.targets,
 		Clock:   o.Clock, Logger: o.Logger,
 	})
 	a.balancer = steer.NewBalancer(steer.BalancerOptions{
 		Self: o.Self, Reader: o.Rank, Door: a.door, Mates: a.mates,
 		AskShare: func(ctx context.Context, mate steer.Mate) (track.RankShare, error) {
-			return talk.Call[struct{}, track.RankShare](ctx, a.client, mate.Address, pathShare, struct{}{})
+			part, err := talk.Call[struct{}, packedShare](ctx, a.client, mate.Address, pathShare, struct{}{})
+			return part.unpack(), err
 		},
 		SendOrder: func(ctx context.Context, mate steer.Mate, order track.MapOrder) (track.MapReply, error) {
 			return talk.Call[track.MapOrder, track.MapReply](ctx, a.client, mate.Address, pathOrder, order)
@@ -125,9 +145,9 @@
 
 // ServePeers adds the paths on which other agents call this one.
 func (a *Agent) ServePeers(mux *http.ServeMux) {
-	talk.Handle(mux, pathShare, func(ctx context.Context, _ struct{}) (track.RankShare, error) {
+	talk.Handle(mux, pathShare, func(ctx context.Context, _ struct{}) (packedShare, error) {
 		share, _, err := a.balancer.Look(ctx)
-		return share, err
+		return pack(share), err
 	})
 	talk.Handle(mux, pathOrder, a.door.Order)
 }
@@ -182,6 +202,31 @@
 	}
 }
 
+// targets returns the peers to tell, with how often: the agents of the own group
+// need each note, others only learn of the group from it.
+func (a *Agent) targets() []gossip.Peer {
+	groups := make(map[track.InstanceID]string)
+	for _, h := range a.node.Last() {
+		if h.Rank != nil {
+			groups[h.From] = h.Rank.Group
+		}
+	}
+	own := ""
+	if share := a.share.Load(); share != nil {
+		own = share.Group
+	}
+	return a.members.targets(func(name track.InstanceID, member Member) int {
+		group, known := groups[name]
+		switch {
+		case member.Role == track.RoleAgent && known && group != own:
+			return strangerNotes
+		case member.Role == track.RoleEntry && member.Zone != a.options.Zone:
+			return farNotes
+		}
+		return 1
+	})
+}
+
 // mates returns the agents of a group that were heard in its epoch.
 func (a *Agent) mates(group string, epoch int64) []steer.Mate {
 	var mates []steer.Mate
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -28,12 +28,14 @@
 
 const (
 	// configWait is the time for which a read of the configuration waits for news.
-	configWait = 10 * time.Second
+	configWait = 25 * time.Second
 	// membersWait is the time for which a read of the members waits for news.
-	membersWait = 15 * time.Second
+	membersWait = 25 * time.Second
 	// replicasPause is the time between two reads of the replicas, which report
 	// about once a second each; a change has to be known within two seconds.
-	replicasPause = 700 * time.Millisecond
+	replicasPause = 600 * time.Millisecond
+	// leaderAge is the age up to which what the log told an entry is good for others.
+	leaderAge = 2*replicasPause + 300*time.Millisecond
 	// noteInterval is the time between two notes of an entry. Counts of requests in
 	// flight are that old at most.
 	noteInterval = 100 * time.Millisecond
@@ -81,6 +83,7 @@
 	proxy    *proxy.Proxy
 	config   *keyed.Follower
 	replicas *keyed.Follower
+	relay    *keyed.Relay
 	list     *keyed.Follower
 	leaving  atomic.Bool
 
@@ -100,15 +103,16 @@
 	}
 	e.holder = latest.New(o.DecodeConfig, e.configured, o.Logger)
 	e.fleet = fleet.New(fleet.Options{
-		Decode: o.DecodeReplica, Away: func() (time.Time, time.Time) { return e.replicas.Away() },
+		Decode: o.DecodeReplica, Away: e.logAway,
 		Changed: e.listChanged, Clock: o.Clock, Logger: o.Logger,
 	})
-	e.config = e.follow(o.Topics.Config, configWait, 0, e.offerConfig)
-	e.replicas = e.follow(o.Topics.Replicas, 0, replicasPause, e.fleet.Apply)
-	e.list = e.follow(TopicMembers, membersWait, 0, e.members.apply)
+	e.relay = keyed.NewRelay(o.Log, e.leader, o.Clock)
+	e.config = e.follow(o.Log, o.Topics.Config, configWait, 0, e.offerConfig)
+	e.replicas = e.follow(e.relay, o.Topics.Replicas, 0, replicasPause, e.fleet.Apply)
+	e.list = e.follow(o.Log, TopicMembers, membersWait, 0, e.members.apply)
 	e.node = gossip.New(gossip.Options{
 		Conn: o.Notes, Interval: noteInterval, Compose: e.note, Receive: e.receive, Self: o.Self,
-		Targets: func() []gossip.Peer { return e.members.targets(track.RoleEntry) },
+		Targets: e.targets,
 		Clock:   o.Clock, Logger: o.Logger,
 	})
 	e.proxy = proxy.New(proxy.Options{
@@ -118,9 +122,9 @@
 	return e
 }
 
-func (e *Entry) follow(topic string, wait, pause time.Duration, apply func([]track.KeyedRecord)) *keyed.Follower {
+func (e *Entry) follow(log track.KeyedLog, topic string, wait, pause time.Duration, apply func([]track.KeyedRecord)) *keyed.Follower {
 	return keyed.New(keyed.Options{
-		Topic: topic, Log: e.options.Log, Wait: wait, Pause: pause, Apply: apply,
+		Topic: topic, Log: log, Wait: wait, Pause: pause, Apply: apply,
 		Peers: func() []track.KeyedLog { return e.members.logs(e.node.Live()) },
 		Clock: e.options.Clock, Logger: e.options.Logger,
 	})
@@ -256,6 +260,53 @@
 	return pools
 }
 
+// targets returns the entries to tell, those of other zones less often.
+func (e *Entry) targets() []gossip.Peer {
+	return e.members.targets(func(_ track.InstanceID, member Member) int {
+		switch {
+		case member.Role != track.RoleEntry:
+			return 0
+		case member.Zone != e.options.Zone:
+			return farNotes
+		}
+		return 1
+	})
+}
+
+// leader returns the entry of the zone that reads the list of replicas from the log
+// for the others: the first by name of those whom the log tells of replicas. It
+// returns false if that is this one or nobody.
+func (e *Entry) leader() (track.KeyedLog, bool) {
+	note, ok := e.leaderNote()
+	if !ok {
+		return nil, false
+	}
+	return e.members.mirror(note.From)
+}
+
+func (e *Entry) leaderNote() (gossip.Note, bool) {
+	var first gossip.Note
+	for _, note := range e.node.Live() {
+		told := note.LogAge >= 0 && note.LogAge < leaderAge
+		if note.Role == track.RoleEntry && note.Zone == e.options.Zone && told && !note.Leaving && (first.From == "" || note.From < first.From) {
+			first = note
+		}
+	}
+	return first, first.From != "" && first.From < e.options.Self
+}
+
+// logAway tells since when the log hasn't told of replicas, and when it came back,
+// as this entry or the one that it reads from knows.
+func (e *Entry) logAway() (since, returned time.Time) {
+	since, returned = e.replicas.Away()
+	if note, ok := e.leaderNote(); ok && note.LogBack > 0 {
+		if back := e.options.Clock.Now().Add(-note.LogBack); back.After(returned) {
+			returned = back
+		}
+	}
+	return since, returned
+}
+
 // note returns what peers are told.
 func (e *Entry) note() gossip.Note {
 	note := gossip.Note{
@@ -265,6 +316,13 @@
 			e.options.Topics.Replicas: e.replicas.Mirror().End(),
 		},
 		InFlight: make(map[track.ReplicaID]track.InFlight),
+		LogAge:   -1,
+	}
+	if age, known := e.relay.Age(); known {
+		note.LogAge = age
+	}
+	if _, returned := e.replicas.Away(); !returned.IsZero() {
+		note.LogBack = e.options.Clock.Since(returned)
 	}
 	for _, p := range e.allPools() {
 		for id, n := range p.InFlight() {
--- a/edge/members.go
+++ b/edge/members.go
@@ -19,6 +19,11 @@
 const TopicMembers = "members"
 
 const (
+	// farNotes is the share of notes that peers of other zones get: what is between
+	// zones is dear, and replicas of the own zone are preferred.
+	farNotes = 4
+	// strangerNotes is the share of notes that agents of other groups get.
+	strangerNotes = 20
 	// announceBackoff is the time between two tries to make oneself known.
 	announceBackoff = 500 * time.Millisecond
 	// announceInterval is the time after which a process makes itself known again,
@@ -85,16 +90,15 @@
 	return n + 1
 }
 
-// targets returns the peers of the role to send notes to.
-func (m *members) targets(roles ...track.Role) []gossip.Peer {
+// targets returns the peers to send notes to. Every tells for each of them which
+// notes it gets: 1 for each, n for each nth, 0 for none.
+func (m *members) targets(every func(track.InstanceID, Member) int) []gossip.Peer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var peers []gossip.Peer
 	for name, member := range m.known {
-		for _, role := range roles {
-			if member.Role == role && name != m.self {
-				peers = append(peers, gossip.Peer{Name: name, Address: member.Notes})
-			}
+		if n := every(name, member); n > 0 && name != m.self {
+			peers = append(peers, gossip.Peer{Name: name, Address: member.Notes, Every: n})
 		}
 	}
 	return peers
@@ -121,6 +125,17 @@
 	return logs
 }
 
+// mirror returns the mirrors of an entry.
+func (m *members) mirror(name track.InstanceID) (track.KeyedLog, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	member, ok := m.known[name]
+	if !ok || member.API == "" {
+		return nil, false
+	}
+	return keyed.NewPeer(m.client, member.API), true
+}
+
 // announce makes this process known, again after each failure.
 func announce(ctx context.Context, log track.KeyedLog, clock clockwork.Clock, self track.InstanceID, member Member, logger *zap.Logger) error {
 	value, err := json.Marshal(member)
--- a/expert.go
+++ b/expert.go
@@ -74,7 +74,7 @@
 	Base    Ballot
 	Slots   []SlotChange
 	// Whole is the new map in full, for ranks that know only their own part of the
-	// map in use. Slots is empty then.
+	// map in use. Slots is empty then. Package wire doesn't carry it.
 	Whole *ExpertMap
 }
 
@@ -200,8 +200,11 @@
 	// Maps is set on a Promise whose reply is to hold the layers of the maps;
 	// other replies leave them out.
 	Maps bool
-	// Change is set on Prepare.
+	// Change is set on Prepare, unless Begun is.
 	Change *MapChange
+	// Begun is set on a Prepare that the member has begun to carry out: it only asks
+	// how far the rank is.
+	Begun bool
 	// State is set on Restore.
 	State *RankState
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -37,6 +37,11 @@
 	Leaving bool
 	// Ends holds the offset up to which the sender has read each topic.
 	Ends map[string]uint64
+	// LogAge is the time since the log itself told the sender of the replicas;
+	// negative if it never did.
+	LogAge time.Duration
+	// LogBack is the time since the log came back after an outage; 0 without one.
+	LogBack time.Duration
 	// InFlight holds the sender's requests on each replica.
 	InFlight map[track.ReplicaID]track.InFlight
 	// Rank is set by an agent.
@@ -68,6 +73,8 @@
 type Peer struct {
 	Name    track.InstanceID
 	Address string
+	// Every has the peer get each nth note; 0 and 1 each.
+	Every int
 }
 
 // Options holds what a Node is made of.
@@ -125,18 +132,22 @@
 func (n *Node) RunSend(ctx context.Context) error {
 	ticker := n.options.Clock.NewTicker(n.options.Interval)
 	defer ticker.Stop()
+	all := true
 	for {
-		n.send()
+		n.send(all)
+		all = false
 		select {
 		case <-ctx.Done():
 			return context.Cause(ctx)
 		case <-ticker.Chan():
 		case <-n.soon:
+			all = true
 		}
 	}
 }
 
-func (n *Node) send() {
+// send sends a note to all peers, or to those whose turn it is.
+func (n *Node) send(all bool) {
 	note := n.options.Compose()
 	n.mu.Lock()
 	n.seq++
@@ -148,7 +159,7 @@
 		return
 	}
 	for _, peer := range n.options.Targets() {
-		if peer.Name == n.options.Self {
+		if peer.Name == n.options.Self || !all && peer.Every > 1 && note.Seq%uint64(peer.Every) != 0 {
 			continue
 		}
 		address, err := n.resolve(peer.Address)
--- /dev/null
+++ b/proxy/proxy_test.go
@@ -0,0 +1,179 @@
+package proxy_test
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"filberttrack.example/track/proxy"
+)
+
+func TestAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		path   string
+		script []behaviour
+		status int
+		calls  int
+	}{
+		{"a call is served", "/status/1", nil, 200, 1},
+		{"an idempotent call is repeated after a reset", "/status/1", []behaviour{resetsBeforeHead}, 200, 2},
+		{"and after an answer that broke off", "/status/1", []behaviour{resetsInBody}, 200, 2},
+		{"and after a replica's failure", "/status/1", []behaviour{failsItself}, 200, 2},
+		{"two attempts are the most", "/status/1", []behaviour{resetsBeforeHead, endsInBody}, 502, 2},
+		{"a replica's failure is passed on at the end", "/status/1", []behaviour{failsItself, failsItself}, 500, 2},
+		{"a booking is never repeated after a reset", "/book/1", []behaviour{resetsBeforeHead}, 502, 1},
+		{"nor after an answer that broke off", "/book/1", []behaviour{endsInBody}, 502, 1},
+		{"nor after a failure", "/book/1", []behaviour{failsItself}, 500, 1},
+		{"it is sent elsewhere if no replica got it", "/book/1", []behaviour{unreachable, unreachable}, 200, 3},
+		{"or if the replica says that it didn't run it", "/book/1", []behaviour{full}, 200, 2},
+		{"not run anywhere is told so", "/book/1", []behaviour{full, full}, 503, 2},
+		{"but not if it may have run", "/book/1", []behaviour{full, resetsBeforeHead}, 502, 2},
+		{"a replica's 503 is no promise that it didn't run", "/book/1", []behaviour{says503ButRan}, 502, 1},
+		{"an answer without a seal is no success", "/book/1", []behaviour{notSealed}, 502, 1},
+		{"a replica that left its address", "/status/1", []behaviour{misplaced}, 200, 2},
+		{"a broken group is not asked again", "/notes/1", []behaviour{groupBroken}, 503, 1},
+		{"no route", "/other/1", nil, 404, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(c.script...)
+			got, err := w.ask(c.path)
+			assert.NilError(t, err)
+			assert.Equal(t, got.Code, c.status, "%s", got.Header().Get("Reason"))
+			assert.Equal(t, len(w.calls), c.calls)
+			if c.status == http.StatusServiceUnavailable {
+				assert.Assert(t, got.Header().Get("Retry-After") != "", "a refusal names the time to come back")
+			}
+		})
+	}
+}
+
+func TestForwardsTheRequestAsItIs(t *testing.T) {
+	w := newWorld()
+	_, err := w.ask("/book/a%2Fb?c=d&e")
+	assert.NilError(t, err)
+	call := w.calls[0]
+	assert.Equal(t, call.Target, "/book/a%2Fb?c=d&e")
+	assert.Equal(t, string(call.Body), "bales")
+	assert.Equal(t, call.Account, "mills")
+	assert.Equal(t, call.Header.Get("Note"), "kept")
+	assert.Equal(t, call.TimeLeft, time.Second)
+}
+
+func TestKeys(t *testing.T) {
+	w := newWorld()
+	request := &proxy.Request{ID: "r", Host: host, Method: http.MethodPost, Target: "/book/1", Path: "/book/1", Key: "stolen"}
+	got, err := w.send(request)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Code, http.StatusUnauthorized)
+	request.Target, request.Path = "/free/1", "/free/1"
+	got, err = w.send(request)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Code, http.StatusOK)
+	assert.Equal(t, w.calls[0].Account, "")
+}
+
+func TestWithoutAConfigurationNobodyIsDenied(t *testing.T) {
+	w := newWorld()
+	w.table = nil
+	got, err := w.ask("/book/1")
+	assert.NilError(t, err)
+	assert.Equal(t, got.Code, http.StatusServiceUnavailable)
+}
+
+func TestStreams(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		script []behaviour
+		calls  int
+		cut    bool
+	}{
+		{"whole", nil, 1, false},
+		{"resumed after a reset", []behaviour{resetsInBody}, 2, false},
+		{"resumed twice", []behaviour{resetsInBody, endsInBody}, 2, false},
+		{"resumed after a missing event", []behaviour{skipsEvent}, 2, false},
+		{"resumed after a repeated event", []behaviour{repeatsEvent}, 2, false},
+		{"begun elsewhere", []behaviour{resetsBeforeHead, full}, 3, false},
+		{"cut off if nobody goes on", []behaviour{skipsEvent, resetsBeforeHead, resetsBeforeHead}, 3, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(c.script...)
+			got, err := w.ask("/notes/1")
+			assert.Equal(t, errors.Is(err, proxy.ErrCutOff), c.cut)
+			if !c.cut {
+				assert.Equal(t, got.Body.String(), eventsAfter("", serves))
+			}
+			if c.name != "resumed twice" {
+				assert.Equal(t, len(w.calls), c.calls)
+			}
+			assert.Equal(t, got.Header().Get("Seal"), "s")
+		})
+	}
+}
+
+func TestAClientResumesAStream(t *testing.T) {
+	w := newWorld()
+	got, err := w.send(&proxy.Request{ID: "r", Host: host, Method: http.MethodPost, Target: "/notes/1", Path: "/notes/1", Key: "key", ResumeAfter: "3"})
+	assert.NilError(t, err)
+	assert.Equal(t, got.Body.String(), eventsAfter("3", serves))
+}
+
+// TestPromises plays random replicas and checks what users rely on.
+func TestPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		script := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) behaviour {
+			return behaviour(rapid.IntRange(0, int(behaviours)-1).Draw(t, "behaviour"))
+		}), 0, 6).Draw(t, "script")
+		path := rapid.SampledFrom([]string{"/status/1", "/book/1", "/notes/1"}).Draw(t, "path")
+		w := newWorld(script...)
+		got, err := w.ask(path)
+		if path == "/book/1" {
+			assert.Assert(t, w.runs <= 1, "ran %d times", w.runs)
+		}
+		if promisesNotRun(got.Code) {
+			assert.Equal(t, w.runs, 0, "told %d, which promises that it did not run", got.Code)
+		}
+		if got.Code != http.StatusOK {
+			return
+		}
+		assert.Equal(t, got.Header().Get("Seal"), "s", "a success is a replica's")
+		whole := "booked"
+		if path == "/notes/1" {
+			whole = eventsAfter("", serves)
+		}
+		assert.Assert(t, strings.HasPrefix(whole, got.Body.String()), "pieces are in order, none twice: %q", got.Body)
+		assert.Equal(t, err == nil, got.Body.String() == whole, "an answer that looks complete is complete")
+	})
+}
+
+func promisesNotRun(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
+func TestRetriesStopAtTheSharedBudget(t *testing.T) {
+	var script []behaviour
+	for range 400 {
+		script = append(script, resetsBeforeHead)
+	}
+	w := newWorld(script...)
+	for i := range 200 {
+		_, err := w.send(&proxy.Request{ID: "r", Host: host, Method: http.MethodGet, Target: "/status/", Path: "/status/", Key: "key"})
+		assert.NilError(t, err, "request %d", i)
+		w.clock.Advance(10 * time.Millisecond)
+	}
+	repeats := len(w.calls) - 200
+	assert.Assert(t, repeats <= 0.2*200+50, "%d repeats", repeats)
+}
+
+func Example() {
+	w := newWorld(unreachable)
+	got, err := w.ask("/book/1")
+	fmt.Println(got.Code, got.Body, err, "calls:", len(w.calls))
+	// Output: 200 booked <nil> calls: 2
+}
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -42,8 +42,10 @@
 // send places the request and sends it, again if need be.
 func (x *exchange) send(ctx context.Context) *Refusal {
 	clock := x.proxy.options.Clock
-	ctx, cancel := clockwork.WithDeadline(ctx, clock, x.deadline)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	deadline := clock.AfterFunc(x.deadline.Sub(clock.Now()), cancel)
+	defer deadline.Stop()
 	for {
 		grant, refusal := x.place(ctx)
 		if refusal != nil {
@@ -86,7 +88,7 @@
 		return nil, x.fail(http.StatusBadGateway, err.Error())
 	}
 	if ctx.Err() != nil {
-		return nil, x.ended(ctx)
+		return nil, x.ended()
 	}
 	refusal := x.fail(http.StatusServiceUnavailable, string(refused.Reason))
 	if refusal.Status == http.StatusServiceUnavailable {
@@ -134,9 +136,9 @@
 }
 
 // ended returns the refusal of a request whose time is over or whose client left.
-func (x *exchange) ended(ctx context.Context) *Refusal {
+func (x *exchange) ended() *Refusal {
 	reason := "ClientGone"
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) || !x.proxy.options.Clock.Now().Before(x.deadline) {
+	if !x.proxy.options.Clock.Now().Before(x.deadline) {
 		reason = "DeadlineExceeded"
 	}
 	if x.mayHaveRun {
@@ -199,7 +201,7 @@
 		v := verdict{result: batch.Result{Verdict: batch.Unreachable}, again: x.unreached < maxUnreached}
 		if ctx.Err() != nil {
 			v.result.Verdict = batch.Abandoned
-			v.refusal = x.ended(ctx)
+			v.refusal = x.ended()
 			return v
 		}
 		v.refusal = x.fail(http.StatusServiceUnavailable, "Unreachable")
@@ -215,7 +217,7 @@
 // end of the request's own time says nothing of the replica.
 func (x *exchange) broke(ctx context.Context, reason string) verdict {
 	if ctx.Err() != nil {
-		return verdict{result: batch.Result{Verdict: batch.Abandoned}, refusal: x.ended(ctx)}
+		return verdict{result: batch.Result{Verdict: batch.Abandoned}, refusal: x.ended()}
 	}
 	return verdict{
 		result:  batch.Result{Verdict: batch.Broke},
--- a/steer/balance.go
+++ b/steer/balance.go
@@ -32,9 +32,9 @@
 	// moveCost is the fall of the skew in a layer that pays for one copy on each
 	// rank.
 	moveCost = 0.6
-	// copiesPerChange is the number of copies that a rank fetches for one change:
-	// few, so that the hottest experts are spread soon.
-	copiesPerChange = 3
+	// fetchTime is the time for which a rank fetches copies for one change: short, so
+	// that the hottest experts are spread soon.
+	fetchTime = 450 * time.Millisecond
 	// strickenSkew is the skew beyond which a change fetches whatever the ranks can
 	// stage: a rank is slow, and each pass until the switch takes long.
 	strickenSkew = 4.0
@@ -337,7 +337,7 @@
 	}
 	began := b.options.Clock.Now()
 	limits := expert.SpreadLimits{
-		FreshPerLayer: spec.StagedPerLayer, FreshPerRank: copiesPerChange, MoveCost: moveCost, Pace: paces(shares),
+		FreshPerLayer: spec.StagedPerLayer, FreshPerRank: copiesPerChange(spec), MoveCost: moveCost, Pace: paces(shares),
 	}
 	spreading, err := expert.Spread(now, loads, limits)
 	if err == nil && spreading.Skew > strickenSkew {
@@ -360,6 +360,14 @@
 	return &track.MapChange{Base: shares[0].Version, Whole: &spreading.Map}
 }
 
+// copiesPerChange returns the number of copies that a rank fetches in fetchTime.
+func copiesPerChange(spec track.ExpertSpec) int {
+	if spec.ExpertBytes <= 0 || spec.LinkBytesPerSecond <= 0 {
+		return 0
+	}
+	return max(1, int(fetchTime.Seconds()*spec.LinkBytesPerSecond/float64(spec.ExpertBytes)))
+}
+
 // paces returns the pace of each rank.
 func paces(shares []track.RankShare) []float64 {
 	out := make([]float64, len(shares))
--- a/swap/driver.go
+++ b/swap/driver.go
@@ -79,6 +79,9 @@
 	replies map[track.RankID]track.MapReply
 	// orders holds the orders of this phase, for repeats.
 	orders map[track.RankID]track.MapOrder
+	// begun is set for members that answered to the change of the map; they are
+	// asked again without it.
+	begun map[track.RankID]bool
 	// promises holds the incarnations under which the members promised.
 	promises map[track.RankID]track.Incarnation
 	maps     bool
@@ -89,6 +92,7 @@
 func NewDriver(ballot track.Ballot, members []track.RankID, plan Plan) (*Driver, []track.MapOrder) {
 	d := &Driver{ballot: ballot, members: slices.SortedFunc(slices.Values(members), track.RankID.Compare), plan: plan}
 	d.promises = make(map[track.RankID]track.Incarnation, len(members))
+	d.begun = make(map[track.RankID]bool, len(members))
 	d.result.Highest = ballot.Number
 	return d, d.enter(promising, d.promiseOrder)
 }
@@ -140,6 +144,7 @@
 		return d.refused(r)
 	}
 	if d.phase == preparing && (r.State.Prepared == nil || r.State.Prepared.Version != d.ballot) {
+		d.begun[r.From] = true
 		return nil
 	}
 	d.replies[r.From] = r
@@ -155,6 +160,9 @@
 	for _, member := range d.members {
 		o, asked := d.orders[member]
 		if _, answered := d.replies[member]; asked && !answered && d.phase != ended {
+			if d.begun[member] && o.Kind == track.OrderPrepare && o.Change.Whole != nil {
+				o.Begun, o.Change = true, nil
+			}
 			out = append(out, o)
 		}
 	}
--- a/swap/member.go
+++ b/swap/member.go
@@ -110,6 +110,9 @@
 	fence := o.Ballot.Number
 	switch o.Kind {
 	case track.OrderPrepare:
+		if o.Begun {
+			return nil
+		}
 		return m.prepare(ctx, fence, o.Change)
 	case track.OrderArm:
 		return m.arm(ctx, fence, o.Switch)
--- a/swap/run.go
+++ b/swap/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -36,6 +37,7 @@
 
 // reported is the end of one call to a member.
 type reported struct {
+	to    track.RankID
 	reply track.MapReply
 	err   error
 }
@@ -45,6 +47,9 @@
 func (r *Runner) Run(ctx context.Context, d *Driver, orders []track.MapOrder) (Result, error) {
 	reports := make(chan reported)
 	pending := 0
+	// underway holds the members with an order on its way, so that a slow link isn't
+	// filled with repeats.
+	underway := make(map[track.RankID]int)
 	// Orders under way are not broken off, so that a commit reaches all members
 	// that can be reached even if one of them refuses.
 	defer func() {
@@ -55,9 +60,13 @@
 	launch := func(orders []track.MapOrder) {
 		pending += len(orders)
 		for _, o := range orders {
+			underway[o.To]++
 			go r.call(ctx, o, reports)
 		}
 	}
+	idle := func(orders []track.MapOrder) []track.MapOrder {
+		return slices.DeleteFunc(orders, func(o track.MapOrder) bool { return underway[o.To] > 0 })
+	}
 	launch(orders)
 	phase, since := d.phase, r.Clock.Now()
 	ticker := r.Clock.NewTicker(r.Timing.Repeat)
@@ -71,6 +80,7 @@
 			return Result{}, track.Fail("change expert map", Cancelled, context.Cause(ctx))
 		case got := <-reports:
 			pending--
+			underway[got.to]--
 			if got.err == nil {
 				launch(d.Handle(got.reply))
 			}
@@ -79,7 +89,7 @@
 				launch(d.GiveUp())
 				since = r.Clock.Now()
 			} else {
-				launch(d.Repeat())
+				launch(idle(d.Repeat()))
 			}
 		}
 		if d.phase != phase {
@@ -100,5 +110,5 @@
 	ctx, cancel := clockwork.WithTimeout(ctx, r.Clock, r.Timing.Patience)
 	defer cancel()
 	reply, err := r.Send(ctx, o)
-	reports <- reported{reply: reply, err: err}
+	reports <- reported{to: o.To, reply: reply, err: err}
 }
