--- a/edge/agent.go
+++ b/edge/agent.go
@@ -27,6 +27,13 @@
 // doesn't change.
 const agentNoteInterval = 400 * time.Millisecond
 
+// agentConfigPause and agentConfigMaxPause bound the time between two reads of the
+// configuration, of which an agent needs the description of the engines only.
+const (
+	agentConfigPause    = time.Second
+	agentConfigMaxPause = 8 * time.Second
+)
+
 // mateSilence is the time without a note after which an agent's rank is reached
 // directly: two notes were lost and the third is late.
 const mateSilence = 3*agentNoteInterval + 100*time.Millisecond
@@ -96,8 +103,9 @@
 func NewAgent(o AgentOptions) *Agent {
 	a := &Agent{options: o, members: newMembers(o.Self, o.Seeds, o.Logger), client: talk.NewClient()}
 	a.holder = latest.New(o.DecodeConfig, func(*hosts.Table) {}, o.Logger)
-	a.config = a.follow(o.Topics.Config, configWait, a.offerConfig)
-	a.list = a.follow(TopicMembers, membersWait, a.members.apply)
+	relay := keyed.NewRelay(o.Log, a.entryMirror, o.Clock)
+	a.config = a.follow(relay, keyed.Options{Topic: o.Topics.Config, Pause: agentConfigPause, MaxPause: agentConfigMaxPause, Apply: a.offerConfig})
+	a.list = a.follow(o.Log, keyed.Options{Topic: TopicMembers, Pause: membersPause, MaxPause: membersMaxPause, Apply: a.members.apply})
 	incarnation := track.Incarnation(o.Clock.Now().UnixMilli())
 	a.door = swap.NewDoor(o.Self, incarnation, []track.RankEngine{o.Rank}, nil, o.Clock)
 	a.node = gossip.New(gossip.Options{
@@ -119,12 +127,16 @@
 	return a
 }
 
-func (a *Agent) follow(topic string, wait time.Duration, apply func([]track.KeyedRecord)) *keyed.Follower {
-	return keyed.New(keyed.Options{
-		Topic: topic, Log: a.options.Log, Wait: wait, Apply: apply,
-		Peers: func() []track.KeyedLog { return a.members.logs(a.node.Live()) },
-		Clock: a.options.Clock, Logger: a.options.Logger,
-	})
+func (a *Agent) follow(log track.KeyedLog, o keyed.Options) *keyed.Follower {
+	o.Log, o.Clock, o.Logger = log, a.options.Clock, a.options.Logger
+	o.Peers = func() []track.KeyedLog { return a.members.logs(a.node.Live()) }
+	return keyed.New(o)
+}
+
+// entryMirror returns the mirror of an entry of the zone, from which the agent reads
+// the configuration: it needs the description of the engines only.
+func (a *Agent) entryMirror() (track.KeyedLog, bool) {
+	return a.members.mirrorIn(a.options.Zone)
 }
 
 // Start starts the agent's duties.
@@ -186,7 +198,9 @@
 }
 
 func (a *Agent) note() gossip.Note {
-	note := gossip.Note{Role: track.RoleAgent, Zone: a.options.Zone}
+	note := gossip.Note{
+		Role: track.RoleAgent, Zone: a.options.Zone, Address: a.options.Member.Notes, API: a.options.Member.API,
+	}
 	if share := a.share.Load(); share != nil {
 		note.Rank = &gossip.RankNote{
 			Server: a.options.Server, Group: share.Group, Epoch: share.Epoch, Rank: share.Rank, Ranks: share.Ranks,
@@ -197,6 +211,7 @@
 }
 
 func (a *Agent) receive(note gossip.Note) {
+	a.members.heard(note)
 	if note.Rank == nil {
 		a.config.Heard(note.Ends[a.options.Topics.Config])
 	}
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -29,8 +29,11 @@
 const (
 	// configWait is the time for which a read of the configuration waits for news.
 	configWait = 25 * time.Second
-	// membersWait is the time for which a read of the members waits for news.
-	membersWait = 25 * time.Second
+	// membersPause and membersMaxPause bound the time between two reads of the
+	// members. All processes start at about the same time; later ones make themselves
+	// known by their notes.
+	membersPause    = 500 * time.Millisecond
+	membersMaxPause = 30 * time.Second
 	// replicasPause is the time between two reads of the replicas, which report
 	// about once a second each; a change has to be known within two seconds.
 	replicasPause = 600 * time.Millisecond
@@ -107,9 +110,9 @@
 		Changed: e.listChanged, Clock: o.Clock, Logger: o.Logger,
 	})
 	e.relay = keyed.NewRelay(o.Log, e.leader, o.Clock)
-	e.config = e.follow(o.Log, o.Topics.Config, configWait, 0, e.offerConfig)
-	e.replicas = e.follow(e.relay, o.Topics.Replicas, 0, replicasPause, e.fleet.Apply)
-	e.list = e.follow(o.Log, TopicMembers, membersWait, 0, e.members.apply)
+	e.config = e.follow(o.Log, keyed.Options{Topic: o.Topics.Config, Wait: configWait, Apply: e.offerConfig})
+	e.replicas = e.follow(e.relay, keyed.Options{Topic: o.Topics.Replicas, Pause: replicasPause, Apply: e.fleet.Apply})
+	e.list = e.follow(o.Log, keyed.Options{Topic: TopicMembers, Pause: membersPause, MaxPause: membersMaxPause, Apply: e.members.apply})
 	e.node = gossip.New(gossip.Options{
 		Conn: o.Notes, Interval: noteInterval, Compose: e.note, Receive: e.receive, Self: o.Self,
 		Targets: e.targets,
@@ -122,12 +125,10 @@
 	return e
 }
 
-func (e *Entry) follow(log track.KeyedLog, topic string, wait, pause time.Duration, apply func([]track.KeyedRecord)) *keyed.Follower {
-	return keyed.New(keyed.Options{
-		Topic: topic, Log: log, Wait: wait, Pause: pause, Apply: apply,
-		Peers: func() []track.KeyedLog { return e.members.logs(e.node.Live()) },
-		Clock: e.options.Clock, Logger: e.options.Logger,
-	})
+func (e *Entry) follow(log track.KeyedLog, o keyed.Options) *keyed.Follower {
+	o.Log, o.Clock, o.Logger = log, e.options.Clock, e.options.Logger
+	o.Peers = func() []track.KeyedLog { return e.members.logs(e.node.Live()) }
+	return keyed.New(o)
 }
 
 // Start starts the entry's duties.
@@ -311,6 +312,7 @@
 func (e *Entry) note() gossip.Note {
 	note := gossip.Note{
 		Role: track.RoleEntry, Zone: e.options.Zone, Leaving: e.leaving.Load(),
+		Address: e.options.Member.Notes, API: e.options.Member.API,
 		Ends: map[string]uint64{
 			e.options.Topics.Config:   e.config.Mirror().End(),
 			e.options.Topics.Replicas: e.replicas.Mirror().End(),
@@ -334,6 +336,7 @@
 
 // receive takes a peer's note.
 func (e *Entry) receive(note gossip.Note) {
+	e.members.heard(note)
 	if note.Rank != nil {
 		for _, p := range e.allPools() {
 			p.SetRank(note.Rank.Server, batch.RankState{Group: note.Rank.Group, Open: note.Rank.Open, Pace: note.Rank.Pace})
--- a/edge/members.go
+++ b/edge/members.go
@@ -77,6 +77,16 @@
 	}
 }
 
+// heard takes the sender of a note, which may have started just now.
+func (m *members) heard(note gossip.Note) {
+	if note.Address == "" {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.known[note.From] = Member{Role: note.Role, Zone: note.Zone, Notes: note.Address, API: note.API}
+}
+
 // entries returns the number of known entries, this one included.
 func (m *members) entries() int {
 	m.mu.Lock()
@@ -116,8 +126,10 @@
 			logs = append(logs, keyed.NewPeer(m.client, member.API))
 		}
 	}
-	if len(logs) > 0 {
-		return logs
+	for _, member := range m.known {
+		if len(logs) == 0 && member.Role == track.RoleEntry && member.API != "" {
+			logs = append(logs, keyed.NewPeer(m.client, member.API))
+		}
 	}
 	for _, seed := range m.seeds {
 		logs = append(logs, keyed.NewPeer(m.client, seed))
@@ -136,6 +148,19 @@
 	return keyed.NewPeer(m.client, member.API), true
 }
 
+// mirrorIn returns the mirrors of an entry of a zone; different ones over time.
+func (m *members) mirrorIn(zone track.AvailabilityZone) (track.KeyedLog, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	// The order of a map varies.
+	for _, member := range m.known {
+		if member.Role == track.RoleEntry && member.Zone == zone && member.API != "" {
+			return keyed.NewPeer(m.client, member.API), true
+		}
+	}
+	return nil, false
+}
+
 // announce makes this process known, again after each failure.
 func announce(ctx context.Context, log track.KeyedLog, clock clockwork.Clock, self track.InstanceID, member Member, logger *zap.Logger) error {
 	value, err := json.Marshal(member)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -29,6 +29,9 @@
 	From track.InstanceID
 	Role track.Role
 	Zone track.AvailabilityZone
+	// Address takes notes, API calls of peers.
+	Address string
+	API     string
 	// Started is the time at which the sender started, in Unix ms, and Seq the
 	// number of the note since then.
 	Started int64
--- a/keyed/follow.go
+++ b/keyed/follow.go
@@ -26,9 +26,11 @@
 	// doesn't answer.
 	Peers func() []track.KeyedLog
 	// Wait is the time for which a read waits for news; Pause the time between two
-	// reads. One of them is set.
-	Wait  time.Duration
-	Pause time.Duration
+	// reads. One of them is set. The pause doubles after each read up to MaxPause, if
+	// that is set.
+	Wait     time.Duration
+	Pause    time.Duration
+	MaxPause time.Duration
 	// Apply takes news in order. It is called from one goroutine at a time.
 	Apply  func([]track.KeyedRecord)
 	Clock  clockwork.Clock
@@ -76,6 +78,7 @@
 	backoff := minBackoff
 	positioned := false
 	from := uint64(0)
+	usual := f.options.Pause
 	for {
 		var err error
 		if positioned {
@@ -86,10 +89,11 @@
 		if ctx.Err() != nil {
 			return context.Cause(ctx)
 		}
-		pause := f.options.Pause
+		pause := usual
 		switch {
 		case err == nil:
 			f.answered()
+			usual = max(usual, min(2*usual, f.options.MaxPause))
 			positioned, backoff = true, minBackoff
 		case track.IsKind(err, track.Expired):
 			f.options.Logger.Info("history expired, reading the newest records",
