--- a/cmd/trackd/main.go
+++ b/cmd/trackd/main.go
@@ -33,6 +33,8 @@
 		Commands: []*cli.Command{
 			{Name: "entry", Usage: "take clients' requests", Action: daemon(launch.Entry)},
 			{Name: "agent", Usage: "keep the expert map of a rank group even", Action: daemon(launch.Agent)},
+			checkCommand(),
+			traceCommand(),
 		},
 	}
 }
--- a/gateway.go
+++ b/gateway.go
@@ -33,6 +33,9 @@
 	// MaxGap is the longest pause between two events of a stream on time; 0 if the
 	// route names none.
 	MaxGap time.Duration
+	// Patience is the time without an event after which clients leave a stream; 0 for
+	// other routes.
+	Patience time.Duration
 	// Priority ranks routes; 0 is the most urgent.
 	Priority int
 	Targets  []RouteTarget
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -82,7 +82,7 @@
 	for {
 		n, readErr := answer.Body.Read(buffer)
 		if n > 0 {
-			silence.Reset(silenceTimeout)
+			silence.Reset(x.patience(silenceShare))
 			whole, err := x.splitter.Add(buffer[:n])
 			if len(whole) > 0 {
 				if result.FirstByte == 0 {
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -23,9 +24,13 @@
 	lateWaitShare = 0.3
 	// minTimeLeft is the least time left that makes an attempt worth sending.
 	minTimeLeft = 20 * time.Millisecond
-	// silenceTimeout is the pause after which a stream's replica is given up.
-	// Clients leave after two seconds.
-	silenceTimeout = 1700 * time.Millisecond
+	// defaultPatience is the patience assumed of a stream's clients.
+	defaultPatience = 2 * time.Second
+	// silenceShare is the part of the clients' patience after which a silent replica
+	// is given up, and waitPatience that for which a stream waits for a place: an
+	// answer that begins later finds nobody.
+	silenceShare = 0.85
+	waitPatience = 0.7
 	// usualUrgency is the middle of the range by which replicas admit requests.
 	usualUrgency = 5
 )
@@ -119,7 +124,11 @@
 // back, is better served late than told to come back once more.
 func (x *exchange) waitUntil(due time.Time) time.Time {
 	if now := x.proxy.options.Clock.Now(); !due.After(now) {
-		return now.Add(time.Duration(lateWaitShare * float64(x.deadline.Sub(now))))
+		wait := time.Duration(lateWaitShare * float64(x.deadline.Sub(now)))
+		if x.route.Stream {
+			wait = min(wait, x.patience(waitPatience))
+		}
+		return now.Add(wait)
 	}
 	if x.deadline.Before(due) {
 		return x.deadline
@@ -127,6 +136,11 @@
 	return due
 }
 
+// patience returns a part of the time without an event after which the client leaves.
+func (x *exchange) patience(share float64) time.Duration {
+	return time.Duration(share * float64(cmp.Or(x.route.Patience, defaultPatience)))
+}
+
 // fail returns a refusal that promises no more than is known.
 func (x *exchange) fail(status int, reason string) *Refusal {
 	if x.mayHaveRun && status == http.StatusServiceUnavailable {
@@ -160,7 +174,7 @@
 	}
 	var silence clockwork.Timer
 	if x.route.Stream {
-		silence = clock.AfterFunc(silenceTimeout, cancel)
+		silence = clock.AfterFunc(x.patience(silenceShare), cancel)
 		defer silence.Stop()
 	}
 	answer, err := x.proxy.options.Caller.Call(attemptCtx, call)
