--- a/steer/balance.go
+++ b/steer/balance.go
@@ -97,6 +97,8 @@
 	remotes map[string]*swap.Door
 	// known holds the latest part of each rank.
 	known map[int]track.RankShare
+	// incomplete is what the group lacked at the latest look.
+	incomplete string
 	// stuck is set if the latest attempt left something half done.
 	stuck bool
 	// unsettledSince is the time since which the own rank waits for a decision.
@@ -208,8 +210,8 @@
 // map is worth its copies, changes to it.
 func (b *Balancer) drive(ctx context.Context, own track.RankShare, mates []Mate, settle bool) {
 	shares, err := b.gather(ctx, own, mates)
+	b.noteIncomplete(own, err)
 	if err != nil {
-		b.options.Logger.Info("group incomplete", zap.String("Group", own.Group), zap.Error(err))
 		return
 	}
 	plan := swap.Plan{ArmAhead: balanceAhead}
@@ -300,6 +302,23 @@
 	return shares, failed
 }
 
+// noteIncomplete logs once what the group lacks, and once that it is complete again.
+func (b *Balancer) noteIncomplete(own track.RankShare, err error) {
+	lacks := ""
+	if err != nil {
+		lacks = err.Error()
+	}
+	if lacks == b.incomplete {
+		return
+	}
+	b.incomplete = lacks
+	if err == nil {
+		b.options.Logger.Info("group complete", zap.String("Group", own.Group), zap.Int64("Epoch", own.Epoch))
+		return
+	}
+	b.options.Logger.Warn("group incomplete", zap.String("Group", own.Group), zap.Int64("Epoch", own.Epoch), zap.Error(err))
+}
+
 // ask reads the part of a mate's rank, without the counts and experts if its agent
 // is silent.
 func (b *Balancer) ask(ctx context.Context, mate Mate) (track.RankShare, error) {
