--- a/batch/pool.go
+++ b/batch/pool.go
@@ -493,3 +493,15 @@
 	defer p.mu.Unlock()
 	p.dispatch()
 }
+
+// Broken reports whether a rank group of the service is known to be broken.
+func (p *Pool) Broken() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range p.replicas {
+		if r.listed && r.broken {
+			return true
+		}
+	}
+	return false
+}
--- a/cmd/trackd/main.go
+++ b/cmd/trackd/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
@@ -54,6 +55,7 @@
 		log, lines := logger.NewBounded(os.Stdout, clockwork.NewRealClock())
 		writing, finish := context.WithCancel(context.WithoutCancel(ctx))
 		written := duty.Start(writing, "write log", lines.Run)
+		metrics.GetOrCreateGauge("filberttrack_log_lines_dropped", func() float64 { return float64(lines.Dropped()) })
 		err = run(ctx, s, log.With(zap.String("Instance", string(s.Name))))
 		finish()
 		return errors.Join(err, duty.Wait(zap.NewNop(), written))
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -122,6 +122,7 @@
 		Table: e.holder.Table, Services: e, Caller: o.Caller, Refuse: o.Refuse,
 		Clock: o.Clock, Draw: o.Draw, Logger: o.Logger, Metrics: proxy.NewMetrics(o.Metrics),
 	})
+	e.registerGauges()
 	return e
 }
 
@@ -235,6 +236,7 @@
 		p = batch.New(batch.Options{Service: service, Zone: o.Zone, Entries: e.members.entries, Clock: o.Clock, Draw: o.Draw, Logger: o.Logger})
 		p.Update(e.listed)
 		e.pools[service] = p
+		e.registerPool(service, p)
 	}
 	return p
 }
@@ -247,6 +249,7 @@
 	if b == nil {
 		b = retry.NewShared(e.options.Retries, e.options.Clock, e.members.entries)
 		e.budgets[service] = b
+		e.registerBudget(service, b)
 	}
 	return b
 }
--- /dev/null
+++ b/edge/gauges.go
@@ -0,0 +1,42 @@
+package edge
+
+import (
+	"fmt"
+
+	"filberttrack.example/track/batch"
+	"filberttrack.example/track/retry"
+)
+
+// registerGauges adds what the entry knows at the moment to its metrics.
+func (e *Entry) registerGauges() {
+	set := e.options.Metrics
+	set.GetOrCreateGauge("filberttrack_config_version", func() float64 {
+		if table := e.holder.Table(); table != nil {
+			return float64(table.Version())
+		}
+		return 0
+	})
+	set.GetOrCreateGauge("filberttrack_replicas_age_seconds", func() float64 {
+		age, known := e.relay.Age()
+		if !known {
+			return -1
+		}
+		return age.Seconds()
+	})
+	set.GetOrCreateGauge("filberttrack_peers_heard", func() float64 { return float64(len(e.node.Live())) })
+}
+
+// registerPool adds the state of a service's places to the metrics.
+func (e *Entry) registerPool(service string, pool *batch.Pool) {
+	e.options.Metrics.GetOrCreateGauge(fmt.Sprintf("filberttrack_group_broken{service=%q}", service), func() float64 {
+		if pool.Broken() {
+			return 1
+		}
+		return 0
+	})
+}
+
+// registerBudget adds the repeats left for a service to the metrics.
+func (e *Entry) registerBudget(service string, budget *retry.Shared) {
+	e.options.Metrics.GetOrCreateGauge(fmt.Sprintf("filberttrack_repeats_left{service=%q}", service), budget.Left)
+}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -205,14 +205,14 @@
 			n.options.Logger.Warn("note can't be read", zap.Stringer("From", from), zap.Error(err))
 			continue
 		}
-		if n.take(note) {
+		if n.Take(note) {
 			n.options.Receive(note)
 		}
 	}
 }
 
-// take reports whether a note is news.
-func (n *Node) take(note Note) bool {
+// Take notes what a peer tells, and reports whether that is news.
+func (n *Node) Take(note Note) bool {
 	if note.From == "" || note.From == n.options.Self {
 		return false
 	}
--- /dev/null
+++ b/story/story_test.go
@@ -0,0 +1,57 @@
+package story_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/story"
+)
+
+// The log is of a run in which an agent's instance froze.
+func processes(t testing.TB) []story.Line {
+	t.Helper()
+	file, err := os.Open(filepath.Join("testdata", "processes.log"))
+	assert.NilError(t, err)
+	defer file.Close()
+	lines, err := story.Read(file)
+	assert.NilError(t, err)
+	return lines
+}
+
+func TestThreeFailedRequests(t *testing.T) {
+	lines := processes(t)
+	for name, id := range map[string]string{
+		"refused": "bf8c03b403f321f3",
+		"unknown": "3f809bf51b2590d5",
+		"late":    "5dd51f186773ae91",
+	} {
+		t.Run(name, func(t *testing.T) {
+			found, err := story.Of(id, lines)
+			assert.NilError(t, err)
+			var out strings.Builder
+			for i, l := range found {
+				assert.Assert(t, i == 0 || !l.Time.Before(found[i-1].Time), "in order")
+				fmt.Fprintln(&out, l)
+			}
+			golden.Assert(t, out.String(), name+".golden")
+		})
+	}
+}
+
+func TestUnknownRequest(t *testing.T) {
+	_, err := story.Of("nobody", processes(t))
+	assert.Assert(t, track.IsKind(err, story.Unknown))
+	assert.ErrorContains(t, err, `no line names request "nobody"`)
+}
+
+func TestLinesAreBounded(t *testing.T) {
+	_, err := story.Read(strings.NewReader(strings.Repeat("x", 2<<20)))
+	assert.Assert(t, track.IsKind(err, story.Unreadable))
+}
