--- a/retry/shared.go
+++ b/retry/shared.go
@@ -33,7 +33,7 @@
 	// entries returns the number of entries that share the slack.
 	entries func() int
 
-	mu      sync.Mutex
+	mu sync.Mutex
 	// buckets hold a window and the part of one that it may begin in.
 	buckets [sharedBuckets + 1]bucket
 }
