--- a/batch/pool.go
+++ b/batch/pool.go
@@ -372,8 +372,9 @@
 func (p *Pool) choose(ask Ask, now time.Time) (*replica, int) {
 	var best *replica
 	bestScore, candidates := 0.0, 0
+	spareSlow := p.anyAtPace(now)
 	for _, r := range p.replicas {
-		if !r.listed || r.closedFor(now) > 0 || slices.Contains(ask.Excluded, r.ID) || !p.hasRoom(r) {
+		if !r.listed || r.closedFor(now) > 0 || slices.Contains(ask.Excluded, r.ID) || !p.hasRoom(r) || spareSlow && r.slow() {
 			continue
 		}
 		candidates++
@@ -384,6 +385,16 @@
 	return best, candidates
 }
 
+// anyAtPace reports whether a replica is open whose rank isn't slow.
+func (p *Pool) anyAtPace(now time.Time) bool {
+	for _, r := range p.replicas {
+		if r.listed && r.closedFor(now) <= 0 && !r.slow() {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *Pool) done(g *Grant, result Result) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/batch/pool_test.go
+++ b/batch/pool_test.go
@@ -307,6 +307,22 @@
 	assert.NilError(t, (<-next).err)
 }
 
+func TestASlowRankGetsNothingWhileOthersAreOpen(t *testing.T) {
+	// The pattern: one rank at a fifth of its pace; each request on it makes the
+	// passes of the whole group longer, and all streams late.
+	clock := clockwork.NewFakeClock()
+	p := newPool(clock, 2, engine)
+	for i := range 2 {
+		p.SetRank(address(i), batch.RankState{Group: "g", Open: true, Pace: 1})
+	}
+	p.SetRank(address(0), batch.RankState{Group: "g", Open: true, Pace: 4.9})
+	for _, g := range fill(t, p, clock, slots) {
+		assert.Equal(t, g.Replica.ID, id(1))
+	}
+	p.SetRank(address(1), batch.RankState{Group: "g", Open: true, Pace: 3})
+	assert.Equal(t, take(t, p, ask(clock, 0)).Replica.ID, id(0), "if all are slow, all serve")
+}
+
 func TestAClientThatLeavesFreesItsPlaceInTheQueue(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	p := newPool(clock, 1, engine)
--- a/batch/replica.go
+++ b/batch/replica.go
@@ -32,6 +32,9 @@
 	// maxStarting bounds the requests of a model engine that have no event yet: the
 	// prompts that are read make the passes of the whole group longer.
 	maxStarting = 5
+	// slowPace is the pace from which on a rank gets no requests while others are
+	// open. A rank in good health is at 1.
+	slowPace = 1.5
 	// defaultSlots is assumed of a replica that names no slots.
 	defaultSlots = 4
 
@@ -89,6 +92,12 @@
 	return r.load() < p.limit(r)
 }
 
+// slow reports whether the replica's rank is so slow that its own requests would make
+// the passes of all ranks of its group longer.
+func (r *replica) slow() bool {
+	return r.rank.Pace >= slowPace
+}
+
 // closedFor returns the time for which the replica is to be left alone.
 func (r *replica) closedFor(now time.Time) time.Duration {
 	return r.closedUntil.Sub(now)
@@ -114,8 +123,6 @@
 		score *= float64(max(r.latency, minLatency))
 	} else {
 		score += float64(r.tokens) / float64(max(p.engine.MemoryTokens, 1))
-		// A slow rank makes the passes of all ranks longer by its own requests.
-		score *= max(r.rank.Pace, 1)
 	}
 	if r.Zone != p.options.Zone {
 		score *= farFactor
--- a/edge/agent.go
+++ b/edge/agent.go
@@ -104,8 +104,9 @@
 	a := &Agent{options: o, members: newMembers(o.Self, o.Seeds, o.Logger), client: talk.NewClient()}
 	a.holder = latest.New(o.DecodeConfig, func(*hosts.Table) {}, o.Logger)
 	relay := keyed.NewRelay(o.Log, a.entryMirror, o.Clock)
-	a.config = a.follow(relay, keyed.Options{Topic: o.Topics.Config, Pause: agentConfigPause, MaxPause: agentConfigMaxPause, Apply: a.offerConfig})
-	a.list = a.follow(o.Log, keyed.Options{Topic: TopicMembers, Pause: membersPause, MaxPause: membersMaxPause, Apply: a.members.apply})
+	follow := follower{clock: o.Clock, logger: o.Logger, peers: func() []track.KeyedLog { return a.members.logs(a.node.Live()) }}
+	a.config = follow.topic(relay, keyed.Options{Topic: o.Topics.Config, Pause: agentConfigPause, MaxPause: agentConfigMaxPause, Apply: offer(a.holder, o.Topics.ConfigKey)})
+	a.list = follow.topic(o.Log, keyed.Options{Topic: TopicMembers, Pause: membersPause, MaxPause: membersMaxPause, Apply: a.members.apply})
 	incarnation := track.Incarnation(o.Clock.Now().UnixMilli())
 	a.door = swap.NewDoor(o.Self, incarnation, []track.RankEngine{o.Rank}, nil, o.Clock)
 	a.node = gossip.New(gossip.Options{
@@ -127,12 +128,6 @@
 	return a
 }
 
-func (a *Agent) follow(log track.KeyedLog, o keyed.Options) *keyed.Follower {
-	o.Log, o.Clock, o.Logger = log, a.options.Clock, a.options.Logger
-	o.Peers = func() []track.KeyedLog { return a.members.logs(a.node.Live()) }
-	return keyed.New(o)
-}
-
 // entryMirror returns the mirror of an entry of the zone, from which the agent reads
 // the configuration: it needs the description of the engines only.
 func (a *Agent) entryMirror() (track.KeyedLog, bool) {
@@ -164,14 +159,6 @@
 	talk.Handle(mux, pathOrder, a.door.Order)
 }
 
-func (a *Agent) offerConfig(records []track.KeyedRecord) {
-	for _, r := range records {
-		if r.Key == a.options.Topics.ConfigKey && len(r.Value) > 0 {
-			a.holder.Offer(r.Value)
-		}
-	}
-}
-
 // spec returns the description of the engines of the own service.
 func (a *Agent) spec() (track.ExpertSpec, bool) {
 	table := a.holder.Table()
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -116,7 +116,7 @@
 func TestReadyOnceItKnowsRoutesAndReplicas(t *testing.T) {
 	e := newEntry(clockwork.NewFakeClock())
 	assert.Assert(t, !e.Ready())
-	e.offerConfig([]track.KeyedRecord{{Key: "config", Value: []byte("1")}})
+	offer(e.holder, "config")([]track.KeyedRecord{{Key: "config", Value: []byte("1")}})
 	assert.Assert(t, !e.Ready())
 	e.replicas.Mirror().Replace(nil, 3)
 	assert.Assert(t, e.Ready())
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -110,9 +110,10 @@
 		Changed: e.listChanged, Clock: o.Clock, Logger: o.Logger,
 	})
 	e.relay = keyed.NewRelay(o.Log, e.leader, o.Clock)
-	e.config = e.follow(o.Log, keyed.Options{Topic: o.Topics.Config, Wait: configWait, Apply: e.offerConfig})
-	e.replicas = e.follow(e.relay, keyed.Options{Topic: o.Topics.Replicas, Pause: replicasPause, Apply: e.fleet.Apply})
-	e.list = e.follow(o.Log, keyed.Options{Topic: TopicMembers, Pause: membersPause, MaxPause: membersMaxPause, Apply: e.members.apply})
+	follow := follower{clock: o.Clock, logger: o.Logger, peers: func() []track.KeyedLog { return e.members.logs(e.node.Live()) }}
+	e.config = follow.topic(o.Log, keyed.Options{Topic: o.Topics.Config, Wait: configWait, Apply: offer(e.holder, o.Topics.ConfigKey)})
+	e.replicas = follow.topic(e.relay, keyed.Options{Topic: o.Topics.Replicas, Pause: replicasPause, Apply: e.fleet.Apply})
+	e.list = follow.topic(o.Log, keyed.Options{Topic: TopicMembers, Pause: membersPause, MaxPause: membersMaxPause, Apply: e.members.apply})
 	e.node = gossip.New(gossip.Options{
 		Conn: o.Notes, Interval: noteInterval, Compose: e.note, Receive: e.receive, Self: o.Self,
 		Targets: e.targets,
@@ -126,12 +127,6 @@
 	return e
 }
 
-func (e *Entry) follow(log track.KeyedLog, o keyed.Options) *keyed.Follower {
-	o.Log, o.Clock, o.Logger = log, e.options.Clock, e.options.Logger
-	o.Peers = func() []track.KeyedLog { return e.members.logs(e.node.Live()) }
-	return keyed.New(o)
-}
-
 // Start starts the entry's duties.
 func (e *Entry) Start(ctx context.Context) []*duty.Duty {
 	o := e.options
@@ -198,14 +193,6 @@
 	return e.holder.Ready()
 }
 
-func (e *Entry) offerConfig(records []track.KeyedRecord) {
-	for _, r := range records {
-		if r.Key == e.options.Topics.ConfigKey && len(r.Value) > 0 {
-			e.holder.Offer(r.Value)
-		}
-	}
-}
-
 func (e *Entry) configured(table *hosts.Table) {
 	for _, s := range table.Services() {
 		e.Pool(s.Name).Configure(s.Engine)
