fix: a steady group is planned for every 1.5 s

Cause: what agents of a group tell each other for a plan crosses zones where bytes are dear; plans between two shifts are hardly ever worth a change.

--- a/steer/balance.go
+++ b/steer/balance.go
@@ -18,7 +18,7 @@
 
 const (
 	// balanceInterval is the time between two plans while the demand is steady.
-	balanceInterval = 600 * time.Millisecond
+	balanceInterval = 1500 * time.Millisecond
 	// lookInterval is the time between two looks at the agent's own rank.
 	lookInterval = 100 * time.Millisecond
 	// shiftDelay is the time between a shift of the demand and the plan for it:
