fix: slots of a slow rank become empty, and the rank of a silent agent takes part in changes

Change: redundant copies may be dropped without a fetch; what isn't known of a rank is asked of the rank itself.

--- a/expert/layer.go
+++ b/expert/layer.go
@@ -32,6 +32,9 @@
 	penalty []float64
 	// order lists the ranks by load, least first.
 	order []int
+	// empty is the first of the experts without load that stand for empty slots; 0 if
+	// slots are never empty.
+	empty int
 	// kept is set for each rank and expert that the rank held at the start; nil
 	// without a limit on new copies.
 	kept []bool
@@ -56,10 +59,16 @@
 
 // mayTake reports whether a rank may get a copy of expert b in place of a.
 func (st *layerState) mayTake(rank int, a, b int32) bool {
-	if st.kept == nil || st.kept[rank*st.Experts+int(b)] || st.fresh[rank] < st.maxFresh[rank] {
+	if st.kept == nil || st.standsForEmpty(b) || st.kept[rank*st.Experts+int(b)] || st.fresh[rank] < st.maxFresh[rank] {
 		return true
 	}
-	return !st.kept[rank*st.Experts+int(a)]
+	return !st.kept[rank*st.Experts+int(a)] && !st.standsForEmpty(a)
+}
+
+// standsForEmpty reports whether an expert stands for an empty slot, which nobody has
+// to fetch.
+func (st *layerState) standsForEmpty(e int32) bool {
+	return st.empty > 0 && int(e) >= st.empty
 }
 
 func newLayerState(s Shape) *layerState {
@@ -106,7 +115,7 @@
 	}
 	for e := range st.copies {
 		st.copies[e] = len(st.holders[e])
-		st.share[e] = st.load[e] / float64(st.copies[e])
+		st.share[e] = st.load[e] / float64(max(st.copies[e], 1))
 	}
 	clear(st.ranks)
 	for i, e := range st.slots {
@@ -152,9 +161,8 @@
 func (st *layerState) replaceGain(slot int, b int32) float64 {
 	rank := int32(slot / st.Slots)
 	a := st.slots[slot]
-	newA := st.load[a] / float64(st.copies[a]-1)
 	newB := st.load[b] / float64(st.copies[b]+1)
-	riseA, fallB := newA-st.share[a], st.share[b]-newB
+	riseA, fallB := st.riseWithout(a), st.share[b]-newB
 	gain := 0.0
 	for _, r := range st.holders[a] {
 		if r == rank {
@@ -174,6 +182,15 @@
 	return gain + st.penalty[rank] - penalty(st.ranks[rank]+(newB-st.share[a])*st.pace[rank])
 }
 
+// riseWithout returns how much the share of each copy of an expert rises with one copy
+// less. An expert with one copy has no load.
+func (st *layerState) riseWithout(a int32) float64 {
+	if st.copies[a] < 2 {
+		return 0
+	}
+	return st.load[a]/float64(st.copies[a]-1) - st.share[a]
+}
+
 // swapGain returns how much the penalty falls if two slots exchange experts.
 func (st *layerState) swapGain(slotA, slotB int) float64 {
 	ra, rb := slotA/st.Slots, slotB/st.Slots
@@ -186,10 +203,10 @@
 	rank := slot / st.Slots
 	a := st.slots[slot]
 	if st.kept != nil {
-		if !st.kept[rank*st.Experts+int(a)] {
+		if !st.kept[rank*st.Experts+int(a)] && !st.standsForEmpty(a) {
 			st.fresh[rank]--
 		}
-		if !st.kept[rank*st.Experts+int(b)] {
+		if !st.kept[rank*st.Experts+int(b)] && !st.standsForEmpty(b) {
 			st.fresh[rank]++
 		}
 	}
@@ -237,6 +254,7 @@
 	st.tryCopies(hot, cool, &best)
 	st.tryRelief(hot, &best)
 	st.trySwaps(hot, cool, &best)
+	st.tryDrops(hot, &best)
 	if best.gain == minPenaltyGain {
 		return change{}, false
 	}
@@ -295,7 +313,7 @@
 	newB := st.load[b] / float64(st.copies[b]+1)
 	for slot := rank * st.Slots; slot < (rank+1)*st.Slots; slot++ {
 		a := st.slots[slot]
-		if st.copies[a] < 2 || !st.mayTake(rank, a, b) {
+		if st.copies[a] < 2 && !st.standsForEmpty(a) || !st.mayTake(rank, a, b) {
 			continue
 		}
 		bound := relief + st.penalty[rank] - penalty(st.ranks[rank]+(newB-st.share[a])*st.pace[rank])
@@ -316,7 +334,7 @@
 	}
 	a := st.slots[slot]
 	rank := int32(slot / st.Slots)
-	rise := st.load[a]/float64(st.copies[a]-1) - st.share[a]
+	rise := st.riseWithout(a)
 	fall := st.share[b] - st.load[b]/float64(st.copies[b]+1)
 	for _, r := range st.holders[a] {
 		if r == rank {
@@ -335,6 +353,25 @@
 	return false
 }
 
+// tryDrops weighs an empty slot in place of each redundant copy of the hot rank.
+func (st *layerState) tryDrops(hot int, best *candidate) {
+	nothing := int32(st.empty)
+	for nothing < int32(st.Experts) && st.holds[hot*st.Experts+int(nothing)] {
+		nothing++
+	}
+	if st.empty == 0 || int(nothing) == st.Experts {
+		return
+	}
+	for slot := hot * st.Slots; slot < (hot+1)*st.Slots; slot++ {
+		if st.copies[st.slots[slot]] < 2 {
+			continue
+		}
+		if gain := st.replaceGain(slot, nothing); gain > best.gain {
+			*best = candidate{slot: slot, expert: nothing, other: -1, gain: gain}
+		}
+	}
+}
+
 // trySwaps weighs exchanges between the hot rank and cool ranks.
 func (st *layerState) trySwaps(hot, cool int, best *candidate) {
 	for _, rank := range st.order[:min(cool, st.Ranks-1)] {
--- a/expert/spread.go
+++ b/expert/spread.go
@@ -37,12 +37,15 @@
 // layer gets less, as far as that is worth the copies. Ranks may have empty slots.
 func Spread(m track.ExpertMap, loads Loads, limits SpreadLimits) (Spreading, error) {
 	shape, filled := fillEmpty(m)
-	if err := shape.Check(); err != nil {
+	actual := shape
+	actual.Experts = m.Experts
+	if err := actual.Check(); err != nil {
 		return Spreading{}, err
 	}
 	out := Spreading{Map: m}
 	out.Map.Layers = make([][]int32, len(m.Layers))
 	st := newLayerState(shape)
+	st.empty = m.Experts
 	if len(limits.Pace) == shape.Ranks {
 		st.pace = limits.Pace
 	}
@@ -112,7 +115,6 @@
 		shape.Ranks = len(m.Layers[0]) / m.Slots
 	}
 	filled := make([][]int32, len(m.Layers))
-	extra := 0
 	for i, layer := range m.Layers {
 		filled[i] = slices.Clone(layer)
 		for rank := range shape.Ranks {
@@ -123,10 +125,10 @@
 					n++
 				}
 			}
-			extra = max(extra, n)
 		}
 	}
-	shape.Experts += extra
+	// A rank may have any number of empty slots.
+	shape.Experts += m.Slots
 	return shape, filled
 }
 
--- a/steer/balance.go
+++ b/steer/balance.go
@@ -296,10 +296,15 @@
 			shares[a.share.Rank], found[a.share.Rank] = a.share, true
 		}
 	}
+	if failed != nil {
+		return nil, failed
+	}
 	for rank := range shares {
-		shares[rank] = b.complete(shares[rank])
+		if shares[rank], failed = b.complete(ctx, shares[rank], mates); failed != nil {
+			return nil, failed
+		}
 	}
-	return shares, failed
+	return shares, nil
 }
 
 // noteIncomplete logs once what the group lacks, and once that it is complete again.
@@ -328,15 +333,25 @@
 	return b.options.AskShare(ctx, mate)
 }
 
-// complete fills in the experts that a rank held when it was last read, if it still
-// uses the same map.
-func (b *Balancer) complete(share track.RankShare) track.RankShare {
-	old := b.known[share.Rank]
-	if share.Held == nil && old.Group == share.Group && old.Epoch == share.Epoch && old.Version == share.Version {
-		share.Held = old.Held
+// complete fills in the experts that the rank of a silent agent holds: as they were
+// read last if the rank still uses the same map, else by asking the rank.
+func (b *Balancer) complete(ctx context.Context, share track.RankShare, mates []Mate) (track.RankShare, error) {
+	if share.Held == nil {
+		old := b.known[share.Rank]
+		if old.Group == share.Group && old.Epoch == share.Epoch && old.Version == share.Version {
+			share.Held = old.Held
+		}
+	}
+	i := slices.IndexFunc(mates, func(m Mate) bool { return m.Rank == share.Rank && m.Silent })
+	if share.Held == nil && i >= 0 {
+		detail, err := b.options.Remote(mates[i].Server).Detail(ctx, share)
+		if err != nil {
+			return share, err
+		}
+		share.Held = detail.Held
 	}
 	b.known[share.Rank] = share
-	return share
+	return share, nil
 }
 
 // plan returns the change to a better map, or nil.
