--- a/steer/balance_test.go
+++ b/steer/balance_test.go
@@ -39,7 +39,6 @@
 	pace   float64
 	held   [][]int32
 	next   track.ExpertMap
-	fence  uint64
 }
 
 func newTier(t *testing.T) *tier {
