--- a/proxy/world_test.go
+++ b/proxy/world_test.go
@@ -220,7 +220,7 @@
 func otherReplica(a *track.ReplicaAnswer) { a.OtherReplica = true }
 
 func answer(status int, body string, end error, options ...option) track.ReplicaAnswer {
-	a := track.ReplicaAnswer{Status: status, Header: http.Header{}, Body: &brokenBody{rest: []byte(body), end: end}, Delimited: true}
+	a := track.ReplicaAnswer{Status: status, Header: http.Header{}, Body: &brokenBody{rest: []byte(body), end: end}}
 	for _, o := range options {
 		o(&a)
 	}
--- a/replica.go
+++ b/replica.go
@@ -44,8 +44,6 @@
 	OtherReplica bool
 	// AtFault names the replica that a group's failure is put down to, if any.
 	AtFault string
-	// Delimited is set if the end of the body shows whether it is whole.
-	Delimited bool
 }
 
 // ReplicaCaller is the port to the replicas of services.
