--- a/edge/entry.go
+++ b/edge/entry.go
@@ -203,12 +203,8 @@
 func (e *Entry) listChanged(replicas []track.Replica) {
 	e.mu.Lock()
 	e.listed = replicas
-	pools := make([]*batch.Pool, 0, len(e.pools))
-	for _, p := range e.pools {
-		pools = append(pools, p)
-	}
 	e.mu.Unlock()
-	for _, p := range pools {
+	for _, p := range e.allPools() {
 		p.Update(replicas)
 	}
 }
