feat(proxy): requests that crash replicas are barred once three deaths are confirmed

Cause: the tracker of package crash takes a lost answer for a crash, so a hot key could have been barred; the proxy therefore had no quarantine at all. A broken attempt is only a suspicion; the list of replicas must show within 5 s that the replica left or started anew. A served run clears the request. Entries tell each other in their notes; deaths are counted once. Test: TestARequestThatCrashesReplicasIsBarred, seen red without the bar.

--- a/edge/entry.go
+++ b/edge/entry.go
@@ -16,6 +16,7 @@
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/batch"
+	"filberttrack.example/track/blame"
 	"filberttrack.example/track/duty"
 	"filberttrack.example/track/fleet"
 	"filberttrack.example/track/gossip"
@@ -84,6 +85,7 @@
 	fleet    *fleet.Fleet
 	node     *gossip.Node
 	proxy    *proxy.Proxy
+	blame    *blame.Book
 	config   *keyed.Follower
 	replicas *keyed.Follower
 	relay    *keyed.Relay
@@ -119,8 +121,9 @@
 		Targets: e.targets,
 		Clock:   o.Clock, Logger: o.Logger,
 	})
+	e.blame = blame.New(o.Clock, o.Logger)
 	e.proxy = proxy.New(proxy.Options{
-		Table: e.holder.Table, Services: e, Caller: o.Caller, Refuse: o.Refuse,
+		Table: e.holder.Table, Services: e, Caller: o.Caller, Refuse: o.Refuse, Blame: e.blame,
 		Clock: o.Clock, Draw: o.Draw, Logger: o.Logger, Metrics: proxy.NewMetrics(o.Metrics),
 	})
 	e.registerGauges()
@@ -207,6 +210,7 @@
 	for _, p := range e.allPools() {
 		p.Update(replicas)
 	}
+	e.blame.Listed(replicas)
 }
 
 // Pool implements proxy.Services.
@@ -305,6 +309,7 @@
 		},
 		InFlight: make(map[track.ReplicaID]track.InFlight),
 		LogAge:   -1,
+		Charges:  e.blame.Tell(),
 	}
 	if age, known := e.relay.Age(); known {
 		note.LogAge = age
@@ -329,6 +334,7 @@
 		}
 		return
 	}
+	e.blame.Merge(note.Charges)
 	e.config.Heard(note.Ends[e.options.Topics.Config])
 	if since, _ := e.replicas.Away(); !since.IsZero() {
 		e.replicas.Heard(note.Ends[e.options.Topics.Replicas])
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/blame"
 )
 
 const (
@@ -49,8 +50,8 @@
 	InFlight map[track.ReplicaID]track.InFlight
 	// Rank is set by an agent.
 	Rank *RankNote
-	// Payload is the data of topics, opaque to this package.
-	Payload map[track.Topic][]byte
+	// Charges are the requests that crashed replicas.
+	Charges []blame.Charge `json:",omitempty"`
 }
 
 // RankNote is what an agent tells of the rank beside it.
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -9,6 +9,7 @@
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/batch"
+	"filberttrack.example/track/blame"
 	"filberttrack.example/track/events"
 	"filberttrack.example/track/hosts"
 	"filberttrack.example/track/retry"
@@ -29,6 +30,8 @@
 	service  string
 	pool     *batch.Pool
 	budget   *retry.Shared
+	// fingerprint names what the request asks for.
+	fingerprint blame.Fingerprint
 	// deadline is the time by which the request must be answered.
 	deadline time.Time
 
@@ -106,6 +109,27 @@
 	return nil
 }
 
+// screen refuses a request that crashes the replicas that run it.
+func (x *exchange) screen(context.Context) *Refusal {
+	r := x.request
+	x.fingerprint = blame.Of([]byte(r.Method), []byte(r.Host), []byte(r.Target), []byte(x.account.Name), r.Body)
+	return x.barred()
+}
+
+// barred returns the refusal of a request that has crashed too many replicas, nil
+// for any other.
+func (x *exchange) barred() *Refusal {
+	left := x.proxy.options.Blame.Barred(x.fingerprint)
+	if left <= 0 {
+		return nil
+	}
+	refusal := x.fail(http.StatusServiceUnavailable, "CrashesReplicas")
+	if refusal.Status == http.StatusServiceUnavailable {
+		refusal.RetryAfter = left
+	}
+	return refusal
+}
+
 // log writes the one line on how the request was decided.
 func (x *exchange) log(refusal *Refusal) {
 	now := x.proxy.options.Clock.Now()
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -14,6 +14,7 @@
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/batch"
+	"filberttrack.example/track/blame"
 	"filberttrack.example/track/hosts"
 	"filberttrack.example/track/retry"
 )
@@ -72,6 +73,8 @@
 	Table    func() *hosts.Table
 	Services Services
 	Caller   track.ReplicaCaller
+	// Blame keeps requests that crash replicas from reaching more of them.
+	Blame *blame.Book
 	// Refuse writes an answer of the entry's own.
 	Refuse func(w http.ResponseWriter, r Refusal)
 	Clock  clockwork.Clock
@@ -117,6 +120,7 @@
 	{"find route", (*exchange).findRoute},
 	{"identify client account", (*exchange).identify},
 	{"choose service", (*exchange).chooseService},
+	{"screen", (*exchange).screen},
 	{"send", (*exchange).send},
 }
 
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -171,6 +171,24 @@
 	assert.Assert(t, repeats <= 0.2*200+50, "%d repeats", repeats)
 }
 
+func TestARequestThatCrashesReplicasIsBarred(t *testing.T) {
+	w := newWorld(crashes, crashes, crashes, crashes, crashes)
+	_, err := w.ask("/notes/1")
+	assert.NilError(t, err)
+	assert.Equal(t, len(w.calls), 3)
+	got, err := w.ask("/notes/1")
+	assert.NilError(t, err)
+	assert.Equal(t, got.Code, http.StatusServiceUnavailable)
+	assert.Equal(t, got.Header().Get("Reason"), "CrashesReplicas")
+	assert.Equal(t, got.Header().Get("Retry-After"), "10m0s")
+	assert.Equal(t, len(w.calls), 3, "no replica gets it any more")
+	w.script = nil
+	w.clock.Advance(5 * time.Second)
+	got, err = w.ask("/notes/2")
+	assert.NilError(t, err)
+	assert.Equal(t, got.Code, http.StatusOK, "others are served")
+}
+
 func Example() {
 	w := newWorld(unreachable)
 	got, err := w.ask("/book/1")
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -59,6 +59,7 @@
 		x.grant = grant
 		v := x.attempt(ctx, grant)
 		grant.Done(v.result)
+		x.learn(grant, v)
 		if v.refusal == nil {
 			return nil
 		}
@@ -66,6 +67,9 @@
 		if !v.again || ctx.Err() != nil || x.deadline.Sub(clock.Now()) < minTimeLeft {
 			return v.refusal
 		}
+		if refusal := x.barred(); refusal != nil {
+			return refusal
+		}
 		if x.sent > 0 && !x.budget.Repeat() {
 			x.fault = "NoRetryBudget"
 			return v.refusal
@@ -73,6 +77,16 @@
 	}
 }
 
+// learn tells what the attempt showed of the request itself.
+func (x *exchange) learn(grant *batch.Grant, v verdict) {
+	switch v.result.Verdict {
+	case batch.Served:
+		x.proxy.options.Blame.Served(x.fingerprint)
+	case batch.Broke:
+		x.proxy.options.Blame.Broke(x.fingerprint, grant.Replica)
+	}
+}
+
 // place waits for a place on a replica.
 func (x *exchange) place(ctx context.Context) (*batch.Grant, *Refusal) {
 	due := x.arrived.Add(time.Duration(waitShare*float64(x.route.Objective)) - x.age())
--- a/proxy/world_test.go
+++ b/proxy/world_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -18,6 +19,7 @@
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/batch"
+	"filberttrack.example/track/blame"
 	"filberttrack.example/track/hosts"
 	"filberttrack.example/track/proxy"
 	"filberttrack.example/track/retry"
@@ -40,6 +42,7 @@
 	misplaced
 	groupBroken
 	resetsBeforeHead
+	crashes
 	resetsInBody
 	endsInBody
 	failsItself
@@ -66,6 +69,8 @@
 	proxy  *proxy.Proxy
 	pools  map[string]*batch.Pool
 	budget *retry.Shared
+	blame  *blame.Book
+	list   []track.Replica
 	table  *hosts.Table
 
 	mu     sync.Mutex
@@ -104,9 +109,12 @@
 		})
 		w.pools[service].Update(list)
 	}
+	w.list = list
+	w.blame = blame.New(w.clock, zap.NewNop())
+	w.blame.Listed(list)
 	w.budget = retry.NewShared(retry.SharedLimit{Share: 0.2, Slack: 50, Window: 10 * time.Second}, w.clock, func() int { return 1 })
 	w.proxy = proxy.New(proxy.Options{
-		Table: func() *hosts.Table { return w.table }, Services: w, Caller: w, Refuse: refuse,
+		Table: func() *hosts.Table { return w.table }, Services: w, Caller: w, Refuse: refuse, Blame: w.blame,
 		Clock: w.clock, Draw: func() float64 { return 0 }, Logger: zap.NewNop(), Metrics: proxy.NewMetrics(metrics.NewSet()),
 	})
 	return w
@@ -156,6 +164,12 @@
 	switch b {
 	case unreachable:
 		return track.ReplicaAnswer{}, track.Fail("call", track.Unavailable, errors.New("connection refused"))
+	case crashes:
+		// The list of replicas tells of the new start.
+		i := slices.IndexFunc(w.list, func(r track.Replica) bool { return r.ID == call.Replica.ID })
+		w.list[i].Born++
+		w.blame.Listed(w.list)
+		return track.ReplicaAnswer{}, track.Fail("call", track.Ambiguous, errors.New("connection reset"))
 	case resetsBeforeHead, answersAnother:
 		return track.ReplicaAnswer{}, track.Fail("call", track.Ambiguous, errors.New("connection reset"))
 	case full:
