fix(steer): no change of maps on engines that carry out late orders

Cause: EnginesCheckFences was decoded and not used; on engines without fences an order of an earlier driver can arm a rank alone. The agent then only looks.

--- a/edge/agent.go
+++ b/edge/agent.go
@@ -78,7 +78,9 @@
 	Rank         steer.RemoteRank
 	// Remote opens the port to a rank elsewhere, by its address.
 	Remote func(server string) steer.RemoteRank
-	Notes  net.PacketConn
+	// LookOnly has the agent change no map.
+	LookOnly bool
+	Notes    net.PacketConn
 
 	Clock   clockwork.Clock
 	Logger  *zap.Logger
@@ -123,7 +125,7 @@
 		SendOrder: func(ctx context.Context, mate steer.Mate, order track.MapOrder) (track.MapReply, error) {
 			return talk.Call[track.MapOrder, track.MapReply](ctx, a.client, mate.Address, pathOrder, order)
 		},
-		Remote: o.Remote, Spec: a.spec, Seen: a.seen, Clock: o.Clock, Logger: o.Logger, Metrics: o.Metrics,
+		Remote: o.Remote, Spec: a.spec, Seen: a.seen, LookOnly: o.LookOnly, Clock: o.Clock, Logger: o.Logger, Metrics: o.Metrics,
 	})
 	return a
 }
--- a/steer/balance.go
+++ b/steer/balance.go
@@ -81,6 +81,9 @@
 	Clock   clockwork.Clock
 	Logger  *zap.Logger
 	Metrics *metrics.Set
+	// LookOnly has the agent change no map: engines that carry out late orders of
+	// earlier drivers could end up with two maps in a pass.
+	LookOnly bool
 	// Seen takes each look at the agent's own rank.
 	Seen func(track.RankShare)
 }
@@ -171,7 +174,7 @@
 		return
 	}
 	b.options.Seen(share)
-	if !share.Open || share.Ranks < 2 {
+	if !share.Open || share.Ranks < 2 || b.options.LookOnly {
 		return
 	}
 	now := b.options.Clock.Now()
--- a/steer/balance_test.go
+++ b/steer/balance_test.go
@@ -41,7 +41,7 @@
 	next   track.ExpertMap
 }
 
-func newTier(t *testing.T) *tier {
+func newTier(t *testing.T, options ...func(*steer.BalancerOptions)) *tier {
 	w := &tier{t: t, clock: clockwork.NewFakeClock(), silent: map[int]bool{}}
 	for i := range tierRanks {
 		w.ranks = append(w.ranks, &rank{
@@ -54,7 +54,7 @@
 		doors = append(doors, swap.NewDoor(name(i), 1, []track.RankEngine{w.ranks[i]}, nil, w.clock))
 	}
 	for i := range tierRanks {
-		w.balancers = append(w.balancers, steer.NewBalancer(steer.BalancerOptions{
+		o := steer.BalancerOptions{
 			Self: name(i), Reader: w.ranks[i], Door: doors[i],
 			Mates:  func(string, int64) []steer.Mate { return w.mates(i) },
 			Remote: func(server string) steer.RemoteRank { return w.ranks[number(server)] },
@@ -69,7 +69,11 @@
 				return track.ExpertSpec{Layers: 1, Experts: tierExperts, SlotsPerRank: 3, StagedPerLayer: 2, ExpertBytes: 1e8, LinkBytesPerSecond: 1e9}, true
 			},
 			Clock: w.clock, Logger: zap.NewNop(), Metrics: metrics.NewSet(), Seen: func(track.RankShare) {},
-		}))
+		}
+		for _, option := range options {
+			option(&o)
+		}
+		w.balancers = append(w.balancers, steer.NewBalancer(o))
 	}
 	return w
 }
@@ -218,6 +222,12 @@
 	assert.Equal(t, w.ranks[0].Map.Version, version, "copies that gain little aren't worth their cost")
 }
 
+func TestEnginesThatIgnoreFencesKeepTheirMap(t *testing.T) {
+	w := newTier(t, func(o *steer.BalancerOptions) { o.LookOnly = true })
+	w.demand(hotFirst, 30)
+	assert.Equal(t, w.ranks[0].Map.Version, track.Ballot{}, "an order of an earlier driver could still be carried out")
+}
+
 func TestExpertsLeaveASlowRank(t *testing.T) {
 	even := [tierExperts]float64{2000, 2000, 2000, 2000, 2000, 2000}
 	w := newTier(t)
