perf(edge): entries of other zones hear the zone's sum from one speaker

Each note also had the sum of all peers computed anew. Now the first entry by name sums up its zone and tells the speakers of the others; sums are computed on the tick. Agents of a group tell all only the three that may drive. Members are read from the zone's reader.

--- a/batch/replica.go
+++ b/batch/replica.go
@@ -95,7 +95,12 @@
 // slow reports whether the replica's rank is so slow that its own requests would make
 // the passes of all ranks of its group longer.
 func (r *replica) slow() bool {
-	return r.rank.Pace >= slowPace
+	return Slow(r.rank.Pace)
+}
+
+// Slow reports whether a rank at a pace gets no requests while others are open.
+func Slow(pace float64) bool {
+	return pace >= slowPace
 }
 
 // closedFor returns the time for which the replica is to be left alone.
--- a/edge/agent.go
+++ b/edge/agent.go
@@ -1,9 +1,12 @@
 package edge
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -12,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/batch"
 	"filberttrack.example/track/duty"
 	"filberttrack.example/track/expert"
 	"filberttrack.example/track/gossip"
@@ -108,7 +112,7 @@
 	relay := keyed.NewRelay(o.Log, a.entryMirror, o.Clock)
 	follow := follower{clock: o.Clock, logger: o.Logger, peers: func() []track.KeyedLog { return a.members.logs(a.node.Live()) }}
 	a.config = follow.topic(relay, keyed.Options{Topic: o.Topics.Config, Pause: agentConfigPause, MaxPause: agentConfigMaxPause, Apply: offer(a.holder, o.Topics.ConfigKey)})
-	a.list = follow.topic(o.Log, keyed.Options{Topic: TopicMembers, Pause: membersPause, MaxPause: membersMaxPause, Apply: a.members.apply})
+	a.list = follow.topic(relay, keyed.Options{Topic: TopicMembers, Pause: membersPause, MaxPause: membersMaxPause, Apply: a.members.apply})
 	incarnation := track.Incarnation(o.Clock.Now().UnixMilli())
 	a.door = swap.NewDoor(o.Self, incarnation, []track.RankEngine{o.Rank}, nil, o.Clock)
 	a.node = gossip.New(gossip.Options{
@@ -178,15 +182,15 @@
 // or broke.
 func (a *Agent) seen(share track.RankShare) {
 	old := a.share.Swap(&share)
-	if old != nil && old.Open == share.Open && old.Epoch == share.Epoch {
+	if old != nil && old.Open == share.Open && old.Epoch == share.Epoch && batch.Slow(old.Pace) == batch.Slow(share.Pace) {
 		return
 	}
 	a.options.Logger.Info("rank group", zap.String("Group", share.Group), zap.Int64("Epoch", share.Epoch),
-		zap.Int("Rank", share.Rank), zap.Bool("Open", share.Open))
+		zap.Int("Rank", share.Rank), zap.Bool("Open", share.Open), zap.Float64("Pace", share.Pace))
 	a.node.Soon()
 }
 
-func (a *Agent) note() gossip.Note {
+func (a *Agent) note(bool) gossip.Note {
 	note := gossip.Note{
 		Role: track.RoleAgent, Zone: a.options.Zone, Address: a.options.Member.Notes, API: a.options.Member.API,
 	}
@@ -206,31 +210,58 @@
 	}
 }
 
-// targets returns the peers to tell, with how often: the agents of the own group
-// need each note, others only learn of the group from it.
+// lookouts is the number of agents of a group that hear from all others at once: the
+// one that drives, and those that take over.
+const lookouts = 3
+
+// targets returns the peers to tell, with how often. Entries of the own zone and the
+// lookouts of the group need each note, and all of the group need each of a lookout's.
+// Others learn of changes at once, and little else.
 func (a *Agent) targets() []gossip.Peer {
+	share := a.share.Load()
 	groups := make(map[track.InstanceID]string)
+	ranks := make(map[track.InstanceID]int)
 	for _, h := range a.node.Last() {
-		if h.Rank != nil {
-			groups[h.From] = h.Rank.Group
+		if h.Rank == nil {
+			continue
+		}
+		groups[h.From] = h.Rank.Group
+		if share != nil && h.Rank.Group == share.Group && h.Silence < mateSilence {
+			ranks[h.From] = h.Rank.Rank
 		}
 	}
-	own := ""
-	if share := a.share.Load(); share != nil {
-		own = share.Group
+	if share != nil {
+		ranks[a.options.Self] = share.Rank
 	}
-	return a.members.targets(func(name track.InstanceID, member Member) int {
+	first := firstRanks(ranks)
+	return a.members.targets(a.options.Zone, func(name track.InstanceID, member Member) int {
 		group, known := groups[name]
 		switch {
-		case member.Role == track.RoleAgent && known && group != own:
+		case member.Role == track.RoleEntry && member.Zone == a.options.Zone:
+			return 1
+		case member.Role == track.RoleEntry:
 			return strangerNotes
-		case member.Role == track.RoleEntry && member.Zone != a.options.Zone:
-			return farNotes
+		case !known || share == nil:
+			return 1
+		case group == share.Group && (first[name] || first[a.options.Self]):
+			return 1
 		}
-		return 1
+		return strangerNotes
 	})
 }
 
+// firstRanks returns those with the lowest ranks.
+func firstRanks(ranks map[track.InstanceID]int) map[track.InstanceID]bool {
+	names := slices.SortedFunc(maps.Keys(ranks), func(x, y track.InstanceID) int {
+		return cmp.Or(cmp.Compare(ranks[x], ranks[y]), cmp.Compare(x, y))
+	})
+	first := make(map[track.InstanceID]bool)
+	for _, name := range names[:min(len(names), lookouts)] {
+		first[name] = true
+	}
+	return first
+}
+
 // mates returns the agents of a group that were heard in its epoch.
 func (a *Agent) mates(group string, epoch int64) []steer.Mate {
 	var mates []steer.Mate
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -124,6 +124,88 @@
 	assert.Assert(t, !e.Ready())
 }
 
+// zoned returns a note of an entry elsewhere.
+func zoned(name track.InstanceID, zone track.AvailabilityZone, seq uint64) gossip.Note {
+	note := entryNote(name, seq)
+	note.Zone = zone
+	return note
+}
+
+func TestTheFirstEntrySpeaksForItsZone(t *testing.T) {
+	e := newEntry(clockwork.NewFakeClock())
+	assert.Assert(t, e.speaks())
+	e.hear(entryNote("front-3", 1))
+	e.hear(zoned("front-0", "artigas", 1))
+	assert.Assert(t, e.speaks(), "those after it and those of other zones don't count")
+	e.hear(entryNote("front-1", 1))
+	assert.Assert(t, !e.speaks())
+	assert.Equal(t, len(e.zoneNotes(true)), 0)
+	leaving := entryNote("front-1", 2)
+	leaving.Leaving = true
+	e.hear(leaving)
+	assert.Assert(t, e.speaks(), "one that leaves speaks no more")
+}
+
+func TestZonesTellEachOtherSums(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	here, there := newEntry(clock), newEntry(clock)
+	there.options.Self, there.options.Zone = "front-7", "artigas"
+	// The speaker of artigas adds up what its zone has in flight.
+	mate := zoned("front-8", "artigas", 1)
+	mate.InFlight = map[track.ReplicaID]track.InFlight{"i-1": {Running: 2, Starting: 1}}
+	there.hear(mate)
+	there.hear(gossip.Note{From: "side-7", Zone: "artigas", Role: track.RoleAgent, Seq: 1, Rank: &gossip.RankNote{Server: "10.0.0.1:80", Group: "g"}})
+	far := there.note(true)
+	assert.Equal(t, len(far.InFlight), 0, "the note for other zones holds the sum alone")
+	far.From, far.Seq = "front-7", 1
+	here.fleet.Apply([]track.KeyedRecord{{Key: "i-1", Value: []byte("10.0.0.1:80")}})
+	pool := here.Pool("llm")
+	here.hear(far)
+	assert.DeepEqual(t, here.othersInFlight(), map[track.ReplicaID]track.InFlight{"i-1": {Running: 2, Starting: 1}})
+	assert.Assert(t, pool.Broken(), "the state of ranks comes along")
+	// It passes the sum on to the entries of its own zone, with its age.
+	clock.Advance(300 * time.Millisecond)
+	near := here.note(false)
+	assert.Equal(t, len(near.Zones), 1)
+	assert.Equal(t, near.Zones[0].Age, 300*time.Millisecond)
+	// Newer word from the agent itself isn't undone by what was passed on.
+	here.hear(gossip.Note{From: "side-7", Zone: "artigas", Role: track.RoleAgent, Seq: 2, Rank: &gossip.RankNote{Server: "10.0.0.1:80", Group: "g", Open: true}})
+	late := entryNote("front-1", 1)
+	late.Zones = near.Zones
+	here.hear(late)
+	assert.Assert(t, !pool.Broken())
+	clock.Advance(gossip.Silence)
+	assert.Equal(t, len(here.othersInFlight()), 0, "what isn't told again is forgotten")
+}
+
+func TestOnlySpeakersOfOtherZonesAreTold(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	e := newEntry(clock)
+	for _, note := range []gossip.Note{zoned("front-7", "artigas", 1), zoned("front-8", "artigas", 1)} {
+		e.hear(note)
+	}
+	every := func() map[track.InstanceID]int {
+		told := map[track.InstanceID]int{}
+		for _, peer := range e.targets() {
+			assert.Assert(t, peer.Far)
+			told[peer.Name] = peer.Every
+		}
+		return told
+	}
+	assert.DeepEqual(t, every(), map[track.InstanceID]int{"front-7": speakerNotes, "front-8": speakerNotes})
+	sum := zoned("front-8", "artigas", 2)
+	sum.Zones = []gossip.ZoneNote{{Zone: "artigas", Speaker: "front-8"}}
+	e.hear(sum)
+	assert.DeepEqual(t, every(), map[track.InstanceID]int{"front-7": strangerNotes, "front-8": speakerNotes})
+	clock.Advance(gossip.Silence)
+	assert.DeepEqual(t, every(), map[track.InstanceID]int{"front-7": speakerNotes, "front-8": speakerNotes})
+}
+
+func TestLookoutsHearFromTheirGroup(t *testing.T) {
+	ranks := map[track.InstanceID]int{"a": 5, "b": 0, "c": 9, "d": 2, "e": 7}
+	assert.DeepEqual(t, firstRanks(ranks), map[track.InstanceID]bool{"b": true, "d": true, "a": true})
+}
+
 func TestNotesFarAwayAreFew(t *testing.T) {
 	e := newEntry(clockwork.NewFakeClock())
 	e.hear(entryNote("front-1", 1))
@@ -135,5 +217,5 @@
 	for _, peer := range e.targets() {
 		every[peer.Name] = peer.Every
 	}
-	assert.DeepEqual(t, every, map[track.InstanceID]int{"front-1": 1, "front-9": farNotes})
+	assert.DeepEqual(t, every, map[track.InstanceID]int{"front-1": 1, "front-9": strangerNotes})
 }
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -94,6 +95,8 @@
 
 	mu      sync.Mutex
 	pools   map[string]*batch.Pool
+	zones   map[track.AvailabilityZone]zoneSum
+	ranks   map[string]rankSeen
 	budgets map[string]*retry.Shared
 	listed  []track.Replica
 }
@@ -104,6 +107,8 @@
 		options: o,
 		members: newMembers(o.Self, o.Seeds, o.Logger),
 		pools:   make(map[string]*batch.Pool),
+		zones:   make(map[track.AvailabilityZone]zoneSum),
+		ranks:   make(map[string]rankSeen),
 		budgets: make(map[string]*retry.Shared),
 	}
 	e.holder = latest.New(o.DecodeConfig, e.configured, o.Logger)
@@ -115,7 +120,7 @@
 	follow := follower{clock: o.Clock, logger: o.Logger, peers: func() []track.KeyedLog { return e.members.logs(e.node.Live()) }}
 	e.config = follow.topic(o.Log, keyed.Options{Topic: o.Topics.Config, Wait: configWait, Apply: offer(e.holder, o.Topics.ConfigKey)})
 	e.replicas = follow.topic(e.relay, keyed.Options{Topic: o.Topics.Replicas, Pause: replicasPause, Apply: e.fleet.Apply})
-	e.list = follow.topic(o.Log, keyed.Options{Topic: TopicMembers, Pause: membersPause, MaxPause: membersMaxPause, Apply: e.members.apply})
+	e.list = follow.topic(e.relay, keyed.Options{Topic: TopicMembers, Pause: membersPause, MaxPause: membersMaxPause, Apply: e.members.apply})
 	e.node = gossip.New(gossip.Options{
 		Conn: o.Notes, Interval: noteInterval, Compose: e.note, Receive: e.receive, Self: o.Self,
 		Targets: e.targets,
@@ -251,19 +256,6 @@
 	return pools
 }
 
-// targets returns the entries to tell, those of other zones less often.
-func (e *Entry) targets() []gossip.Peer {
-	return e.members.targets(func(_ track.InstanceID, member Member) int {
-		switch {
-		case member.Role != track.RoleEntry:
-			return 0
-		case member.Zone != e.options.Zone:
-			return farNotes
-		}
-		return 1
-	})
-}
-
 // leader returns the entry of the zone that reads the list of replicas from the log
 // for the others: the first by name of those whom the log tells of replicas. It
 // returns false if that is this one or nobody.
@@ -298,8 +290,9 @@
 	return since, returned
 }
 
-// note returns what peers are told.
-func (e *Entry) note() gossip.Note {
+// note returns what peers are told. Those of other zones get the sum of the zone,
+// from the entry that speaks for it.
+func (e *Entry) note(far bool) gossip.Note {
 	note := gossip.Note{
 		Role: track.RoleEntry, Zone: e.options.Zone, Leaving: e.leaving.Load(),
 		Address: e.options.Member.Notes, API: e.options.Member.API,
@@ -307,9 +300,12 @@
 			e.options.Topics.Config:   e.config.Mirror().End(),
 			e.options.Topics.Replicas: e.replicas.Mirror().End(),
 		},
-		InFlight: make(map[track.ReplicaID]track.InFlight),
-		LogAge:   -1,
-		Charges:  e.blame.Tell(),
+		LogAge:  -1,
+		Charges: e.blame.Tell(),
+		Zones:   e.zoneNotes(far),
+	}
+	if far {
+		return note
 	}
 	if age, known := e.relay.Age(); known {
 		note.LogAge = age
@@ -317,11 +313,7 @@
 	if _, returned := e.replicas.Away(); !returned.IsZero() {
 		note.LogBack = e.options.Clock.Since(returned)
 	}
-	for _, p := range e.allPools() {
-		for id, n := range p.InFlight() {
-			note.InFlight[id] = n
-		}
-	}
+	note.InFlight = e.inFlight()
 	return note
 }
 
@@ -329,9 +321,8 @@
 func (e *Entry) receive(note gossip.Note) {
 	e.members.heard(note)
 	if note.Rank != nil {
-		for _, p := range e.allPools() {
-			p.SetRank(note.Rank.Server, batch.RankState{Group: note.Rank.Group, Open: note.Rank.Open, Pace: note.Rank.Pace})
-		}
+		brief := gossip.RankBrief{Server: note.Rank.Server, Group: note.Rank.Group, Open: note.Rank.Open, Pace: note.Rank.Pace}
+		e.takeRank(brief, note.Zone)
 		return
 	}
 	e.blame.Merge(note.Charges)
@@ -339,26 +330,22 @@
 	if since, _ := e.replicas.Away(); !since.IsZero() {
 		e.replicas.Heard(note.Ends[e.options.Topics.Replicas])
 	}
-	e.sumInFlight()
+	e.takeZones(note)
 }
 
-// sumInFlight adds up what the other entries have in flight.
-func (e *Entry) sumInFlight() {
+// inFlight returns this entry's requests on each replica that has any.
+func (e *Entry) inFlight() map[track.ReplicaID]track.InFlight {
 	counts := make(map[track.ReplicaID]track.InFlight)
-	for _, note := range e.node.Live() {
-		for id, n := range note.InFlight {
-			sum := counts[id]
-			counts[id] = track.InFlight{Running: sum.Running + n.Running, Starting: sum.Starting + n.Starting}
-		}
-	}
 	for _, p := range e.allPools() {
-		p.SetOthers(counts)
+		maps.Copy(counts, p.InFlight())
 	}
+	return counts
 }
 
 func (e *Entry) tick() {
 	e.fleet.Tick()
+	others := e.othersInFlight()
 	for _, p := range e.allPools() {
-		p.Tick()
+		p.SetOthers(others)
 	}
 }
--- a/edge/members.go
+++ b/edge/members.go
@@ -19,11 +19,12 @@
 const TopicMembers = "members"
 
 const (
-	// farNotes is the share of notes that peers of other zones get: what is between
-	// zones is dear, and replicas of the own zone are preferred.
-	farNotes = 4
-	// strangerNotes is the share of notes that agents of other groups get.
-	strangerNotes = 20
+	// speakerNotes is the share of notes that speakers of other zones get: what is
+	// between zones is dear, and replicas of the own zone are preferred.
+	speakerNotes = 2
+	// strangerNotes is the share of notes that processes get which need little of the
+	// sender: it only keeps them from forgetting it.
+	strangerNotes = 50
 	// announceBackoff is the time between two tries to make oneself known.
 	announceBackoff = 500 * time.Millisecond
 	// announceInterval is the time after which a process makes itself known again,
@@ -100,15 +101,15 @@
 	return n + 1
 }
 
-// targets returns the peers to send notes to. Every tells for each of them which
-// notes it gets: 1 for each, n for each nth, 0 for none.
-func (m *members) targets(every func(track.InstanceID, Member) int) []gossip.Peer {
+// targets returns the peers of a process in a zone to send notes to. Every tells for
+// each of them which notes it gets: 1 for each, n for each nth, 0 for none.
+func (m *members) targets(zone track.AvailabilityZone, every func(track.InstanceID, Member) int) []gossip.Peer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var peers []gossip.Peer
 	for name, member := range m.known {
 		if n := every(name, member); n > 0 && name != m.self {
-			peers = append(peers, gossip.Peer{Name: name, Address: member.Notes, Every: n})
+			peers = append(peers, gossip.Peer{Name: name, Address: member.Notes, Every: n, Far: member.Zone != zone})
 		}
 	}
 	return peers
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -47,13 +47,46 @@
 	// LogBack is the time since the log came back after an outage; 0 without one.
 	LogBack time.Duration
 	// InFlight holds the sender's requests on each replica.
-	InFlight map[track.ReplicaID]track.InFlight
+	InFlight map[track.ReplicaID]track.InFlight `json:",omitempty"`
+	// Zones holds the sums of whole zones. The entry that speaks for its zone tells
+	// speakers of other zones its own, and the entries of its zone all others.
+	Zones []ZoneNote `json:",omitempty"`
+	// Seldom is set if the peer gets notes at longer intervals than Silence.
+	Seldom bool `json:",omitempty"`
 	// Rank is set by an agent.
 	Rank *RankNote
 	// Charges are the requests that crashed replicas.
 	Charges []blame.Charge `json:",omitempty"`
 }
 
+// ZoneNote sums up what the entries of an availability zone tell.
+type ZoneNote struct {
+	Zone track.AvailabilityZone
+	// Speaker is the entry that summed up.
+	Speaker track.InstanceID
+	// Age is the time since the speaker told.
+	Age time.Duration
+	// Ends holds the highest offset up to which an entry has read each topic.
+	Ends     map[string]uint64
+	InFlight map[track.ReplicaID]track.InFlight
+	// Ranks holds what the agents of the zone tell.
+	Ranks []RankBrief `json:",omitempty"`
+}
+
+// RankBrief is what entries need to know of a rank.
+type RankBrief struct {
+	// Server is the address of the rank's replica.
+	Server string
+	Group  string
+	// Open is set while the rank group works.
+	Open bool `json:",omitempty"`
+	// Pace is the time that the rank needs for the same work, relative to one in
+	// good health.
+	Pace float64
+	// Age is the time since the agent told.
+	Age time.Duration
+}
+
 // RankNote is what an agent tells of the rank beside it.
 type RankNote struct {
 	// Server is the address of the replica beside the agent.
@@ -79,14 +112,17 @@
 	Address string
 	// Every has the peer get each nth note; 0 and 1 each.
 	Every int
+	// Far is set for a peer beyond the own zone.
+	Far bool
 }
 
 // Options holds what a Node is made of.
 type Options struct {
 	Conn     net.PacketConn
 	Interval time.Duration
-	// Compose returns the note to send; From, Started and Seq are set by the node.
-	Compose func() Note
+	// Compose returns the note for peers of the own zone or, if far is set, for those
+	// beyond it; From, Started, Seq and Seldom are set by the node.
+	Compose func(far bool) Note
 	// Targets returns the peers to send to.
 	Targets func() []Peer
 	// Receive takes a note that is newer than the last one of its sender.
@@ -152,18 +188,23 @@
 
 // send sends a note to all peers, or to those whose turn it is.
 func (n *Node) send(all bool) {
-	note := n.options.Compose()
 	n.mu.Lock()
 	n.seq++
-	note.From, note.Started, note.Seq = n.options.Self, n.started, n.seq
+	seq := n.seq
 	n.mu.Unlock()
-	data, err := json.Marshal(note)
-	if err != nil || len(data) > maxNoteBytes {
-		n.options.Logger.Error("note can't be sent", zap.Int("Bytes", len(data)), zap.Error(err))
-		return
-	}
+	type variant struct{ far, seldom bool }
+	encoded := make(map[variant][]byte)
 	for _, peer := range n.options.Targets() {
-		if peer.Name == n.options.Self || !all && peer.Every > 1 && note.Seq%uint64(peer.Every) != 0 {
+		if peer.Name == n.options.Self || !all && peer.Every > 1 && seq%uint64(peer.Every) != 0 {
+			continue
+		}
+		v := variant{far: peer.Far, seldom: time.Duration(peer.Every)*n.options.Interval >= Silence}
+		data, known := encoded[v]
+		if !known {
+			data = n.encode(v.far, v.seldom, seq)
+			encoded[v] = data
+		}
+		if data == nil {
 			continue
 		}
 		address, err := n.resolve(peer.Address)
@@ -176,6 +217,18 @@
 	}
 }
 
+// encode returns the note for near or far peers, or nil if it can't be sent.
+func (n *Node) encode(far, seldom bool, seq uint64) []byte {
+	note := n.options.Compose(far)
+	note.From, note.Started, note.Seq, note.Seldom = n.options.Self, n.started, seq, seldom
+	data, err := json.Marshal(note)
+	if err != nil || len(data) > maxNoteBytes {
+		n.options.Logger.Error("note can't be sent", zap.Int("Bytes", len(data)), zap.Error(err))
+		return nil
+	}
+	return data
+}
+
 func (n *Node) resolve(address string) (*net.UDPAddr, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -224,7 +277,7 @@
 	if known && (note.Started < old.note.Started || note.Started == old.note.Started && note.Seq <= old.note.Seq) {
 		return false
 	}
-	if !known || now.Sub(old.at) >= Silence || note.Started != old.note.Started || note.Leaving != old.note.Leaving {
+	if !known || now.Sub(old.at) >= Silence && !note.Seldom || note.Started != old.note.Started || note.Leaving != old.note.Leaving {
 		n.options.Logger.Info("peer heard", zap.String("Peer", string(note.From)), zap.String("Role", string(note.Role)),
 			zap.Int64("Started", note.Started), zap.Bool("Leaving", note.Leaving))
 	}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -17,7 +17,7 @@
 func newNode(clock clockwork.Clock, conn net.PacketConn, self track.InstanceID, peer gossip.Peer, received chan gossip.Note) *gossip.Node {
 	return gossip.New(gossip.Options{
 		Conn: conn, Interval: time.Second, Self: self, Clock: clock, Logger: zap.NewNop(),
-		Compose: func() gossip.Note { return gossip.Note{Role: track.RoleEntry} },
+		Compose: func(bool) gossip.Note { return gossip.Note{Role: track.RoleEntry} },
 		Targets: func() []gossip.Peer { return []gossip.Peer{peer} },
 		Receive: func(n gossip.Note) { received <- n },
 	})
--- a/replica.go
+++ b/replica.go
@@ -59,5 +59,10 @@
 	// Running is the number of requests sent and not ended, Starting the number of
 	// those without a first byte.
 	Running  int
-	Starting int
+	Starting int `json:",omitempty"`
+}
+
+// Add returns the sum of two counts.
+func (n InFlight) Add(other InFlight) InFlight {
+	return InFlight{Running: n.Running + other.Running, Starting: n.Starting + other.Starting}
 }
