feat(smooth): events are held a little so that slow passes make no pauses

Cause: after each shift of the demand three to seven passes of a group take 130 to 230 ms; every stream under way then has a pause over its target of 120 ms and counts as late, though it has run ahead of its reader before.

Ruled out: fewer requests at once (what is refused is lost), maps that foresee a shift (profiles after shifts are as far from each earlier one as from any other).

--- a/edge/entry.go
+++ b/edge/entry.go
@@ -71,6 +71,8 @@
 	Refuse        func(http.ResponseWriter, proxy.Refusal)
 	Notes         net.PacketConn
 	Retries       retry.SharedLimit
+	// MaxHold is the longest time for which an event of a stream is held.
+	MaxHold time.Duration
 
 	Clock   clockwork.Clock
 	Draw    func() float64
@@ -128,7 +130,7 @@
 	})
 	e.blame = blame.New(o.Clock, o.Logger)
 	e.proxy = proxy.New(proxy.Options{
-		Table: e.holder.Table, Services: e, Caller: o.Caller, Refuse: o.Refuse, Blame: e.blame,
+		Table: e.holder.Table, Services: e, Caller: o.Caller, Refuse: o.Refuse, Blame: e.blame, MaxHold: o.MaxHold,
 		Clock: o.Clock, Draw: o.Draw, Logger: o.Logger, Metrics: proxy.NewMetrics(o.Metrics),
 	})
 	e.registerGauges()
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -13,6 +13,7 @@
 	"filberttrack.example/track/events"
 	"filberttrack.example/track/hosts"
 	"filberttrack.example/track/retry"
+	"filberttrack.example/track/smooth"
 )
 
 // exchange is one request on its way.
@@ -45,13 +46,13 @@
 	// committed is set once the head of an answer was relayed.
 	committed bool
 	splitter  *events.Splitter
-	// lastEvent is the time of the latest event relayed.
-	lastEvent time.Time
+	// client ends when the client leaves, and outlet delivers the events of a stream.
+	client context.Context
+	outlet *smooth.Outlet
 
 	// For the log.
 	grant     *batch.Grant
 	firstByte time.Duration
-	maxGap    time.Duration
 	status    int
 	fault     string
 }
@@ -156,7 +157,10 @@
 		fields = append(fields, zap.Int64("FirstByteMs", x.firstByte.Milliseconds()))
 	}
 	if x.splitter != nil {
-		fields = append(fields, zap.Int("Events", x.splitter.Count()), zap.Int64("MaxGapMs", x.maxGap.Milliseconds()))
+		fields = append(fields, zap.Int("Events", x.splitter.Count()))
+	}
+	if x.outlet != nil {
+		fields = append(fields, zap.Int64("MaxGapMs", x.outlet.MaxGap().Milliseconds()), zap.Int64("MaxHeldMs", x.outlet.MaxHeld().Milliseconds()))
 	}
 	if x.fault != "" {
 		fields = append(fields, zap.String("Fault", x.fault))
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -31,8 +31,8 @@
 		m.histogram("first_byte", x.service, x.firstByte)
 		m.histogram("whole", x.service, x.proxy.options.Clock.Since(x.arrived))
 	}
-	if x.maxGap > 0 {
-		m.histogram("max_gap", x.service, x.maxGap)
+	if x.outlet != nil {
+		m.histogram("max_gap", x.service, x.outlet.MaxGap())
 	}
 }
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -77,7 +77,10 @@
 	Blame *blame.Book
 	// Refuse writes an answer of the entry's own.
 	Refuse func(w http.ResponseWriter, r Refusal)
-	Clock  clockwork.Clock
+	// MaxHold is the longest time for which an event is held so that the client sees
+	// no long pause; 0 holds none.
+	MaxHold time.Duration
+	Clock   clockwork.Clock
 	// Draw returns random numbers that are uniform in [0, 1).
 	Draw    func() float64
 	Logger  *zap.Logger
@@ -97,8 +100,9 @@
 // Serve answers one request. The context ends when the client leaves. It returns
 // ErrCutOff if the connection must be broken off.
 func (p *Proxy) Serve(ctx context.Context, w http.ResponseWriter, request *Request) error {
-	x := &exchange{proxy: p, w: w, request: request, arrived: p.options.Clock.Now()}
+	x := &exchange{proxy: p, w: w, client: ctx, request: request, arrived: p.options.Clock.Now()}
 	refusal := x.run(ctx)
+	x.drain()
 	var err error
 	switch {
 	case refusal == nil:
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -13,6 +14,7 @@
 	"filberttrack.example/track"
 	"filberttrack.example/track/batch"
 	"filberttrack.example/track/events"
+	"filberttrack.example/track/smooth"
 )
 
 const (
@@ -22,6 +24,9 @@
 	// readBytes is the size of a read from a stream. An event has a few hundred
 	// bytes.
 	readBytes = 4 << 10
+	// spacingShare is the part of the longest pause on time at which events are spaced;
+	// the rest is for the way to the client.
+	spacingShare = 0.9
 )
 
 // relayWhole relays an answer once it is whole, so that one that breaks off can be
@@ -89,8 +94,8 @@
 					result.FirstByte = clock.Since(started)
 					x.grant.Started()
 				}
-				if err := x.relayEvents(answer, whole); err != nil {
-					return x.abandoned(err)
+				if !x.relayEvents(answer, whole) {
+					return x.abandoned(errClientGone)
 				}
 			}
 			if err != nil {
@@ -113,23 +118,46 @@
 	}
 }
 
-func (x *exchange) relayEvents(answer track.ReplicaAnswer, whole []byte) error {
-	now := x.proxy.options.Clock.Now()
+var errClientGone = errors.New("the client can't be written to")
+
+// relayEvents hands events to the outlet of the stream. It reports whether the client
+// can still be written to.
+func (x *exchange) relayEvents(answer track.ReplicaAnswer, whole []byte) bool {
 	if !x.committed {
 		copyHeader(x.w.Header(), answer.Header)
 		x.w.Header().Del("Content-Length")
 		x.commit(answer.Status)
-		x.firstByte = now.Sub(x.arrived)
-	} else {
-		x.maxGap = max(x.maxGap, now.Sub(x.lastEvent))
+		x.firstByte = x.proxy.options.Clock.Since(x.arrived)
+		x.outlet = smooth.NewOutlet(x.client, x.proxy.options.Clock, x.spacing(), x.writeEvents)
+	}
+	return x.outlet.Send(bytes.Clone(whole))
+}
+
+// spacing bounds how events are held; those of a route that names no pause aren't.
+func (x *exchange) spacing() smooth.Limits {
+	if x.route.MaxGap <= 0 {
+		return smooth.Limits{}
 	}
-	x.lastEvent = now
-	if _, err := x.w.Write(whole); err != nil {
+	return smooth.Limits{Spacing: time.Duration(spacingShare * float64(x.route.MaxGap)), MaxHold: x.proxy.options.MaxHold}
+}
+
+func (x *exchange) writeEvents(data []byte) error {
+	if _, err := x.w.Write(data); err != nil {
 		return err
 	}
 	return http.NewResponseController(x.w).Flush()
 }
 
+// drain waits until the events that are held have been delivered.
+func (x *exchange) drain() {
+	if x.outlet == nil {
+		return
+	}
+	if err := x.outlet.Close(); err != nil && x.fault == "" {
+		x.fault = err.Error()
+	}
+}
+
 // streamBroke judges a stream that broke off. It is continued after the last
 // whole event, if the route allows that.
 func (x *exchange) streamBroke(ctx context.Context, reason string) verdict {
