perf(steer): a shift is met in two changes, at the next pass, with hedged orders

Cause: from the shift of the demand to an even map took 0.95 s: 0.1 s of delay, 0.3 s of copies, three passes between order and switch. Passes are twice as long until then. Changes that held for over 100 ms are followed by careful ones for 6 s.

Tests: TestAStepThatHasBegunIsNamedAgain and its neighbours, the random worlds of swap and of platform/rank with both ways, TestSpreadSharesFewCopiesAmongLayers.

--- a/expert/spread.go
+++ b/expert/spread.go
@@ -13,6 +13,9 @@
 	// FreshPerRank is the number of copies that a rank may fetch in all layers; 0
 	// sets no bound.
 	FreshPerRank int
+	// FreshInLayer is the number of copies that all ranks together may fetch in a
+	// layer; 0 sets no bound.
+	FreshInLayer int
 	// Pace is the time that each rank needs for the same work, relative to a rank in
 	// good health; nil if all are.
 	Pace []float64
@@ -92,6 +95,9 @@
 		for _, n := range st.fresh {
 			taken += n
 		}
+		if limits.FreshInLayer > 0 && taken > limits.FreshInLayer {
+			break
+		}
 		if n := before - c.peak - limits.MoveCost*float64(taken)/float64(st.Ranks); n > net {
 			net, peak = n, c.peak
 			copy(best, st.slots)
--- a/expert/spread_test.go
+++ b/expert/spread_test.go
@@ -99,6 +99,24 @@
 	}
 }
 
+func TestSpreadSharesFewCopiesAmongLayers(t *testing.T) {
+	// The pattern: right after a shift the group is slow until the copies are there, so
+	// the first change takes few, and each layer needs its part of them.
+	rng := rand.New(rand.NewPCG(8, 1))
+	m := firstMap(24, 16, 96, 5)
+	s, err := expert.Spread(m, skewed(rng, 16, 96), expert.SpreadLimits{FreshPerLayer: 2, FreshPerRank: 3, FreshInLayer: 4, MoveCost: 0.6})
+	assert.NilError(t, err)
+	for layer, ranks := range fetched(m, s.Map) {
+		total := 0
+		for _, n := range ranks {
+			total += n
+		}
+		assert.Assert(t, total >= 1 && total <= 4, "layer %d fetches %d", layer, total)
+	}
+	assert.Assert(t, s.FreshMost <= 3)
+	assert.Assert(t, s.Skew-s.Expected > 0.8, "skew %.2f, expected %.2f", s.Skew, s.Expected)
+}
+
 func TestSpreadEvensOutAShiftInOneChange(t *testing.T) {
 	// The pattern: one expert takes a fifth of a layer's choices, on one rank.
 	rng := rand.New(rand.NewPCG(8, 1))
--- a/steer/balance.go
+++ b/steer/balance.go
@@ -35,12 +35,20 @@
 	// fetchTime is the time for which a rank fetches copies for one change: short, so
 	// that the hottest experts are spread soon.
 	fetchTime = 450 * time.Millisecond
+	// quickSkew is the skew from which on a change takes few copies, for which a rank
+	// fetches in quickFetchTime, and the rest in a second one: until the first, each
+	// pass is twice as long as it should be.
+	quickSkew      = 2.0
+	quickFetchTime = 85 * time.Millisecond
+	// slowHold is the time from the order to arm to the end of a change beyond which
+	// orders must have got lost. For carefulTime after it, changes are done in one, and
+	// armed carefulAhead passes ahead, so that ranks wait for no order that is repeated.
+	slowHold     = 100 * time.Millisecond
+	carefulTime  = 6 * time.Second
+	carefulAhead = 2
 	// strickenSkew is the skew beyond which a change fetches whatever the ranks can
 	// stage: a rank is slow, and each pass until the switch takes long.
 	strickenSkew = 4.0
-	// balanceAhead is the number of passes between the latest one and the switch.
-	// Ranks hold before it, so an order that comes late only makes them wait.
-	balanceAhead = 2
 	// askTimeout bounds a question to another agent.
 	askTimeout = 400 * time.Millisecond
 )
@@ -102,6 +110,11 @@
 	known map[int]track.RankShare
 	// incomplete is what the group lacked at the latest look.
 	incomplete string
+	// quick is set if the latest change is the quick first one of two.
+	quick bool
+	// carefulUntil is the time until which orders are given well ahead, since some were
+	// answered late.
+	carefulUntil time.Time
 	// stuck is set if the latest attempt left something half done.
 	stuck bool
 	// unsettledSince is the time since which the own rank waits for a decision.
@@ -119,7 +132,7 @@
 func NewBalancer(options BalancerOptions) *Balancer {
 	b := &Balancer{options: options, remotes: make(map[string]*swap.Door), known: make(map[int]track.RankShare)}
 	b.runner = swap.Runner{Clock: options.Clock, Send: b.send, Timing: swap.Timing{
-		Repeat: 50 * time.Millisecond, Patience: 500 * time.Millisecond, FetchPatience: 3 * time.Second,
+		Repeat: 25 * time.Millisecond, Patience: 500 * time.Millisecond, FetchPatience: 3 * time.Second,
 	}}
 	b.skew = options.Metrics.GetOrCreateGauge("filberttrack_expert_skew", nil)
 	b.changes = options.Metrics.GetOrCreateCounter("filberttrack_expert_changes_total")
@@ -215,11 +228,17 @@
 	shares, err := b.gather(ctx, own, mates)
 	b.noteIncomplete(own, err)
 	if err != nil {
+		if b.quick {
+			// The ranks are about to switch; the second change follows at once.
+			b.due = b.options.Clock.Now()
+		}
 		return
 	}
-	plan := swap.Plan{ArmAhead: balanceAhead}
+	careful := b.options.Clock.Now().Before(b.carefulUntil)
+	plan := swap.Plan{ArmAhead: carefulAhead, Soonest: !careful}
 	if !settle && !slices.ContainsFunc(shares, func(s track.RankShare) bool { return s.Unsettled }) {
-		plan.Change = b.plan(shares)
+		b.quick = false
+		plan.Change = b.plan(shares, careful)
 		if plan.Change == nil {
 			return
 		}
@@ -234,13 +253,19 @@
 	}
 	b.highest = max(b.highest, result.Highest)
 	b.stuck = result.Outcome == swap.Stuck
+	if result.Held > slowHold {
+		b.carefulUntil = b.options.Clock.Now().Add(carefulTime)
+	}
 	if result.Outcome == swap.Switched {
 		b.changes.Inc()
+		if b.quick {
+			b.due = b.options.Clock.Now()
+		}
 	}
 	b.options.Logger.Info("expert map change", zap.String("Group", own.Group), zap.Int64("Epoch", own.Epoch),
 		zap.String("Outcome", string(result.Outcome)), zap.String("Reason", result.Reason),
 		zap.Uint64("Ballot", ballot.Number), zap.Uint64("Step", result.Switch.Step), zap.Bool("Settle", settle),
-		zap.Duration("Took", b.options.Clock.Since(began)))
+		zap.Duration("Took", b.options.Clock.Since(began)), zap.Duration("Held", result.Held), zap.Bool("Careful", careful))
 }
 
 // rankBits is the number of low bits of a ballot's number that tell the drivers of
@@ -358,7 +383,7 @@
 }
 
 // plan returns the change to a better map, or nil.
-func (b *Balancer) plan(shares []track.RankShare) *track.MapChange {
+func (b *Balancer) plan(shares []track.RankShare, careful bool) *track.MapChange {
 	spec, ok := b.options.Spec()
 	if !ok || spec.Experts == 0 {
 		return nil
@@ -373,14 +398,7 @@
 		return nil
 	}
 	began := b.options.Clock.Now()
-	limits := expert.SpreadLimits{
-		FreshPerLayer: spec.StagedPerLayer, FreshPerRank: copiesPerChange(spec), MoveCost: moveCost, Pace: paces(shares),
-	}
-	spreading, err := expert.Spread(now, loads, limits)
-	if err == nil && spreading.Skew > strickenSkew {
-		limits.FreshPerRank = 0
-		spreading, err = expert.Spread(now, loads, limits)
-	}
+	spreading, quick, err := spread(now, loads, spec, paces(shares), !careful)
 	if err != nil {
 		b.options.Logger.Error("no plan", zap.Error(err))
 		return nil
@@ -388,21 +406,47 @@
 	b.skew.Set(spreading.Skew)
 	worth := spreading.Skew-spreading.Expected >= minGain
 	b.options.Logger.Info("expert placement", zap.Float64("Skew", spreading.Skew), zap.Float64("Expected", spreading.Expected),
-		zap.Int("Copies", spreading.Fresh), zap.Int("CopiesMost", spreading.FreshMost), zap.Bool("Change", worth),
+		zap.Int("Copies", spreading.Fresh), zap.Int("CopiesMost", spreading.FreshMost), zap.Bool("Change", worth), zap.Bool("Quick", quick),
 		zap.Duration("Took", b.options.Clock.Since(began)))
 	if !worth {
 		return nil
 	}
 	b.copies.Add(spreading.Fresh)
+	b.quick = quick
 	return &track.MapChange{Base: shares[0].Version, Whole: &spreading.Map}
 }
 
-// copiesPerChange returns the number of copies that a rank fetches in fetchTime.
-func copiesPerChange(spec track.ExpertSpec) int {
+// spread plans the change for a map in use, in two if that is allowed and worth it. It
+// reports whether the change is the quick first one of two.
+func spread(now track.ExpertMap, loads expert.Loads, spec track.ExpertSpec, pace []float64, two bool) (expert.Spreading, bool, error) {
+	limits := expert.SpreadLimits{
+		FreshPerLayer: spec.StagedPerLayer, FreshPerRank: copiesIn(fetchTime, spec), MoveCost: moveCost, Pace: pace,
+	}
+	whole, err := expert.Spread(now, loads, limits)
+	if err != nil || whole.Skew < quickSkew || !two && whole.Skew <= strickenSkew {
+		return whole, false, err
+	}
+	if whole.Skew > strickenSkew {
+		limits.FreshPerRank = 0
+		whole, err = expert.Spread(now, loads, limits)
+		return whole, false, err
+	}
+	limits.FreshPerRank = copiesIn(quickFetchTime, spec)
+	limits.FreshInLayer = max(1, limits.FreshPerRank*len(pace)/max(spec.Layers, 1))
+	first, err := expert.Spread(now, loads, limits)
+	if err != nil || first.FreshMost >= whole.FreshMost || first.Skew-first.Expected < minGain {
+		return whole, false, err
+	}
+	return first, true, nil
+}
+
+// copiesIn returns the number of copies that a rank fetches in a time; 0 if that
+// isn't known.
+func copiesIn(d time.Duration, spec track.ExpertSpec) int {
 	if spec.ExpertBytes <= 0 || spec.LinkBytesPerSecond <= 0 {
 		return 0
 	}
-	return max(1, int(fetchTime.Seconds()*spec.LinkBytesPerSecond/float64(spec.ExpertBytes)))
+	return max(1, int(d.Seconds()*spec.LinkBytesPerSecond/float64(spec.ExpertBytes)))
 }
 
 // paces returns the pace of each rank.
--- a/swap/driver.go
+++ b/swap/driver.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"time"
 
 	"filberttrack.example/track"
 )
@@ -37,6 +38,9 @@
 	Switch track.MapSwitch
 	// Highest is the highest ballot number met.
 	Highest uint64
+	// Held is the time from the first order to arm to the end, during which ranks may
+	// wait; 0 if none was armed. It is set by the Runner.
+	Held time.Duration
 }
 
 // phase is what a driver waits for.
@@ -66,8 +70,15 @@
 	// ArmAhead is the number of steps between the furthest rank and the step of the
 	// switch; 0 sets the default.
 	ArmAhead uint64
+	// Soonest names the next step of all for the switch. If that has begun before the
+	// ranks hold, another one is named. It suits engines whose ranks run in lock-step:
+	// either all of them hold before a step, or none does.
+	Soonest bool
 }
 
+// maxNamings bounds the steps that a driver names for one switch.
+const maxNamings = 6
+
 // Driver is one attempt under one ballot. It is not safe for concurrent use.
 type Driver struct {
 	ballot  track.Ballot
@@ -85,7 +96,11 @@
 	// promises holds the incarnations under which the members promised.
 	promises map[track.RankID]track.Incarnation
 	maps     bool
-	result   Result
+	// namings is the number of steps named for the switch, late the number of members
+	// that had begun the latest one.
+	namings int
+	late    int
+	result  Result
 }
 
 // NewDriver returns a driver for the members of a group and its first orders.
@@ -140,9 +155,15 @@
 		return nil
 	}
 	d.result.Highest = max(d.result.Highest, r.Promised.Number, r.State.Fence)
-	if r.Refusal != "" {
+	if d.begunBefore(r) {
+		d.late++
+	} else if r.Refusal != "" {
 		return d.refused(r)
 	}
+	if d.namings > 1 && d.phase == arming && r.Refusal == "" && !d.armed(r) {
+		// The reply may be to the order for an earlier step.
+		return nil
+	}
 	if d.phase == preparing && (r.State.Prepared == nil || r.State.Prepared.Version != d.ballot) {
 		d.begun[r.From] = true
 		return nil
@@ -154,6 +175,16 @@
 	return d.next()
 }
 
+// begunBefore reports whether a member could not hold since the step named had begun.
+func (d *Driver) begunBefore(r track.MapReply) bool {
+	return d.plan.Soonest && d.phase == arming && r.Refusal == track.RefusedRank && r.State.Step > d.result.Switch.Step
+}
+
+// armed reports whether a member is armed for the switch named last.
+func (d *Driver) armed(r track.MapReply) bool {
+	return r.State.Armed != nil && *r.State.Armed == d.result.Switch
+}
+
 // Repeat returns the orders of this phase that have no reply yet.
 func (d *Driver) Repeat() []track.MapOrder {
 	var out []track.MapOrder
@@ -227,6 +258,9 @@
 	case preparing:
 		return d.arm()
 	case arming:
+		if d.late > 0 {
+			return d.nameAgain()
+		}
 		return d.enter(committing, everyone(track.MapOrder{Kind: track.OrderCommit, Switch: d.result.Switch}))
 	case committing:
 		return d.end(Switched, "")
@@ -272,12 +306,26 @@
 	return d.enter(preparing, everyone(track.MapOrder{Kind: track.OrderPrepare, Change: &change}))
 }
 
+// nameAgain names another step if all members had begun the last one. If only some
+// had, they don't run in lock-step, and the change is undone.
+func (d *Driver) nameAgain() []track.MapOrder {
+	if d.late < len(d.orders) || d.namings == maxNamings {
+		return d.undo(fmt.Sprintf("step %d had begun at %d of %d ranks", d.result.Switch.Step, d.late, len(d.orders)))
+	}
+	return d.arm()
+}
+
 // arm names a step that no rank has entered yet.
 func (d *Driver) arm() []track.MapOrder {
 	furthest := uint64(0)
 	for _, r := range d.replies {
 		furthest = max(furthest, r.State.Step)
 	}
-	d.result.Switch = track.MapSwitch{Version: d.ballot, Step: furthest + cmp.Or(d.plan.ArmAhead, defaultArmAhead)}
+	ahead := cmp.Or(d.plan.ArmAhead, defaultArmAhead)
+	if d.plan.Soonest {
+		ahead = 0
+	}
+	d.namings, d.late = d.namings+1, 0
+	d.result.Switch = track.MapSwitch{Version: d.ballot, Step: furthest + ahead}
 	return d.enter(arming, everyone(track.MapOrder{Kind: track.OrderArm, Switch: d.result.Switch}))
 }
--- a/swap/member_test.go
+++ b/swap/member_test.go
@@ -238,3 +238,62 @@
 	p.run(20)
 	assert.Equal(t, p.group.Open(), arms[0].Switch.Step+20)
 }
+
+// soonest returns a driver that has named the next step, and its arm orders.
+func (p *pairOf) soonest() (*swap.Driver, []track.MapOrder) {
+	plan := swap.Plan{Default: baseMap, Soonest: true, Change: &track.MapChange{}}
+	d, orders := swap.NewDriver(track.Ballot{Number: 1, Driver: "a"}, []track.RankID{rankA, rankB}, plan)
+	for range 2 {
+		orders = feed(d, p.send(orders...))
+	}
+	assert.Equal(p.t, orders[0].Kind, track.OrderArm)
+	return d, orders
+}
+
+// begun returns the reply of a rank that began the step before the order came.
+func begun(o track.MapOrder) track.MapReply {
+	return track.MapReply{
+		Kind: o.Kind, Ballot: o.Ballot, From: o.To, Incarnation: o.Incarnation, Refusal: track.RefusedRank,
+		State: track.RankState{Step: o.Switch.Step + 1},
+	}
+}
+
+func TestAStepThatHasBegunIsNamedAgain(t *testing.T) {
+	p := newPair(t, false)
+	d, arms := p.soonest()
+	first := arms[0].Switch.Step
+	again := feed(d, []track.MapReply{begun(arms[0]), begun(arms[1])})
+	assert.Equal(t, len(again), 2)
+	assert.Equal(t, again[0].Kind, track.OrderArm)
+	assert.Equal(t, again[0].Switch.Step, first+1)
+	// An accepted reply that may belong to the earlier step doesn't count.
+	stale := track.MapReply{Kind: track.OrderArm, Ballot: arms[0].Ballot, From: arms[0].To, Incarnation: arms[0].Incarnation}
+	assert.Equal(t, len(feed(d, []track.MapReply{stale})), 0)
+	p.run(1)
+	commits := feed(d, p.send(again...))
+	feed(d, p.send(commits...))
+	result, done := d.Result()
+	assert.Assert(t, done && result.Outcome == swap.Switched, "%+v", result)
+	p.run(5)
+}
+
+func TestRanksThatDontRunInLockStepAreUndone(t *testing.T) {
+	p := newPair(t, false)
+	d, arms := p.soonest()
+	armed := p.send(arms[0])
+	undo := feed(d, append(armed, begun(arms[1])))
+	assert.Equal(t, len(undo), 2)
+	assert.Equal(t, undo[0].Kind, track.OrderDisarm)
+}
+
+func TestStepsAreNamedAFewTimesOnly(t *testing.T) {
+	p := newPair(t, false)
+	d, orders := p.soonest()
+	namings := 1
+	for orders[0].Kind == track.OrderArm {
+		orders = feed(d, []track.MapReply{begun(orders[0]), begun(orders[1])})
+		namings++
+	}
+	assert.Equal(t, orders[0].Kind, track.OrderDisarm)
+	assert.Equal(t, namings, 7)
+}
--- a/swap/run.go
+++ b/swap/run.go
@@ -69,10 +69,14 @@
 	}
 	launch(orders)
 	phase, since := d.phase, r.Clock.Now()
+	var armed time.Time
 	ticker := r.Clock.NewTicker(r.Timing.Repeat)
 	defer ticker.Stop()
 	for {
 		if result, done := d.Result(); done {
+			if !armed.IsZero() {
+				result.Held = r.Clock.Since(armed)
+			}
 			return result, nil
 		}
 		select {
@@ -94,6 +98,9 @@
 		}
 		if d.phase != phase {
 			phase, since = d.phase, r.Clock.Now()
+			if phase == arming {
+				armed = since
+			}
 		}
 	}
 }
--- a/swap/world_test.go
+++ b/swap/world_test.go
@@ -143,7 +143,7 @@
 		return
 	}
 	w.used[ballot] = true
-	plan := swap.Plan{Default: baseMap}
+	plan := swap.Plan{Default: baseMap, Soonest: w.highest%2 == 0}
 	if change {
 		state, _ := a.rank.State(context.Background(), true)
 		plan.Change = &track.MapChange{Base: state.Map.Version}
