fix(batch): the least loaded of three drawn replicas, not of all

Cause: on the grown sites 22% of streams had their first event after 0.5 to 1.9 s with about four requests on each replica by the entries' counts. The engines' own reports show 1 to 10 running and up to 16 queued: some 40 entries, who know of each other's requests with 0.2 s of delay, all went for the replica that had just become idle. Ruled out: prompt sizes (no correlation), slow passes (no gaps), waiting (none).

Lines of requests name the prompt's size and what the replica was starting. Test: TestOneIdleReplicaIsNotOverrun, seen red with all weighed.

--- a/batch/pool.go
+++ b/batch/pool.go
@@ -4,6 +4,7 @@
 package batch
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -96,8 +97,10 @@
 	// Waited is the time spent waiting for the place.
 	Waited time.Duration
 	// Load is the number of requests on the replica when it was chosen, this one
-	// included, and Candidates the number of replicas weighed.
+	// included, Starting the number of those without a first event, and Candidates the
+	// number of replicas weighed.
 	Load       int
+	Starting   int
 	Candidates int
 
 	pool     *Pool
@@ -139,6 +142,8 @@
 	engine   *track.EngineSpec
 	replicas map[track.ReplicaID]*replica
 	waiting  []*waiter
+	// open is scratch space of choose.
+	open []*replica
 	// hold is the moving mean of the time for which a place is held.
 	hold time.Duration
 }
@@ -346,7 +351,7 @@
 		r.own.Starting++
 		r.tokens += w.ask.Tokens
 		w.granted <- &Grant{
-			Replica: r.Replica, Waited: now.Sub(w.arrived), Load: r.load(), Candidates: candidates,
+			Replica: r.Replica, Waited: now.Sub(w.arrived), Load: r.load(), Starting: r.starting(), Candidates: candidates,
 			pool: p, tokens: w.ask.Tokens, granted: now, starting: true,
 		}
 	}
@@ -368,16 +373,25 @@
 	return a.arrived.Compare(b.arrived)
 }
 
-// choose returns the open replica with the least load below its limit.
+// choose returns the least loaded of a few open replicas below their limits, which are
+// drawn at random: what other entries have in flight is known with a delay, and if all
+// went for the least loaded of all meanwhile, that one would be overrun.
 func (p *Pool) choose(ask Ask, now time.Time) (*replica, int) {
-	var best *replica
-	bestScore, candidates := 0.0, 0
+	p.open = p.open[:0]
 	spareSlow := p.anyAtPace(now)
 	for _, r := range p.replicas {
 		if !r.listed || r.closedFor(now) > 0 || slices.Contains(ask.Excluded, r.ID) || !p.hasRoom(r) || spareSlow && r.slow() {
 			continue
 		}
-		candidates++
+		p.open = append(p.open, r)
+	}
+	candidates := len(p.open)
+	if candidates > maxWeighed {
+		p.drawFew()
+	}
+	var best *replica
+	bestScore := 0.0
+	for _, r := range p.open {
 		if score := p.score(r); best == nil || score < bestScore {
 			best, bestScore = r, score
 		}
@@ -385,6 +399,16 @@
 	return best, candidates
 }
 
+// drawFew leaves a few of the open replicas, drawn at random.
+func (p *Pool) drawFew() {
+	slices.SortFunc(p.open, func(a, b *replica) int { return cmp.Compare(a.ID, b.ID) })
+	for i := range drawn {
+		j := i + int(p.options.Draw()*float64(len(p.open)-i))
+		p.open[i], p.open[j] = p.open[j], p.open[i]
+	}
+	p.open = p.open[:drawn]
+}
+
 // anyAtPace reports whether a replica is open whose rank isn't slow.
 func (p *Pool) anyAtPace(now time.Time) bool {
 	for _, r := range p.replicas {
--- a/batch/pool_test.go
+++ b/batch/pool_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -339,3 +340,38 @@
 	grants[0].Done(batch.Result{Verdict: batch.Served})
 	take(t, p, ask(clock, 0))
 }
+
+// The pattern: dozens of entries know of each other's requests with a delay, and one
+// replica has become idle. If all send there, its queue is longer than any other's.
+func TestOneIdleReplicaIsNotOverrun(t *testing.T) {
+	const entries, listed, usual = 40, 72, 4
+	clock := clockwork.NewFakeClock()
+	rng := rand.New(rand.NewPCG(4, 1))
+	known := make(map[track.ReplicaID]track.InFlight, listed)
+	for i := range listed {
+		known[id(i)] = track.InFlight{Running: usual}
+	}
+	known[id(7)] = track.InFlight{}
+	list := replicas(listed)
+	for i := range list {
+		list[i].Slots = 10
+	}
+	sent := make(map[track.ReplicaID]int)
+	for range entries {
+		p := batch.New(batch.Options{
+			Service: service, Zone: "rivera", Clock: clock, Logger: zap.NewNop(),
+			Draw: rng.Float64, Entries: func() int { return entries },
+		})
+		p.Configure(engine)
+		p.Update(list)
+		p.SetOthers(known)
+		for range 2 {
+			sent[take(t, p, ask(clock, 0)).Replica.ID]++
+		}
+	}
+	for replica, n := range sent {
+		total := known[replica].Running + n
+		assert.Assert(t, total <= 10, "%s has %d requests for 10 places", replica, total)
+	}
+	assert.Assert(t, sent[id(7)] >= 1, "but it is preferred")
+}
--- a/batch/replica.go
+++ b/batch/replica.go
@@ -35,6 +35,12 @@
 	// slowPace is the pace from which on a rank gets no requests while others are
 	// open. A rank in good health is at 1.
 	slowPace = 1.5
+	// drawn is the number of replicas of which the least loaded gets a request. Two keep
+	// the batches nearly even and any one from being overrun; three still follow what is
+	// known of them well.
+	drawn = 3
+	// maxWeighed is the number of replicas up to which all are weighed.
+	maxWeighed = 4
 	// defaultSlots is assumed of a replica that names no slots.
 	defaultSlots = 4
 
@@ -84,9 +90,13 @@
 	return r.own.Running + r.others.Running
 }
 
+func (r *replica) starting() int {
+	return r.own.Starting + r.others.Starting
+}
+
 // hasRoom reports whether the replica may get another request.
 func (p *Pool) hasRoom(r *replica) bool {
-	if p.engine != nil && r.own.Starting+r.others.Starting >= maxStarting {
+	if p.engine != nil && r.starting() >= maxStarting {
 		return false
 	}
 	return r.load() < p.limit(r)
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -151,6 +151,8 @@
 			zap.String("Replica", string(x.grant.Replica.ID)),
 			zap.Int64("WaitedMs", x.grant.Waited.Milliseconds()),
 			zap.Int("Load", x.grant.Load),
+			zap.Int("Starting", x.grant.Starting),
+			zap.Int("PromptTokens", x.request.PromptTokens),
 			zap.Int("Candidates", x.grant.Candidates))
 	}
 	if x.firstByte > 0 {
