fix(edge): agents that start tell their group at once, and plan again soon

The agents that came back heard of each other after 400 ms, found the group incomplete once, and looked again 1.5 s later; the group was held for 2.1 s, and the first plan after it, from the counts of a few requests, stood for 1.5 s more.

--- a/edge/agent.go
+++ b/edge/agent.go
@@ -103,6 +103,8 @@
 	balancer *steer.Balancer
 	client   *talk.Client
 	share    atomic.Pointer[track.RankShare]
+	// known is set once the other members are.
+	known atomic.Bool
 }
 
 // NewAgent returns an agent that knows nothing yet.
@@ -112,7 +114,7 @@
 	relay := keyed.NewRelay(o.Log, a.entryMirror, o.Clock)
 	follow := follower{clock: o.Clock, logger: o.Logger, peers: func() []track.KeyedLog { return a.members.logs(a.node.Live()) }}
 	a.config = follow.topic(relay, keyed.Options{Topic: o.Topics.Config, Pause: agentConfigPause, MaxPause: agentConfigMaxPause, Apply: offer(a.holder, o.Topics.ConfigKey)})
-	a.list = follow.topic(relay, keyed.Options{Topic: TopicMembers, Pause: membersPause, MaxPause: membersMaxPause, Apply: a.members.apply})
+	a.list = follow.topic(relay, keyed.Options{Topic: TopicMembers, Pause: membersPause, MaxPause: membersMaxPause, Apply: a.memberNews})
 	incarnation := track.Incarnation(o.Clock.Now().UnixMilli())
 	a.door = swap.NewDoor(o.Self, incarnation, []track.RankEngine{o.Rank}, nil, o.Clock)
 	a.node = gossip.New(gossip.Options{
@@ -190,6 +192,15 @@
 	a.node.Soon()
 }
 
+// memberNews takes records of members. An agent that has just started tells all of them
+// of itself at once: its group may wait for it.
+func (a *Agent) memberNews(records []track.KeyedRecord) {
+	a.members.apply(records)
+	if !a.known.Swap(true) {
+		a.node.Soon()
+	}
+}
+
 func (a *Agent) note(bool) gossip.Note {
 	note := gossip.Note{
 		Role: track.RoleAgent, Zone: a.options.Zone, Address: a.options.Member.Notes, API: a.options.Member.API,
--- a/steer/balance.go
+++ b/steer/balance.go
@@ -19,6 +19,11 @@
 const (
 	// balanceInterval is the time between two plans while the demand is steady.
 	balanceInterval = 1500 * time.Millisecond
+	// youngInterval is the time between two plans for youngTime after a group has formed
+	// or the agent has started: agents hear of each other one by one, and the first
+	// counts are those of a few requests.
+	youngInterval = 250 * time.Millisecond
+	youngTime     = 3 * time.Second
 	// lookInterval is the time between two looks at the agent's own rank.
 	lookInterval = 100 * time.Millisecond
 	// shiftDelay is the time between a shift of the demand and the plan for it:
@@ -110,6 +115,9 @@
 	known map[int]track.RankShare
 	// incomplete is what the group lacked at the latest look.
 	incomplete string
+	// epoch is that of the group, which is young until youngUntil.
+	epoch      int64
+	youngUntil time.Time
 	// quick is set if the latest change is the quick first one of two.
 	quick bool
 	// carefulUntil is the time until which orders are given well ahead, since some were
@@ -201,11 +209,17 @@
 	if shifted {
 		b.due = now.Add(shiftDelay)
 	}
+	if b.epoch != share.Epoch {
+		b.epoch, b.youngUntil = share.Epoch, now.Add(youngTime)
+	}
 	settle := b.mustSettle(share, now, turn) || b.stuck
 	if !settle && (turn > 0 || now.Before(b.due)) {
 		return
 	}
 	b.due = now.Add(balanceInterval)
+	if now.Before(b.youngUntil) {
+		b.due = now.Add(youngInterval)
+	}
 	b.drive(ctx, share, mates, settle)
 }
 
