--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -26,7 +26,7 @@
 	readBytes = 4 << 10
 	// spacingShare is the part of the longest pause on time at which events are spaced;
 	// the rest is for the way to the client.
-	spacingShare = 0.9
+	spacingShare = 0.93
 )
 
 // relayWhole relays an answer once it is whole, so that one that breaks off can be
--- a/steer/balance.go
+++ b/steer/balance.go
@@ -25,10 +25,7 @@
 	youngInterval = 250 * time.Millisecond
 	youngTime     = 3 * time.Second
 	// lookInterval is the time between two looks at the agent's own rank.
-	lookInterval = 100 * time.Millisecond
-	// shiftDelay is the time between a shift of the demand and the plan for it:
-	// after it, each agent has counts of the new demand alone.
-	shiftDelay = lookInterval
+	lookInterval = 60 * time.Millisecond
 	// holdPatience is the time for which a switch may wait for its decision before
 	// another agent settles it; each later agent waits that much longer.
 	holdPatience = 500 * time.Millisecond
@@ -207,7 +204,8 @@
 		}
 	}
 	if shifted {
-		b.due = now.Add(shiftDelay)
+		// Ranks run in lock-step: all of them have counts of the new demand.
+		b.due = now
 	}
 	if b.epoch != share.Epoch {
 		b.epoch, b.youngUntil = share.Epoch, now.Add(youngTime)
