feat(batch): streams leave a rank that has become slow

Its own requests make each pass of the group longer by 12 times their part, for as long as they last (up to 6 s at 200 ms an event), though nothing new is sent there. Streams and calls that may be repeated now go on elsewhere, within the retry budget; bookings stay. The driver plans at once when a rank turns slow, and again soon when a switch is still awaited.

--- a/batch/pool.go
+++ b/batch/pool.go
@@ -103,7 +103,9 @@
 	Starting   int
 	Candidates int
 
-	pool     *Pool
+	pool *Pool
+	// leave breaks the attempt off so that it can go on elsewhere; nil if it can't.
+	leave    func()
 	tokens   int
 	granted  time.Time
 	starting bool
@@ -114,6 +116,18 @@
 	g.pool.started(g)
 }
 
+// OnLeave has a function called if the replica's rank becomes so slow that its own
+// requests hold up those of its whole group, while others are at pace. It is called
+// once at most, and not after Done.
+func (g *Grant) OnLeave(leave func()) {
+	g.pool.mu.Lock()
+	defer g.pool.mu.Unlock()
+	g.leave = leave
+	if r := g.pool.replicas[g.Replica.ID]; r != nil {
+		r.grants[g] = struct{}{}
+	}
+}
+
 // Done frees the place and learns from the result.
 func (g *Grant) Done(r Result) {
 	g.pool.done(g, r)
@@ -179,7 +193,7 @@
 		if old := p.replicas[r.ID]; old != nil {
 			old.Replica, old.listed = r, true
 		} else {
-			p.replicas[r.ID] = &replica{Replica: r, listed: true}
+			p.replicas[r.ID] = &replica{Replica: r, listed: true, grants: make(map[*Grant]struct{})}
 		}
 	}
 	for id, r := range p.replicas {
@@ -427,6 +441,7 @@
 	if r == nil {
 		return
 	}
+	delete(r.grants, g)
 	r.own.Running--
 	if g.starting {
 		r.own.Starting--
@@ -518,10 +533,25 @@
 				zap.Bool("Open", state.Open), zap.Float64("Pace", state.Pace))
 			r.rank = state
 		}
+		if state.Pace >= evacuatePace && p.anyAtPace(now) {
+			p.evacuate(r)
+		}
 	}
 	p.dispatch()
 }
 
+// evacuate breaks off the attempts at a replica that can go on elsewhere.
+func (p *Pool) evacuate(r *replica) {
+	if len(r.grants) == 0 {
+		return
+	}
+	p.options.Logger.Info("replica evacuated", zap.String("Replica", string(r.ID)), zap.Float64("Pace", r.rank.Pace), zap.Int("Requests", len(r.grants)))
+	for g := range r.grants {
+		g.leave()
+	}
+	clear(r.grants)
+}
+
 // Tick grants the places of replicas that are open again.
 func (p *Pool) Tick() {
 	p.mu.Lock()
--- a/batch/replica.go
+++ b/batch/replica.go
@@ -41,6 +41,9 @@
 	drawn = 3
 	// maxWeighed is the number of replicas up to which all are weighed.
 	maxWeighed = 4
+	// evacuatePace is the pace from which on requests that can go on elsewhere leave a
+	// rank: its own part of a pass is then longer than that of all others together.
+	evacuatePace = 3.0
 	// defaultSlots is assumed of a replica that names no slots.
 	defaultSlots = 4
 
@@ -73,6 +76,8 @@
 	// own and others count the requests of this entry and of all others.
 	own    track.InFlight
 	others track.InFlight
+	// grants holds the own requests that can go on elsewhere.
+	grants map[*Grant]struct{}
 	// tokens estimates the tokens that own requests hold.
 	tokens int
 	// rank is what the agent beside the replica tells.
--- a/edge/agent.go
+++ b/edge/agent.go
@@ -281,7 +281,7 @@
 			continue
 		}
 		mates = append(mates, steer.Mate{
-			Agent: h.From, Rank: h.Rank.Rank, Address: h.Rank.Address, Server: h.Rank.Server, Silent: h.Silence >= mateSilence,
+			Agent: h.From, Rank: h.Rank.Rank, Address: h.Rank.Address, Server: h.Rank.Server, Pace: h.Rank.Pace, Silent: h.Silence >= mateSilence,
 		})
 	}
 	return mates
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -41,6 +42,8 @@
 	// unreached counts the attempts that no replica got.
 	unreached int
 	excluded  []track.ReplicaID
+	// left is set if the attempt was broken off to leave a slow rank.
+	left atomic.Bool
 	// mayHaveRun is set once an attempt may have run.
 	mayHaveRun bool
 	// committed is set once the head of an answer was relayed.
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -180,6 +180,15 @@
 	clock := x.proxy.options.Clock
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	x.left.Store(false)
+	if x.route.Repeat != track.RepeatNever && x.sent+1 < x.route.MaxAttempts {
+		grant.OnLeave(func() {
+			if x.budget.Left() > 1 {
+				x.left.Store(true)
+				cancel()
+			}
+		})
+	}
 	started := clock.Now()
 	call := track.ReplicaCall{
 		Replica: grant.Replica, Request: x.request.ID, Host: x.request.Host, Method: x.request.Method,
@@ -247,8 +256,13 @@
 	if ctx.Err() != nil {
 		return verdict{result: batch.Result{Verdict: batch.Abandoned}, refusal: x.ended()}
 	}
+	result := batch.Result{Verdict: batch.Broke}
+	if x.left.Swap(false) {
+		// The attempt was broken off here, which says nothing of the replica's health.
+		result.Verdict, reason = batch.Abandoned, "LeftSlowRank"
+	}
 	return verdict{
-		result:  batch.Result{Verdict: batch.Broke},
+		result:  result,
 		again:   x.mayRepeat(),
 		refusal: &Refusal{Status: http.StatusBadGateway, Reason: reason},
 	}
--- a/steer/balance.go
+++ b/steer/balance.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/batch"
 	"filberttrack.example/track/expert"
 	"filberttrack.example/track/swap"
 )
@@ -62,6 +63,9 @@
 	// Address takes calls to the agent, Server those to its rank.
 	Address string
 	Server  string
+	// Pace is the time that its rank needs for the same work, relative to one in good
+	// health.
+	Pace float64
 	// Silent is set while the agent isn't heard; its rank is then reached directly.
 	Silent bool
 }
@@ -112,6 +116,8 @@
 	known map[int]track.RankShare
 	// incomplete is what the group lacked at the latest look.
 	incomplete string
+	// slow holds a bit for each rank that is slow.
+	slow uint64
 	// epoch is that of the group, which is young until youngUntil.
 	epoch      int64
 	youngUntil time.Time
@@ -207,6 +213,10 @@
 		// Ranks run in lock-step: all of them have counts of the new demand.
 		b.due = now
 	}
+	if slow := slowRanks(share, mates); slow != b.slow {
+		// Until experts leave a slow rank, all ranks are as slow.
+		b.slow, b.due = slow, now
+	}
 	if b.epoch != share.Epoch {
 		b.epoch, b.youngUntil = share.Epoch, now.Add(youngTime)
 	}
@@ -221,6 +231,20 @@
 	b.drive(ctx, share, mates, settle)
 }
 
+// slowRanks returns a bit for each rank that is slow.
+func slowRanks(own track.RankShare, mates []Mate) uint64 {
+	slow := uint64(0)
+	if batch.Slow(own.Pace) {
+		slow |= 1 << (own.Rank % 64)
+	}
+	for _, mate := range mates {
+		if batch.Slow(mate.Pace) {
+			slow |= 1 << (mate.Rank % 64)
+		}
+	}
+	return slow
+}
+
 // mustSettle reports whether the own rank has waited for a decision for so long
 // that this agent brings one about.
 func (b *Balancer) mustSettle(share track.RankShare, now time.Time, turn int) bool {
@@ -265,6 +289,9 @@
 	}
 	b.highest = max(b.highest, result.Highest)
 	b.stuck = result.Outcome == swap.Stuck
+	if result.Outcome == swap.Idle || result.Outcome == swap.Undone {
+		b.due = b.options.Clock.Now().Add(youngInterval)
+	}
 	if result.Held > slowHold {
 		b.carefulUntil = b.options.Clock.Now().Add(carefulTime)
 	}
