fix(proxy): a broken group's refusal names when the group is expected

It is now told what is expected of the group, and goes to another group at once if one is open; all replicas of the group are marked by one word.

Tests: TestARequestOfABrokenGroup, TestASlowGroupGetsLess, TestPasses.

--- a/batch/pool.go
+++ b/batch/pool.go
@@ -156,6 +156,8 @@
 	engine   *track.EngineSpec
 	replicas map[track.ReplicaID]*replica
 	waiting  []*waiter
+	// passes holds the mean duration of passes by group, as its ranks tell.
+	passes map[string]time.Duration
 	// open is scratch space of choose.
 	open []*replica
 	// hold is the moving mean of the time for which a place is held.
@@ -170,7 +172,7 @@
 
 // New returns a pool without replicas.
 func New(options Options) *Pool {
-	return &Pool{options: options, replicas: make(map[track.ReplicaID]*replica)}
+	return &Pool{options: options, replicas: make(map[track.ReplicaID]*replica), passes: make(map[string]time.Duration)}
 }
 
 // Configure takes the description of the service's engines; nil for plain services.
@@ -291,8 +293,34 @@
 	if brokenSince.IsZero() {
 		return ReasonNoReplica, noReplicaRetryAfter
 	}
-	// What has been broken for a while is likely to stay so for as long again.
-	return ReasonGroupBroken, p.spread(min(max(now.Sub(brokenSince), minBrokenRetryAfter), maxBrokenRetryAfter))
+	return ReasonGroupBroken, p.brokenRetryAfter(brokenSince, now)
+}
+
+// OtherGroup reports whether a replica is open that is known to belong to another rank
+// group than the given one. If not, it returns the time after which that group is
+// expected to work again.
+func (p *Pool) OtherGroup(id track.ReplicaID) (bool, time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.options.Clock.Now()
+	failed := p.replicas[id]
+	since := now
+	if failed != nil && failed.broken {
+		since = failed.brokenSince
+	}
+	for _, r := range p.replicas {
+		other := failed != nil && failed.rank.Group != "" && r.rank.Group != "" && r.rank.Group != failed.rank.Group
+		if other && r.listed && r.closedFor(now) <= 0 {
+			return true, 0
+		}
+	}
+	return false, p.brokenRetryAfter(since, now)
+}
+
+// brokenRetryAfter returns when a group that broke at a time is expected back. What has
+// been broken for a while is likely to stay so for as long again.
+func (p *Pool) brokenRetryAfter(since, now time.Time) time.Duration {
+	return p.spread(min(max(now.Sub(since), minBrokenRetryAfter), maxBrokenRetryAfter))
 }
 
 // heldMost returns the number of late requests that this entry holds while a group
@@ -450,6 +478,9 @@
 	if result.Verdict == Served {
 		p.learn(now.Sub(g.granted))
 	}
+	if result.AtFault != "" && p.engine != nil {
+		p.breakMates(r, now)
+	}
 	if change := r.observe(result, now, p.engine); change != "" {
 		p.options.Logger.Info("replica health", zap.String("Replica", string(r.ID)), zap.String("Change", change),
 			zap.Duration("ClosedFor", r.closedFor(now)), zap.String("AtFault", result.AtFault))
@@ -460,6 +491,15 @@
 	p.dispatch()
 }
 
+// breakMates notes that the group of a replica is broken, for all of its replicas.
+func (p *Pool) breakMates(r *replica, now time.Time) {
+	for _, other := range p.replicas {
+		if r.rank.Group != "" && other.rank.Group == r.rank.Group {
+			other.breakGroup(now, max(brokenClosed, p.engine.FormTime))
+		}
+	}
+}
+
 func (p *Pool) started(g *Grant) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -511,6 +551,8 @@
 	// Pace is the time that the rank needs for the same work, relative to one in
 	// good health; 0 if unknown.
 	Pace float64
+	// Pass is the duration of the group's passes; 0 if unknown.
+	Pass time.Duration
 }
 
 // SetRank takes what the agent beside the replica at an address tells.
@@ -528,18 +570,33 @@
 		case r.broken:
 			r.broken, r.closedUntil = false, now
 		}
-		if r.rank != state {
+		old := r.rank
+		r.rank = state
+		if old.Pass = state.Pass; old != state {
 			p.options.Logger.Info("rank of replica", zap.String("Replica", string(r.ID)), zap.String("Group", state.Group),
 				zap.Bool("Open", state.Open), zap.Float64("Pace", state.Pace))
-			r.rank = state
 		}
 		if state.Pace >= evacuatePace && p.anyAtPace(now) {
 			p.evacuate(r)
 		}
 	}
+	p.passes[state.Group] = p.meanPass(state.Group)
 	p.dispatch()
 }
 
+// meanPass returns the mean of what the ranks of a group tell of its passes; 0 if none
+// does. They see the same passes at different times.
+func (p *Pool) meanPass(group string) time.Duration {
+	sum, n := time.Duration(0), 0
+	for _, r := range p.replicas {
+		if r.rank.Group == group && r.rank.Pass > 0 {
+			sum += r.rank.Pass
+			n++
+		}
+	}
+	return sum / time.Duration(max(n, 1))
+}
+
 // evacuate breaks off the attempts at a replica that can go on elsewhere.
 func (p *Pool) evacuate(r *replica) {
 	if len(r.grants) == 0 {
--- a/batch/pool_test.go
+++ b/batch/pool_test.go
@@ -375,3 +375,28 @@
 	}
 	assert.Assert(t, sent[id(7)] >= 1, "but it is preferred")
 }
+
+// The pattern: one of two groups has a slow rank, and its passes take three times as
+// long. What runs there is served later, and lasts longer.
+func TestASlowGroupGetsLess(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	p := newPool(clock, 4, engine)
+	for i := range 4 {
+		state := batch.RankState{Group: "quick", Open: true, Pace: 1, Pass: 60 * time.Millisecond}
+		if i >= 2 {
+			state.Group, state.Pass = "slow", 180*time.Millisecond
+		}
+		p.SetRank(address(i), state)
+	}
+	sent := map[string]int{}
+	for range 8 {
+		g := take(t, p, ask(clock, 0))
+		g.Started()
+		group := "quick"
+		if g.Replica.ID == id(2) || g.Replica.ID == id(3) {
+			group = "slow"
+		}
+		sent[group]++
+	}
+	assert.DeepEqual(t, sent, map[string]int{"quick": 6, "slow": 2})
+}
--- a/batch/replica.go
+++ b/batch/replica.go
@@ -64,6 +64,8 @@
 	maxErrorShare = 0.5
 	// latencySmoothing is the weight of the newest sample in the mean latency.
 	latencySmoothing = 0.2
+	// minPass is the duration below which passes count as equal.
+	minPass = 50 * time.Millisecond
 	// minLatency keeps idle replicas comparable.
 	minLatency = time.Millisecond
 )
@@ -135,14 +137,16 @@
 	return slots * queueFactor
 }
 
-// score orders replicas for the next request, least first. The ranks of a group
-// run in lock-step, so for engines only the size of the batch counts.
+// score orders replicas for the next request, least first. The ranks of a group run in
+// lock-step, so for engines the size of the batch counts, and how long the group's passes
+// take: a group with a slow rank gets fewer requests than others.
 func (p *Pool) score(r *replica) float64 {
 	score := float64(r.load() + 1)
 	if p.engine == nil {
 		score *= float64(max(r.latency, minLatency))
 	} else {
 		score += float64(r.tokens) / float64(max(p.engine.MemoryTokens, 1))
+		score *= float64(max(p.passes[r.rank.Group], minPass))
 	}
 	if r.Zone != p.options.Zone {
 		score *= farFactor
--- a/edge/agent.go
+++ b/edge/agent.go
@@ -103,6 +103,9 @@
 	balancer *steer.Balancer
 	client   *talk.Client
 	share    atomic.Pointer[track.RankShare]
+	// passes is used by the balancer's looks only; pass is its latest word.
+	passes steer.Passes
+	pass   atomic.Int64
 	// known is set once the other members are.
 	known atomic.Bool
 }
@@ -184,6 +187,7 @@
 // or broke.
 func (a *Agent) seen(share track.RankShare) {
 	old := a.share.Swap(&share)
+	a.pass.Store(int64(a.passes.Seen(share, a.options.Clock.Now())))
 	if old != nil && old.Open == share.Open && old.Epoch == share.Epoch && batch.Slow(old.Pace) == batch.Slow(share.Pace) {
 		return
 	}
@@ -208,7 +212,7 @@
 	if share := a.share.Load(); share != nil {
 		note.Rank = &gossip.RankNote{
 			Server: a.options.Server, Group: share.Group, Epoch: share.Epoch, Rank: share.Rank, Ranks: share.Ranks,
-			Open: share.Open, Running: share.Running, Queued: share.Queued, Pace: share.Pace, Address: a.options.Member.API,
+			Open: share.Open, Running: share.Running, Queued: share.Queued, Pace: share.Pace, Pass: time.Duration(a.pass.Load()), Address: a.options.Member.API,
 		}
 	}
 	return note
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -323,7 +323,7 @@
 func (e *Entry) receive(note gossip.Note) {
 	e.members.heard(note)
 	if note.Rank != nil {
-		brief := gossip.RankBrief{Server: note.Rank.Server, Group: note.Rank.Group, Open: note.Rank.Open, Pace: note.Rank.Pace}
+		brief := gossip.RankBrief{Server: note.Rank.Server, Group: note.Rank.Group, Open: note.Rank.Open, Pace: note.Rank.Pace, Pass: note.Rank.Pass}
 		e.takeRank(brief, note.Zone)
 		return
 	}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -83,6 +83,8 @@
 	// Pace is the time that the rank needs for the same work, relative to one in
 	// good health.
 	Pace float64
+	// Pass is the duration of the group's passes; 0 if unknown.
+	Pass time.Duration `json:",omitempty"`
 	// Age is the time since the agent told.
 	Age time.Duration
 }
@@ -102,6 +104,8 @@
 	// Pace is the time that the rank needs for the same work, relative to one in
 	// good health.
 	Pace float64
+	// Pass is the duration of the group's passes; 0 if unknown.
+	Pass time.Duration
 	// Address takes the calls of other agents.
 	Address string
 }
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"filberttrack.example/track"
 	"filberttrack.example/track/batch"
 	"filberttrack.example/track/proxy"
 )
@@ -215,6 +216,34 @@
 	assert.Equal(t, got.Code, http.StatusOK, "others are served")
 }
 
+// The pattern: a rank was lost, and its whole group answers that it ran nothing.
+func TestARequestOfABrokenGroup(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		groups []string
+		code   int
+		after  string
+	}{
+		{"goes to another group", []string{"a", "a", "b"}, http.StatusOK, ""},
+		{"is told when the group is expected", []string{"a", "a", "a"}, http.StatusServiceUnavailable, "1.5s"},
+		{"and so while groups aren't known", []string{"", "", ""}, http.StatusServiceUnavailable, "1.5s"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(groupBroken)
+			for i, group := range c.groups {
+				// The only replica with little to do is the first of the broken group.
+				w.pools["llm"].SetRank(address("llm", i), batch.RankState{Group: group, Open: true, Pace: 1})
+			}
+			others := map[track.ReplicaID]track.InFlight{"llm-1": {Running: 3}, "llm-2": {Running: 3}}
+			w.pools["llm"].SetOthers(others)
+			got, err := w.ask("/notes/1")
+			assert.NilError(t, err)
+			assert.Equal(t, got.Code, c.code)
+			assert.Equal(t, got.Header().Get("Retry-After"), c.after)
+		})
+	}
+}
+
 func Example() {
 	w := newWorld(unreachable)
 	got, err := w.ask("/book/1")
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -64,6 +64,13 @@
 			return nil
 		}
 		x.excluded = append(x.excluded, grant.Replica.ID)
+		if v.result.AtFault != "" {
+			open, after := x.pool.OtherGroup(grant.Replica.ID)
+			v.again = v.again && open
+			if v.refusal.RetryAfter > 0 {
+				v.refusal.RetryAfter = max(after, declinedRetryAfter)
+			}
+		}
 		if !v.again || ctx.Err() != nil || x.deadline.Sub(clock.Now()) < minTimeLeft {
 			return v.refusal
 		}
@@ -277,7 +284,7 @@
 // declined judges an answer that says that the request did not run.
 func (x *exchange) declined(answer track.ReplicaAnswer) verdict {
 	v := verdict{result: batch.Result{Verdict: batch.Full, AtFault: answer.AtFault}}
-	v.again = x.sent < x.route.MaxAttempts && answer.AtFault == ""
+	v.again = x.sent < x.route.MaxAttempts
 	if answer.OtherReplica && answer.AtFault == "" {
 		v.result.Verdict = batch.Misplaced
 	}
