--- a/batch/pool.go
+++ b/batch/pool.go
@@ -428,12 +428,14 @@
 		p.open = append(p.open, r)
 	}
 	candidates := len(p.open)
+	weighed := candidates
 	if candidates > maxWeighed {
-		p.drawFew()
+		weighed = drawn
 	}
+	p.draw(weighed)
 	var best *replica
 	bestScore := 0.0
-	for _, r := range p.open {
+	for _, r := range p.open[:weighed] {
 		if score := p.score(r); best == nil || score < bestScore {
 			best, bestScore = r, score
 		}
@@ -441,14 +443,15 @@
 	return best, candidates
 }
 
-// drawFew leaves a few of the open replicas, drawn at random.
-func (p *Pool) drawFew() {
+// draw moves n of the open replicas, drawn at random, to the front. The order counts, too:
+// it decides among equals.
+func (p *Pool) draw(n int) {
+	// The order of a map varies; draws alone decide.
 	slices.SortFunc(p.open, func(a, b *replica) int { return cmp.Compare(a.ID, b.ID) })
-	for i := range drawn {
+	for i := range n {
 		j := i + int(p.options.Draw()*float64(len(p.open)-i))
 		p.open[i], p.open[j] = p.open[j], p.open[i]
 	}
-	p.open = p.open[:drawn]
 }
 
 // anyAtPace reports whether a replica is open whose rank isn't slow.
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -144,7 +144,9 @@
 		zap.String("Service", x.service),
 		zap.Int("Attempts", x.sent),
 		zap.Int64("TookMs", now.Sub(x.arrived).Milliseconds()),
-		zap.Int64("LeftMs", x.deadline.Sub(now).Milliseconds()),
+	}
+	if !x.deadline.IsZero() {
+		fields = append(fields, zap.Int64("LeftMs", x.deadline.Sub(now).Milliseconds()))
 	}
 	if x.table != nil {
 		fields = append(fields, zap.Uint64("Version", x.table.Version()))
--- a/proxy/world_test.go
+++ b/proxy/world_test.go
@@ -101,6 +101,10 @@
 func address(service string, i int) string { return fmt.Sprintf("%s-%d:80", service, i) }
 
 func newWorld(script ...behaviour) *world {
+	return newWorldLogging(zap.NewNop(), script...)
+}
+
+func newWorldLogging(logger *zap.Logger, script ...behaviour) *world {
 	w := &world{clock: clockwork.NewFakeClock(), hung: make(chan struct{}, 1), script: script, pools: map[string]*batch.Pool{}}
 	w.table = hosts.New(track.RouteConfig{Version: 1, Routes: routes, Accounts: []track.RouteAccount{{Name: "mills", Keys: []string{"key"}}}})
 	var list []track.Replica
@@ -122,7 +126,7 @@
 	w.budget = retry.NewShared(retry.SharedLimit{Share: 0.2, Slack: 50, Window: 10 * time.Second}, w.clock, func() int { return 1 })
 	w.proxy = proxy.New(proxy.Options{
 		Table: func() *hosts.Table { return w.table }, Services: w, Caller: w, Refuse: refuse, Blame: w.blame,
-		Clock: w.clock, Draw: func() float64 { return 0 }, Logger: zap.NewNop(), Metrics: proxy.NewMetrics(metrics.NewSet()),
+		Clock: w.clock, Draw: func() float64 { return 0 }, Logger: logger, Metrics: proxy.NewMetrics(metrics.NewSet()),
 	})
 	return w
 }
