--- a/batch/pool.go
+++ b/batch/pool.go
@@ -619,6 +619,30 @@
 	p.dispatch()
 }
 
+// Window is the state of admission to a service, as one entry sees it.
+type Window struct {
+	// Places is the number of requests that open replicas take at once, Taken the
+	// number that they have from all entries, Waiting the number that wait here.
+	Places  int
+	Taken   int
+	Waiting int
+}
+
+// Window returns the state of admission.
+func (p *Pool) Window() Window {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.options.Clock.Now()
+	w := Window{Waiting: len(p.waiting)}
+	for _, r := range p.replicas {
+		if r.listed && r.closedFor(now) <= 0 {
+			w.Places += p.limit(r)
+			w.Taken += r.load()
+		}
+	}
+	return w
+}
+
 // Broken reports whether a rank group of the service is known to be broken.
 func (p *Pool) Broken() bool {
 	p.mu.Lock()
--- a/batch/pool_test.go
+++ b/batch/pool_test.go
@@ -399,4 +399,5 @@
 		sent[group]++
 	}
 	assert.DeepEqual(t, sent, map[string]int{"quick": 6, "slow": 2})
+	assert.DeepEqual(t, p.Window(), batch.Window{Places: 16, Taken: 8})
 }
--- a/edge/gauges.go
+++ b/edge/gauges.go
@@ -28,6 +28,15 @@
 
 // registerPool adds the state of a service's places to the metrics.
 func (e *Entry) registerPool(service string, pool *batch.Pool) {
+	e.options.Metrics.GetOrCreateGauge(fmt.Sprintf("filberttrack_waiting{service=%q}", service), func() float64 {
+		return float64(pool.Window().Waiting)
+	})
+	e.options.Metrics.GetOrCreateGauge(fmt.Sprintf("filberttrack_places{service=%q}", service), func() float64 {
+		return float64(pool.Window().Places)
+	})
+	e.options.Metrics.GetOrCreateGauge(fmt.Sprintf("filberttrack_places_taken{service=%q}", service), func() float64 {
+		return float64(pool.Window().Taken)
+	})
 	e.options.Metrics.GetOrCreateGauge(fmt.Sprintf("filberttrack_group_broken{service=%q}", service), func() float64 {
 		if pool.Broken() {
 			return 1
--- a/logger/bounded.go
+++ b/logger/bounded.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -16,6 +17,9 @@
 const (
 	// boundedLines is the number of lines that wait for a slow reader.
 	boundedLines = 4096
+	// busyLines is the number of waiting lines from which on those of information are
+	// dropped, so that there is room for warnings and errors.
+	busyLines = boundedLines / 2
 	// flushInterval is the time for which lines are gathered into one write.
 	flushInterval = 100 * time.Millisecond
 	// maxWriteBytes bounds the lines of one write.
@@ -29,6 +33,8 @@
 	out      io.Writer
 	clock    clockwork.Clock
 	reported uint64
+	// shed counts the lines of information that were dropped while others waited.
+	shed atomic.Uint64
 }
 
 // NewBounded returns a logger of JSON lines, and the queue behind it, whose Run
@@ -36,7 +42,27 @@
 func NewBounded(out io.Writer, clock clockwork.Clock) (*zap.Logger, *Bounded) {
 	b := &Bounded{lines: ring.New[[]byte](boundedLines), out: out, clock: clock}
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoderConfig()), zapcore.AddSync(b), zapcore.InfoLevel)
-	return zap.New(core), b
+	return zap.New(shedding{core, b}), b
+}
+
+// shedding is a core that drops lines of information while many lines wait.
+type shedding struct {
+	zapcore.Core
+	queue *Bounded
+}
+
+// With implements zapcore.Core.
+func (s shedding) With(fields []zapcore.Field) zapcore.Core {
+	return shedding{s.Core.With(fields), s.queue}
+}
+
+// Check implements zapcore.Core.
+func (s shedding) Check(entry zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if entry.Level < zapcore.WarnLevel && s.queue.lines.Len() >= busyLines {
+		s.queue.shed.Add(1)
+		return checked
+	}
+	return s.Core.Check(entry, checked)
 }
 
 func encoderConfig() zapcore.EncoderConfig {
@@ -58,7 +84,7 @@
 
 // Dropped returns the number of lines without room.
 func (b *Bounded) Dropped() uint64 {
-	return b.lines.Dropped()
+	return b.lines.Dropped() + b.shed.Load()
 }
 
 // Run writes lines until the context ends, and then those that wait.
@@ -66,7 +92,9 @@
 	for {
 		select {
 		case <-ctx.Done():
-			b.flush(nil)
+			for b.lines.Len() > 0 || b.Dropped() > b.reported {
+				b.flush(nil)
+			}
 			return context.Cause(ctx)
 		case line := <-b.lines.Items():
 			select {
@@ -90,7 +118,7 @@
 		}
 		break
 	}
-	if dropped := b.lines.Dropped(); dropped > b.reported {
+	if dropped := b.Dropped(); dropped > b.reported {
 		buffer = fmt.Appendf(buffer, "{\"Level\":\"warn\",\"Message\":\"log lines dropped\",\"Dropped\":%d}\n", dropped-b.reported)
 		b.reported = dropped
 	}
--- a/logger/bounded_test.go
+++ b/logger/bounded_test.go
@@ -22,7 +22,12 @@
 	for range 5000 {
 		log.Info("request served", zap.String("RequestID", "r"))
 	}
-	assert.Equal(t, lines.Dropped(), uint64(5000-4096))
+	assert.Equal(t, lines.Dropped(), uint64(5000-2048))
+	// Lines of what failed find room while good ones are dropped.
+	for range 2100 {
+		log.With(zap.String("Instance", "front-1")).Warn("request failed", zap.String("RequestID", "f"))
+	}
+	assert.Equal(t, lines.Dropped(), uint64(5000-2048+52))
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- lines.Run(ctx) }()
@@ -32,5 +37,6 @@
 	cancel()
 	<-ended
 	assert.Assert(t, strings.Contains(out.String(), `"RequestID":"r"`))
-	assert.Assert(t, strings.Contains(out.String(), `"Message":"log lines dropped","Dropped":904`), "drops are reported")
+	assert.Equal(t, strings.Count(out.String(), `"Instance":"front-1","RequestID":"f"`), 2048)
+	assert.Assert(t, strings.Contains(out.String(), `"Message":"log lines dropped","Dropped":3004`), "drops are reported")
 }
