--- a/batch/pool.go
+++ b/batch/pool.go
@@ -428,11 +428,7 @@
 		p.open = append(p.open, r)
 	}
 	candidates := len(p.open)
-	weighed := candidates
-	if candidates > maxWeighed {
-		weighed = drawn
-	}
-	p.draw(weighed)
+	weighed := p.draw()
 	var best *replica
 	bestScore := 0.0
 	for _, r := range p.open[:weighed] {
@@ -443,13 +439,37 @@
 	return best, candidates
 }
 
-// draw moves n of the open replicas, drawn at random, to the front. The order counts, too:
-// it decides among equals.
-func (p *Pool) draw(n int) {
+// draw moves the replicas to weigh to the front of the open ones, and returns their
+// number: some of the own zone and some of all, drawn at random, or all if they are few.
+// Their order counts, too: it decides among equals.
+func (p *Pool) draw() int {
+	far := func(r *replica) int {
+		if r.Zone == p.options.Zone {
+			return 0
+		}
+		return 1
+	}
 	// The order of a map varies; draws alone decide.
-	slices.SortFunc(p.open, func(a, b *replica) int { return cmp.Compare(a.ID, b.ID) })
-	for i := range n {
-		j := i + int(p.options.Draw()*float64(len(p.open)-i))
+	slices.SortFunc(p.open, func(a, b *replica) int { return cmp.Or(cmp.Compare(far(a), far(b)), cmp.Compare(a.ID, b.ID)) })
+	if len(p.open) <= maxWeighed {
+		p.drawFrom(0, len(p.open), len(p.open))
+		return len(p.open)
+	}
+	near := slices.IndexFunc(p.open, func(r *replica) bool { return far(r) == 1 })
+	if near < 0 {
+		near = len(p.open)
+	}
+	own := min(near, drawnNear)
+	p.drawFrom(0, own, near)
+	p.drawFrom(own, own+drawn, len(p.open))
+	return own + drawn
+}
+
+// drawFrom fills the positions from first up to end with open replicas, drawn at random
+// from those at first up to last.
+func (p *Pool) drawFrom(first, end, last int) {
+	for i := first; i < end; i++ {
+		j := i + int(p.options.Draw()*float64(last-i))
 		p.open[i], p.open[j] = p.open[j], p.open[i]
 	}
 }
--- a/batch/pool_test.go
+++ b/batch/pool_test.go
@@ -381,6 +381,11 @@
 func TestASlowGroupGetsLess(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	p := newPool(clock, 4, engine)
+	list := replicas(4)
+	for i := range list {
+		list[i].Zone = "rivera"
+	}
+	p.Update(list)
 	for i := range 4 {
 		state := batch.RankState{Group: "quick", Open: true, Pace: 1, Pass: 60 * time.Millisecond}
 		if i >= 2 {
@@ -401,3 +406,43 @@
 	assert.DeepEqual(t, sent, map[string]int{"quick": 6, "slow": 2})
 	assert.DeepEqual(t, p.Window(), batch.Window{Places: 16, Taken: 8})
 }
+
+// The pattern: what crosses zones is dear, and all replicas have about as much to do.
+func TestTheOwnZoneIsPreferredUntilItIsBusier(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	list := replicas(12)
+	for i := range list {
+		list[i].Slots = 20
+		if i >= 4 {
+			list[i].Zone = "artigas"
+		}
+	}
+	rng := rand.New(rand.NewPCG(5, 1))
+	p := batch.New(batch.Options{
+		Service: service, Zone: "rivera", Clock: clock, Logger: zap.NewNop(),
+		Draw: rng.Float64, Entries: func() int { return 1 },
+	})
+	p.Configure(engine)
+	p.Update(list)
+	// Others fill what this entry sends elsewhere, so that all replicas are even.
+	others := make(map[track.ReplicaID]track.InFlight)
+	near := 0
+	for range 24 {
+		g := take(t, p, ask(clock, 0))
+		if g.Replica.Zone == "rivera" {
+			near++
+		}
+		for _, r := range list {
+			others[r.ID] = track.InFlight{Running: 3}
+		}
+		g.Done(batch.Result{Verdict: batch.Served})
+		p.SetOthers(others)
+	}
+	assert.Assert(t, near >= 20, "%d of 24 stay in the zone", near)
+	for _, r := range list[:4] {
+		others[r.ID] = track.InFlight{Running: 5}
+	}
+	p.SetOthers(others)
+	g := take(t, p, ask(clock, 0))
+	assert.Equal(t, g.Replica.Zone, track.AvailabilityZone("artigas"), "two more requests there outweigh the way")
+}
--- a/batch/replica.go
+++ b/batch/replica.go
@@ -35,10 +35,11 @@
 	// slowPace is the pace from which on a rank gets no requests while others are
 	// open. A rank in good health is at 1.
 	slowPace = 1.5
-	// drawn is the number of replicas of which the least loaded gets a request. Two keep
-	// the batches nearly even and any one from being overrun; three still follow what is
-	// known of them well.
-	drawn = 3
+	// drawn is the number of replicas of all zones of which the least loaded gets a
+	// request, and drawnNear that of the own zone. Two keep the batches nearly even and
+	// any one from being overrun.
+	drawn     = 2
+	drawnNear = 2
 	// maxWeighed is the number of replicas up to which all are weighed.
 	maxWeighed = 4
 	// evacuatePace is the pace from which on requests that can go on elsewhere leave a
@@ -146,6 +147,9 @@
 		score *= float64(max(r.latency, minLatency))
 	} else {
 		score += float64(r.tokens) / float64(max(p.engine.MemoryTokens, 1))
+		if r.Zone != p.options.Zone {
+			score += farLoad
+		}
 		score *= float64(max(p.passes[r.rank.Group], minPass))
 	}
 	if r.Zone != p.options.Zone {
@@ -154,8 +158,13 @@
 	return score
 }
 
-// farFactor makes a replica of the own zone win among equals.
-const farFactor = 1.01
+const (
+	// farFactor makes a replica of the own zone win among equals.
+	farFactor = 1.01
+	// farLoad is the number of further requests for which an engine of the own zone is
+	// preferred: what crosses zones is dear, and batches differ by more than that.
+	farLoad = 0.7
+)
 
 // observe learns from the end of an attempt and returns what changed, for logs.
 func (r *replica) observe(result Result, now time.Time, engine *track.EngineSpec) string {
