--- a/edge/agent.go
+++ b/edge/agent.go
@@ -38,6 +38,10 @@
 	agentConfigMaxPause = 8 * time.Second
 )
 
+// prepareWait is the time for which an order to prepare a map waits for its end: copies
+// of one change take a quarter of a second, and drivers wait for half a second.
+const prepareWait = 250 * time.Millisecond
+
 // mateSilence is the time without a note after which an agent's rank is reached
 // directly: two notes were lost and the third is late.
 const mateSilence = 3*agentNoteInterval + 100*time.Millisecond
@@ -120,6 +124,7 @@
 	a.list = follow.topic(relay, keyed.Options{Topic: TopicMembers, Pause: membersPause, MaxPause: membersMaxPause, Apply: a.memberNews})
 	incarnation := track.Incarnation(o.Clock.Now().UnixMilli())
 	a.door = swap.NewDoor(o.Self, incarnation, []track.RankEngine{o.Rank}, nil, o.Clock)
+	a.door.WaitPrepared(prepareWait)
 	a.node = gossip.New(gossip.Options{
 		Conn: o.Notes, Interval: agentNoteInterval, Compose: a.note, Receive: a.receive, Self: o.Self,
 		Targets: a.targets,
--- a/keyed/follow.go
+++ b/keyed/follow.go
@@ -13,7 +13,7 @@
 const (
 	// minBackoff and maxBackoff bound the pause after a failed call.
 	minBackoff = 150 * time.Millisecond
-	maxBackoff = time.Second
+	maxBackoff = 2 * time.Second
 	// nudgeBackoff is the least time between two reads from peers.
 	nudgeBackoff = 200 * time.Millisecond
 )
--- a/swap/door.go
+++ b/swap/door.go
@@ -16,6 +16,8 @@
 	members []*Member
 	counter track.ExpertCounter
 	clock   clockwork.Clock
+	// prepareWait is the time for which an order to prepare waits for its end.
+	prepareWait time.Duration
 
 	mu    sync.Mutex
 	heard time.Time
@@ -44,7 +46,40 @@
 	d.heard = d.clock.Now()
 	d.highest = max(d.highest, o.Ballot.Number)
 	d.mu.Unlock()
-	return d.members[o.To.Rank].Order(ctx, o)
+	reply, err := d.members[o.To.Rank].Order(ctx, o)
+	if err != nil || o.Kind != track.OrderPrepare || d.prepareWait <= 0 {
+		return reply, err
+	}
+	return d.awaitPrepared(ctx, o, reply)
+}
+
+// WaitPrepared has orders to prepare be answered once the rank has prepared, for a time
+// at most, so that drivers ask less often. It is called before the first order.
+func (d *Door) WaitPrepared(wait time.Duration) {
+	d.prepareWait = wait
+}
+
+// prepareLook is the time between two looks at a rank that prepares.
+const prepareLook = 15 * time.Millisecond
+
+// awaitPrepared looks at the rank until it has prepared, refuses, or the wait is over.
+func (d *Door) awaitPrepared(ctx context.Context, o track.MapOrder, reply track.MapReply) (track.MapReply, error) {
+	o.Begun, o.Change = true, nil
+	end := d.clock.Now().Add(d.prepareWait)
+	for reply.Refusal == "" && (reply.State.Prepared == nil || reply.State.Prepared.Version != o.Ballot) && d.clock.Now().Before(end) {
+		select {
+		case <-ctx.Done():
+			return reply, nil
+		case <-d.clock.After(prepareLook):
+		}
+		next, err := d.members[o.To.Rank].Order(ctx, o)
+		if err != nil {
+			// The driver asks again, and hears of it if that lasts.
+			return reply, nil
+		}
+		reply = next
+	}
+	return reply, nil
 }
 
 // Counts implements track.ExpertCounter.
