--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -4,9 +4,11 @@
 package gossip
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -16,11 +18,14 @@
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/blame"
+	"filberttrack.example/track/talk"
 )
 
 const (
 	// maxNoteBytes bounds a note.
 	maxNoteBytes = 60 << 10
+	// maxDecodedBytes bounds what a compressed note may hold.
+	maxDecodedBytes = 1 << 20
 	// Silence is the time without a note after which a peer counts as gone.
 	Silence = 1500 * time.Millisecond
 )
@@ -226,6 +231,10 @@
 	note := n.options.Compose(far)
 	note.From, note.Started, note.Seq, note.Seldom = n.options.Self, n.started, seq, seldom
 	data, err := json.Marshal(note)
+	if far && err == nil {
+		// What crosses zones is dear.
+		data = talk.Pack(data)
+	}
 	if err != nil || len(data) > maxNoteBytes {
 		n.options.Logger.Error("note can't be sent", zap.Int("Bytes", len(data)), zap.Error(err))
 		return nil
@@ -258,8 +267,8 @@
 			n.options.Logger.Warn("receive note", zap.Error(err))
 			continue
 		}
-		var note Note
-		if err := json.Unmarshal(buffer[:size], &note); err != nil {
+		note, err := decode(buffer[:size])
+		if err != nil {
 			n.options.Logger.Warn("note can't be read", zap.Stringer("From", from), zap.Error(err))
 			continue
 		}
@@ -269,6 +278,18 @@
 	}
 }
 
+// decode returns a note as encode made it: JSON begins with a brace, what is compressed
+// doesn't.
+func decode(data []byte) (Note, error) {
+	var reader io.Reader = bytes.NewReader(data)
+	if len(data) > 0 && data[0] != '{' {
+		reader = talk.Unpack(reader)
+	}
+	var note Note
+	err := json.NewDecoder(io.LimitReader(reader, maxDecodedBytes)).Decode(&note)
+	return note, err
+}
+
 // Take notes what a peer tells, and reports whether that is news.
 func (n *Node) Take(note Note) bool {
 	if note.From == "" || note.From == n.options.Self {
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -75,3 +76,77 @@
 	assert.Equal(t, len(n.Live()), 0)
 	assert.Equal(t, n.Last()[0].Silence, gossip.Silence)
 }
+
+// TestNotesForOtherZonesAreShort sends a large note near and far.
+func TestNotesForOtherZonesAreShort(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	counts := make(map[track.ReplicaID]track.InFlight)
+	for i := range 72 {
+		counts[track.ReplicaID(fmt.Sprintf("i-%010x", i*7919))] = track.InFlight{Running: i % 9, Starting: i % 3}
+	}
+	listen, err := (&net.ListenConfig{}).ListenPacket(t.Context(), "udp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	sizes := make(chan int, 2)
+	sink := &counter{PacketConn: listen, sizes: sizes}
+	received := make(chan gossip.Note, 2)
+	address := listen.LocalAddr().String()
+	sender := gossip.New(gossip.Options{
+		Conn: sink, Interval: time.Second, Self: "a", Clock: clock, Logger: zap.NewNop(),
+		Compose: func(bool) gossip.Note {
+			return gossip.Note{Role: track.RoleEntry, Zones: []gossip.ZoneNote{{Zone: "north", InFlight: counts}}}
+		},
+		Targets: func() []gossip.Peer {
+			return []gossip.Peer{{Name: "near", Address: address}, {Name: "far", Address: address, Far: true}}
+		},
+	})
+	receiver := newNode(clock, listen, "b", gossip.Peer{}, received)
+	ctx, cancel := context.WithCancel(t.Context())
+	ends := make(chan error, 2)
+	go func() { ends <- sender.RunSend(ctx) }()
+	go func() { ends <- receiver.RunReceive(ctx) }()
+	near, far := <-sizes, <-sizes
+	assert.Assert(t, far < near/2, "%d bytes near, %d far", near, far)
+	assert.DeepEqual(t, (<-received).Zones[0].InFlight, counts)
+	cancel()
+	listen.Close()
+	<-ends
+	<-ends
+}
+
+// counter tells the sizes of what is sent.
+type counter struct {
+	net.PacketConn
+	sizes chan<- int
+}
+
+func (c *counter) WriteTo(data []byte, to net.Addr) (int, error) {
+	c.sizes <- len(data)
+	return c.PacketConn.WriteTo(data, to)
+}
+
+func FuzzNote(f *testing.F) {
+	f.Add([]byte("{}"))
+	f.Add([]byte{0xca, 0x48, 0xcd})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		conn := &once{data: data, closed: make(chan struct{})}
+		node := newNode(clockwork.NewFakeClock(), conn, "self", gossip.Peer{}, make(chan gossip.Note, 1))
+		assert.Assert(t, node.RunReceive(t.Context()) == nil, "nonsense is skipped")
+	})
+}
+
+// once is a connection that gives one packet and is then closed.
+type once struct {
+	net.PacketConn
+	data   []byte
+	closed chan struct{}
+}
+
+func (c *once) ReadFrom(p []byte) (int, net.Addr, error) {
+	select {
+	case <-c.closed:
+		return 0, nil, net.ErrClosed
+	default:
+		close(c.closed)
+		return copy(p, c.data), &net.UDPAddr{}, nil
+	}
+}
--- a/talk/pack.go
+++ b/talk/pack.go
@@ -23,8 +23,8 @@
 	return w
 }}
 
-// pack returns the body to send: compressed, or as it is if that is no shorter.
-func pack(data []byte) []byte {
+// Pack returns a body as it is sent: compressed, or as it is if that is no shorter.
+func Pack(data []byte) []byte {
 	if len(data) < minPacked {
 		return data
 	}
@@ -47,10 +47,15 @@
 	}
 }
 
-// unpack returns the body as it was before pack.
-func unpack(header http.Header, body io.Reader) io.Reader {
+// Unpack returns what was compressed by Pack.
+func Unpack(packed io.Reader) io.Reader {
+	return flate.NewReader(packed)
+}
+
+// bodyOf returns the body as it was before Pack.
+func bodyOf(header http.Header, body io.Reader) io.Reader {
 	if header.Get("Content-Encoding") == packedCoding {
-		return flate.NewReader(body)
+		return Unpack(body)
 	}
 	return body
 }
--- a/talk/talk.go
+++ b/talk/talk.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return answer, track.Fail("encode question", track.Invalid, err)
 	}
-	packed := pack(data)
+	packed := Pack(data)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(packed))
 	if err != nil {
 		return answer, track.Fail("build question", track.Invalid, err)
@@ -73,7 +73,7 @@
 		return answer, track.Fail("call "+path, track.Ambiguous, err)
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(unpack(response.Header, response.Body), maxBodyBytes))
+	body, err := io.ReadAll(io.LimitReader(bodyOf(response.Header, response.Body), maxBodyBytes))
 	if err != nil {
 		return answer, track.Fail("call "+path, track.Ambiguous, err)
 	}
@@ -99,7 +99,7 @@
 func Handle[Q, A any](mux *http.ServeMux, path string, handle func(context.Context, Q) (A, error)) {
 	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
 		var question Q
-		if err := json.NewDecoder(io.LimitReader(unpack(r.Header, r.Body), maxBodyBytes)).Decode(&question); err != nil {
+		if err := json.NewDecoder(io.LimitReader(bodyOf(r.Header, r.Body), maxBodyBytes)).Decode(&question); err != nil {
 			http.Error(w, fmt.Sprintf("decode question: %s", err), http.StatusBadRequest)
 			return
 		}
@@ -114,7 +114,7 @@
 			return
 		}
 		w.Header().Set("Content-Type", "application/json")
-		packed := pack(data)
+		packed := Pack(data)
 		setPacked(w.Header(), len(packed) != len(data))
 		// A peer that left asks again.
 		_, _ = w.Write(packed)
