--- a/soak/disturb.go
+++ b/soak/disturb.go
@@ -165,10 +165,15 @@
 		return nil, "", fmt.Errorf("listen: %w", err)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
-	ended := make(chan error, 1)
-	go func() { ended <- server.Serve(listener) }()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		// It ends when it is closed.
+		_ = server.Serve(listener)
+	}()
 	return func() {
-		server.Close()
+		// Connections that break off with it are part of the scene.
+		_ = server.Close()
 		<-ended
 	}, listener.Addr().String(), nil
 }
--- a/soak/link.go
+++ b/soak/link.go
@@ -16,6 +16,9 @@
 	slowTime  = 10 * time.Millisecond
 )
 
+// Connections and listeners that are closed here are of no more use; whether they close
+// in order doesn't matter.
+
 // Link is the way to a replica: it listens at a fixed address, passes connections on
 // and disturbs them. It is safe for concurrent use.
 type Link struct {
@@ -68,7 +71,7 @@
 			// A reset in place of an orderly end; if it fails, the end is orderly.
 			_ = tcp.SetLinger(0)
 		}
-		conn.Close()
+		_ = conn.Close()
 	}
 	clear(l.conns)
 }
@@ -110,7 +113,7 @@
 	l.mu.Lock()
 	l.closed = true
 	l.mu.Unlock()
-	l.listener.Close()
+	_ = l.listener.Close()
 	l.serving.Wait()
 }
 
@@ -145,12 +148,12 @@
 	l.mu.Lock()
 	delete(l.conns, conn)
 	l.mu.Unlock()
-	conn.Close()
+	_ = conn.Close()
 }
 
 func (l *Link) pass(conn net.Conn) {
 	if !l.keep(conn) {
-		conn.Close()
+		_ = conn.Close()
 		return
 	}
 	defer l.drop(conn)
@@ -160,7 +163,7 @@
 		return
 	}
 	if !l.keep(other) {
-		other.Close()
+		_ = other.Close()
 		return
 	}
 	defer l.drop(other)
@@ -173,8 +176,8 @@
 	}
 	// One way's end ends both: callers send one request on a connection.
 	<-ended
-	conn.Close()
-	other.Close()
+	_ = conn.Close()
+	_ = other.Close()
 	<-ended
 }
 
--- a/soak/main.go
+++ b/soak/main.go
@@ -45,12 +45,12 @@
 
 var errBroken = errors.New("a promise was broken")
 
-func run(ctx context.Context, c *cli.Command) error {
+func run(ctx context.Context, c *cli.Command) (err error) {
 	work, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		return fmt.Errorf("make a directory: %w", err)
 	}
-	defer os.RemoveAll(work)
+	defer func() { err = errors.Join(err, os.RemoveAll(work)) }()
 	binary := filepath.Join(work, "trackd")
 	if !c.Bool("plan") {
 		if err := build(ctx, binary); err != nil {
--- a/soak/play.go
+++ b/soak/play.go
@@ -274,8 +274,9 @@
 		if err := e.once(ctx); err != nil {
 			return err
 		}
-		if pause(ctx, restartPause) != nil {
-			return nil
+		select {
+		case <-ctx.Done():
+		case <-time.After(restartPause):
 		}
 	}
 	return nil
--- a/swap/door.go
+++ b/swap/door.go
@@ -72,12 +72,10 @@
 			return reply, nil
 		case <-d.clock.After(prepareLook):
 		}
-		next, err := d.members[o.To.Rank].Order(ctx, o)
-		if err != nil {
-			// The driver asks again, and hears of it if that lasts.
-			return reply, nil
+		// If the rank can't be asked, the driver asks again, and hears of it if that lasts.
+		if next, err := d.members[o.To.Rank].Order(ctx, o); err == nil {
+			reply = next
 		}
-		reply = next
 	}
 	return reply, nil
 }
--- a/swap/driver.go
+++ b/swap/driver.go
@@ -155,17 +155,12 @@
 		return nil
 	}
 	d.result.Highest = max(d.result.Highest, r.Promised.Number, r.State.Fence)
-	if d.begunBefore(r) {
+	switch {
+	case d.begunBefore(r):
 		d.late++
-	} else if r.Refusal != "" {
+	case r.Refusal != "":
 		return d.refused(r)
-	}
-	if d.namings > 1 && d.phase == arming && r.Refusal == "" && !d.armed(r) {
-		// The reply may be to the order for an earlier step.
-		return nil
-	}
-	if d.phase == preparing && (r.State.Prepared == nil || r.State.Prepared.Version != d.ballot) {
-		d.begun[r.From] = true
+	case !d.complete(r):
 		return nil
 	}
 	d.replies[r.From] = r
@@ -175,6 +170,19 @@
 	return d.next()
 }
 
+// complete reports whether an accepted reply ends the member's part of this phase.
+func (d *Driver) complete(r track.MapReply) bool {
+	switch d.phase {
+	case preparing:
+		d.begun[r.From] = true
+		return r.State.Prepared != nil && r.State.Prepared.Version == d.ballot
+	case arming:
+		// After another naming, the reply may be to the order for an earlier step.
+		return d.namings < 2 || d.armed(r)
+	}
+	return true
+}
+
 // begunBefore reports whether a member could not hold since the step named had begun.
 func (d *Driver) begunBefore(r track.MapReply) bool {
 	return d.plan.Soonest && d.phase == arming && r.Refusal == track.RefusedRank && r.State.Step > d.result.Switch.Step
