perf(edge): entries and agents of other zones hear speakers alone

Each process still told all others of itself now and then, and all at once at each change: quadratic. Now nobody but speakers talks to other zones' entries, and nobody to those of other groups but now and then; large notes are compressed within a zone, too.

--- a/edge/agent.go
+++ b/edge/agent.go
@@ -234,9 +234,9 @@
 // one that drives, and those that take over.
 const lookouts = 3
 
-// targets returns the peers to tell, with how often. Entries of the own zone and the
-// lookouts of the group need each note, and all of the group need each of a lookout's.
-// Others learn of changes at once, and little else.
+// targets returns the peers to tell, with how often. Entries of the own zone, which pass
+// on what those of others need, and the lookouts of the group need each note, and all of
+// the group need each of a lookout's.
 func (a *Agent) targets() []gossip.Peer {
 	share := a.share.Load()
 	groups := make(map[track.InstanceID]string)
@@ -260,7 +260,7 @@
 		case member.Role == track.RoleEntry && member.Zone == a.options.Zone:
 			return 1
 		case member.Role == track.RoleEntry:
-			return strangerNotes
+			return 0
 		case !known || share == nil:
 			return 1
 		case group == share.Group && (first[name] || first[a.options.Self]):
--- a/edge/members.go
+++ b/edge/members.go
@@ -22,9 +22,9 @@
 	// speakerNotes is the share of notes that speakers of other zones get: what is
 	// between zones is dear, and replicas of the own zone are preferred.
 	speakerNotes = 2
-	// strangerNotes is the share of notes that processes get which need little of the
-	// sender: it only keeps them from forgetting it.
-	strangerNotes = 50
+	// strangerNotes is the share of notes that agents of other groups get: it only tells
+	// them that the sender isn't of theirs.
+	strangerNotes = 250
 	// announceBackoff is the time between two tries to make oneself known.
 	announceBackoff = 500 * time.Millisecond
 	// announceInterval is the time after which a process makes itself known again,
--- a/edge/zones.go
+++ b/edge/zones.go
@@ -58,7 +58,7 @@
 		case speaks && (!heard || sum.note.Speaker == name):
 			return speakerNotes
 		}
-		return strangerNotes
+		return 0
 	})
 }
 
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -24,6 +24,8 @@
 const (
 	// maxNoteBytes bounds a note.
 	maxNoteBytes = 60 << 10
+	// largeNoteBytes is the size from which on notes within a zone are compressed, too.
+	largeNoteBytes = 6 << 10
 	// maxDecodedBytes bounds what a compressed note may hold.
 	maxDecodedBytes = 1 << 20
 	// Silence is the time without a note after which a peer counts as gone.
@@ -169,7 +171,7 @@
 	}
 }
 
-// Soon has a note sent at once.
+// Soon has a note sent at once, but to those that get few.
 func (n *Node) Soon() {
 	select {
 	case n.soon <- struct{}{}:
@@ -204,10 +206,10 @@
 	type variant struct{ far, seldom bool }
 	encoded := make(map[variant][]byte)
 	for _, peer := range n.options.Targets() {
-		if peer.Name == n.options.Self || !all && peer.Every > 1 && seq%uint64(peer.Every) != 0 {
+		v := variant{far: peer.Far, seldom: time.Duration(peer.Every)*n.options.Interval >= Silence}
+		if peer.Name == n.options.Self || (!all || v.seldom) && peer.Every > 1 && seq%uint64(peer.Every) != 0 {
 			continue
 		}
-		v := variant{far: peer.Far, seldom: time.Duration(peer.Every)*n.options.Interval >= Silence}
 		data, known := encoded[v]
 		if !known {
 			data = n.encode(v.far, v.seldom, seq)
@@ -231,8 +233,8 @@
 	note := n.options.Compose(far)
 	note.From, note.Started, note.Seq, note.Seldom = n.options.Self, n.started, seq, seldom
 	data, err := json.Marshal(note)
-	if far && err == nil {
-		// What crosses zones is dear.
+	if (far || len(data) >= largeNoteBytes) && err == nil {
+		// What crosses zones is dear, and large notes fill small links.
 		data = talk.Pack(data)
 	}
 	if err != nil || len(data) > maxNoteBytes {
