fix(batch): a broken group's time to come back is that of the outages seen

Cause: what had been broken for a moment was expected back in 1.5 s; ranks that crash or are cut off are back after four to six seconds, so that who was refused first came back too early and was lost. It is 2.4 s now, and 1.5 s right after the entry's own start.

--- a/batch/pool.go
+++ b/batch/pool.go
@@ -152,6 +152,9 @@
 type Pool struct {
 	options Options
 
+	// began is the time at which the pool was made, with its entry.
+	began time.Time
+
 	mu       sync.Mutex
 	engine   *track.EngineSpec
 	replicas map[track.ReplicaID]*replica
@@ -172,7 +175,7 @@
 
 // New returns a pool without replicas.
 func New(options Options) *Pool {
-	return &Pool{options: options, replicas: make(map[track.ReplicaID]*replica), passes: make(map[string]time.Duration)}
+	return &Pool{options: options, began: options.Clock.Now(), replicas: make(map[track.ReplicaID]*replica), passes: make(map[string]time.Duration)}
 }
 
 // Configure takes the description of the service's engines; nil for plain services.
@@ -278,7 +281,7 @@
 
 // unserved returns why no replica serves the request, if none does.
 func (p *Pool) unserved(ask Ask, now time.Time) (Reason, time.Duration) {
-	var brokenSince time.Time
+	broken := false
 	for _, r := range p.replicas {
 		if !r.listed || slices.Contains(ask.Excluded, r.ID) {
 			continue
@@ -286,14 +289,12 @@
 		if r.closedFor(now) <= 0 {
 			return "", 0
 		}
-		if r.broken && (brokenSince.IsZero() || r.brokenSince.Before(brokenSince)) {
-			brokenSince = r.brokenSince
-		}
+		broken = broken || r.broken
 	}
-	if brokenSince.IsZero() {
+	if !broken {
 		return ReasonNoReplica, noReplicaRetryAfter
 	}
-	return ReasonGroupBroken, p.brokenRetryAfter(brokenSince, now)
+	return ReasonGroupBroken, p.groupRetryAfter(now)
 }
 
 // OtherGroup reports whether a replica is open that is known to belong to another rank
@@ -304,23 +305,21 @@
 	defer p.mu.Unlock()
 	now := p.options.Clock.Now()
 	failed := p.replicas[id]
-	since := now
-	if failed != nil && failed.broken {
-		since = failed.brokenSince
-	}
 	for _, r := range p.replicas {
 		other := failed != nil && failed.rank.Group != "" && r.rank.Group != "" && r.rank.Group != failed.rank.Group
 		if other && r.listed && r.closedFor(now) <= 0 {
 			return true, 0
 		}
 	}
-	return false, p.brokenRetryAfter(since, now)
+	return false, p.groupRetryAfter(now)
 }
 
-// brokenRetryAfter returns when a group that broke at a time is expected back. What has
-// been broken for a while is likely to stay so for as long again.
-func (p *Pool) brokenRetryAfter(since, now time.Time) time.Duration {
-	return p.spread(min(max(now.Sub(since), minBrokenRetryAfter), maxBrokenRetryAfter))
+// groupRetryAfter returns when a broken group is expected back.
+func (p *Pool) groupRetryAfter(now time.Time) time.Duration {
+	if now.Sub(p.began) < youngTime {
+		return p.spread(formingRetryAfter)
+	}
+	return p.spread(brokenRetryAfter)
 }
 
 // heldMost returns the number of late requests that this entry holds while a group
--- a/batch/replica.go
+++ b/batch/replica.go
@@ -12,11 +12,14 @@
 	// minEngineRetryAfter is that delay for model engines, whose batches turn over
 	// in a second or two.
 	minEngineRetryAfter = time.Second
-	// minBrokenRetryAfter and maxBrokenRetryAfter bound the delay while a rank group
-	// is broken. A rank that crashed is back after some seconds; clients wait no
-	// longer than a third of the time that they have left.
-	minBrokenRetryAfter = 1500 * time.Millisecond
-	maxBrokenRetryAfter = 2500 * time.Millisecond
+	// brokenRetryAfter is the delay while a rank group is broken: a rank that crashed or
+	// was cut off is back after four to six seconds, and clients wait no longer than a
+	// third of the time that they have left.
+	brokenRetryAfter = 2400 * time.Millisecond
+	// formingRetryAfter is the delay for youngTime after this entry has started, when
+	// groups are about to form: all have started then.
+	formingRetryAfter = 1500 * time.Millisecond
+	youngTime         = 3 * time.Second
 	// noReplicaRetryAfter is the delay while no replica serves: replicas report
 	// about once a second.
 	noReplicaRetryAfter = time.Second
@@ -87,7 +90,6 @@
 	rank RankState
 	// broken is set while the replica's group is broken.
 	broken      bool
-	brokenSince time.Time
 	closedUntil time.Time
 	failures    int
 	errorShare  float64
@@ -200,9 +202,7 @@
 
 // breakGroup notes that the replica's group is broken.
 func (r *replica) breakGroup(now time.Time, look time.Duration) {
-	if !r.broken {
-		r.broken, r.brokenSince = true, now
-	}
+	r.broken = true
 	r.closedUntil = now.Add(look)
 }
 
