--- a/soak/check.go
+++ b/soak/check.go
@@ -44,6 +44,9 @@
 	Left map[string]time.Time
 	// Revoked holds the time at which a key's revocation was acknowledged.
 	Revoked map[string]time.Time
+	// Mixed tells of a pass with two maps; Changes counts changes of ranks' maps.
+	Mixed   string
+	Changes int
 	// Faults holds the spans of faults, Begin and End those of the load.
 	Faults     []Span
 	Begin, End time.Time
@@ -106,6 +109,7 @@
 	{"NoPieceLostOrDoubled", noPieceLostOrDoubled},
 	{"LeavingReplicasGetNothing", leavingReplicasGetNothing},
 	{"RevokedKeysAreRefused", revokedKeysAreRefused},
+	{"OneMapInEachPass", oneMapInEachPass},
 	{"NobodyStarves", nobodyStarves},
 	{"ServedAgain", servedAgain},
 }
@@ -228,6 +232,13 @@
 	return found
 }
 
+func oneMapInEachPass(h *History, _ Bounds) []string {
+	if h.Mixed == "" {
+		return nil
+	}
+	return []string{h.Mixed}
+}
+
 // owed reports whether a request's key was in force.
 func (h *History) owed(o Outcome) bool {
 	_, gone := h.Revoked[o.Ask.Key]
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -60,6 +60,7 @@
 			h.Revoked["gone"] = start.Add(17 * time.Second)
 		}, "RevokedKeysAreRefused"},
 		{"the key was passed on", func(h *History) { h.Runs[0].Key = "Token k" }, "RevokedKeysAreRefused"},
+		{"two maps in a pass", func(h *History) { h.Mixed = "pass 7: rank 0 uses map 1, rank 2 map 2" }, "OneMapInEachPass"},
 		{"no stream was served", func(h *History) {
 			for i := range h.Outcomes {
 				if h.Outcomes[i].Kind == Stream {
@@ -84,3 +85,11 @@
 		})
 	}
 }
+
+// TestEachFaultCanBegin keeps the list of faults and what carries them out together.
+func TestEachFaultCanBegin(t *testing.T) {
+	for _, fault := range faults {
+		_, known := begins[fault]
+		assert.Assert(t, known || fault == ReplicaLeaves || fault == ReplicaDies, "%s", fault)
+	}
+}
--- a/soak/disturb.go
+++ b/soak/disturb.go
@@ -13,42 +13,83 @@
 
 // disturb carries out one disturbance, and ends it.
 func (s *stage) disturb(ctx context.Context, e Event) error {
-	entry := s.entries[e.Target%len(s.entries)]
-	place := s.sites[e.Target%len(s.sites)]
-	switch e.Fault {
-	case Freeze:
-		entry.signal(syscall.SIGSTOP)
-		defer entry.signal(syscall.SIGCONT)
-	case Kill:
-		entry.signal(syscall.SIGKILL)
-	case Stop:
-		entry.signal(syscall.SIGTERM)
-	case Reload:
-		entry.signal(syscall.SIGHUP)
-	case LogAway:
+	if e.Fault == ReplicaLeaves || e.Fault == ReplicaDies {
+		return s.replace(ctx, s.sites[e.Target%len(s.sites)], e.For, e.Fault == ReplicaLeaves)
+	}
+	end := begins[e.Fault](s, e)
+	if end != nil {
+		defer end()
+	}
+	return pause(ctx, e.For)
+}
+
+// begins begins a disturbance of each kind, and returns what ends it, if that doesn't end
+// by itself.
+var begins = map[Fault]func(*stage, Event) func(){
+	Freeze:       func(s *stage, e Event) func() { return freeze(s.entries[e.Target%len(s.entries)]) },
+	Kill:         func(s *stage, e Event) func() { return send(s.entries, e, syscall.SIGKILL) },
+	Stop:         func(s *stage, e Event) func() { return send(s.entries, e, syscall.SIGTERM) },
+	Reload:       func(s *stage, e Event) func() { return send(s.entries, e, syscall.SIGHUP) },
+	AgentFreezes: func(s *stage, e Event) func() { return freeze(s.agents[e.Target%len(s.agents)]) },
+	AgentKilled:  func(s *stage, e Event) func() { return send(s.agents, e, syscall.SIGKILL) },
+	LogAway: func(s *stage, _ Event) func() {
 		s.log.SetAway(true)
-		defer s.log.SetAway(false)
-	case LogSlow:
+		return func() { s.log.SetAway(false) }
+	},
+	LogSlow: func(s *stage, _ Event) func() {
 		s.log.SetDelay(slowLog)
-		defer s.log.SetDelay(0)
-	case ReplicaFaults:
+		return func() { s.log.SetDelay(0) }
+	},
+	ReplicaFaults: func(s *stage, e Event) func() {
+		place := s.sites[e.Target%len(s.sites)]
 		place.current().SetFault(e.How, e.Each)
-		defer place.setSound()
-	case ReplicaLeaves:
-		return s.replace(ctx, place, e.For, true)
-	case ReplicaDies:
-		return s.replace(ctx, place, e.For, false)
-	case LinkDelay, LinkReset, LinkSilent, LinkSlow:
-		place.link.Set(e.Fault)
-		defer place.link.Set("")
-	case RevokeKey:
+		return place.setSound
+	},
+	LinkDelay:  disturbLink,
+	LinkReset:  disturbLink,
+	LinkSilent: disturbLink,
+	LinkSlow:   disturbLink,
+	RevokeKey: func(s *stage, e Event) func() {
 		s.revoke(e.Target)
-	case NewRoute:
+		return nil
+	},
+	NewRoute: func(s *stage, _ Event) func() {
 		s.addRoute()
-	}
-	return pause(ctx, e.For)
+		return nil
+	},
+	OrdersLost: func(s *stage, _ Event) func() {
+		s.group.Lose(lostOrders)
+		return func() { s.group.Lose(0) }
+	},
+	DemandShifts: func(s *stage, _ Event) func() {
+		s.group.Shift()
+		return nil
+	},
+	GroupBreaks: func(s *stage, _ Event) func() {
+		s.group.Break()
+		return s.group.Form
+	},
+}
+
+func freeze(p *process) func() {
+	p.signal(syscall.SIGSTOP)
+	return func() { p.signal(syscall.SIGCONT) }
+}
+
+func send(processes []*process, e Event, signal syscall.Signal) func() {
+	processes[e.Target%len(processes)].signal(signal)
+	return nil
 }
 
+func disturbLink(s *stage, e Event) func() {
+	link := s.sites[e.Target%len(s.sites)].link
+	link.Set(e.Fault)
+	return func() { link.Set("") }
+}
+
+// lostOrders is the share of orders to engines that get no answer while some do.
+const lostOrders = 0.2
+
 // slowLog is the delay of the log's answers while it is slow.
 const slowLog = 400 * time.Millisecond
 
@@ -76,12 +117,12 @@
 // openSites starts the replicas.
 func (s *stage) openSites() error {
 	for _, service := range []string{serviceDesk, serviceModel} {
-		for range s.setup.Replicas {
+		for rank := range s.setup.Replicas {
 			link, err := NewLink()
 			if err != nil {
 				return err
 			}
-			place := &site{service: service, link: link}
+			place := &site{service: service, rank: rank, link: link}
 			s.sites = append(s.sites, place)
 			if err := s.start(place); err != nil {
 				return err
@@ -107,7 +148,11 @@
 	place.replica, place.out = replica, false
 	born := int64(place.starts)
 	place.mu.Unlock()
-	place.link.Handle(replica)
+	if place.service == serviceModel {
+		place.link.Handle(mimic.Rank(s.group, place.rank, replica))
+	} else {
+		place.link.Handle(replica)
+	}
 	return s.list(place, id, false, born)
 }
 
--- a/soak/main.go
+++ b/soak/main.go
@@ -107,8 +107,8 @@
 			failed++
 		}
 	}
-	fmt.Printf("seed %d: %d requests, %d served, %d told 503, %d others, %d runs, %d disturbances %v, %d broken promises\n",
-		seed, len(h.Outcomes), served, refused, failed, len(h.Runs), len(plan), countFaults(plan), len(found))
+	fmt.Printf("seed %d: %d requests, %d served, %d told 503, %d others, %d runs, %d changes of ranks' maps, %d disturbances %v, %d broken promises\n",
+		seed, len(h.Outcomes), served, refused, failed, len(h.Runs), h.Changes, len(plan), countFaults(plan), len(found))
 	for i, v := range found {
 		if i == maxShown {
 			fmt.Printf("  and %d more\n", len(found)-i)
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -29,12 +29,18 @@
 	LinkSlow      Fault = "LinkSlow"
 	RevokeKey     Fault = "RevokeKey"
 	NewRoute      Fault = "NewRoute"
+	AgentFreezes  Fault = "AgentFreezes"
+	AgentKilled   Fault = "AgentKilled"
+	OrdersLost    Fault = "OrdersLost"
+	DemandShifts  Fault = "DemandShifts"
+	GroupBreaks   Fault = "GroupBreaks"
 )
 
 // faults lists all kinds, in the order in which seeds draw them.
 var faults = []Fault{
 	Freeze, Kill, Stop, Reload, LogAway, LogSlow, ReplicaFaults, ReplicaLeaves, ReplicaDies,
 	LinkDelay, LinkReset, LinkSilent, LinkSlow, RevokeKey, NewRoute,
+	AgentFreezes, AgentKilled, OrdersLost, DemandShifts, DemandShifts, GroupBreaks,
 }
 
 // Event is a disturbance at a time from the start of the load.
--- a/soak/play.go
+++ b/soak/play.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -16,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"filberttrack.example/track/platform/mimic"
+	"filberttrack.example/track/stand/tier"
 )
 
 // Setup describes a run.
@@ -59,8 +61,12 @@
 	setup   Setup
 	log     *mimic.Log
 	ledger  *mimic.Ledger
-	entries []*entryProcess
+	entries []*process
+	agents  []*process
 	sites   []*site
+	group   *tier.Group
+
+	shape tier.Shape
 
 	mu       sync.Mutex
 	version  uint64
@@ -73,7 +79,9 @@
 // site is a place of a replica: an address behind a link that can be disturbed.
 type site struct {
 	service string
-	link    *Link
+	// rank is the place's number in its service.
+	rank int
+	link *Link
 
 	mu      sync.Mutex
 	replica *mimic.Replica
@@ -99,6 +107,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s := &stage{setup: setup, log: mimic.NewLog(), ledger: &mimic.Ledger{}, keys: make(map[string]string)}
+	s.shape = tier.Shape{Ranks: setup.Replicas, Sets: 2, Experts: 8 * setup.Replicas, Places: 11, Spare: 4}
+	s.group = tier.New(setup.Seed, s.shape)
 	s.history.Left, s.history.Revoked = make(map[string]time.Time), make(map[string]time.Time)
 	closeLog, logAddress, err := serve(s.log)
 	if err != nil {
@@ -110,21 +120,23 @@
 	}
 	defer s.closeSites()
 	s.firstConfig()
-	for i := range setup.Entries {
-		s.entries = append(s.entries, newEntryProcess(setup, i, logAddress))
+	if err := s.newProcesses(logAddress); err != nil {
+		return nil, err
 	}
-	group, groupCtx := errgroup.WithContext(ctx)
-	for _, e := range s.entries {
-		group.Go(func() error { return e.run(groupCtx) })
+	running, runningCtx := errgroup.WithContext(ctx)
+	for _, p := range slices.Concat(s.entries, s.agents) {
+		running.Go(func() error { return p.run(runningCtx) })
 	}
-	err = s.load(groupCtx, plan)
+	running.Go(func() error { s.group.Run(runningCtx); return nil })
+	err = s.load(runningCtx, plan)
 	cancel()
-	if waited := group.Wait(); err == nil && waited != nil && ctx.Err() == nil {
+	if waited := running.Wait(); err == nil && waited != nil && ctx.Err() == nil {
 		err = waited
 	}
 	if err != nil {
 		return nil, err
 	}
+	s.history.Mixed, s.history.Changes = s.group.Mixed()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.history.Outcomes, s.history.Runs = s.outcomes, s.ledger.Runs()
@@ -233,16 +245,18 @@
 // publish appends the configuration under the next version.
 func (s *stage) publish() {
 	s.version++
-	data, err := mimic.Config(s.version, s.routes, []string{serviceDesk, serviceModel}, s.keys)
+	services := map[string]tier.Shape{serviceDesk: {}, serviceModel: s.shape}
+	data, err := mimic.Config(s.version, s.routes, services, s.keys)
 	if err != nil {
 		panic(err) // Maps of strings can always be encoded.
 	}
 	s.log.Put(topicConfig, keyConfig, data)
 }
 
-// entryProcess is an entry as a process, which is started again whenever it ends.
-type entryProcess struct {
-	setup    Setup
+// process is an entry or an agent, which is started again whenever it ends.
+type process struct {
+	binary   string
+	role     string
 	ip       string
 	settings string
 	logFile  string
@@ -251,27 +265,60 @@
 	command *exec.Cmd
 }
 
-func newEntryProcess(setup Setup, number int, log string) *entryProcess {
-	name := fmt.Sprint("front-", number)
-	e := &entryProcess{
-		setup: setup, ip: fmt.Sprintf("127.0.%d.%d", 20+setup.Seed%200, 10+number),
-		settings: filepath.Join(setup.Work, name+".toml"), logFile: filepath.Join(setup.Work, name+".log"),
+// newProcesses makes the entries, and an agent beside each engine. Each process has a
+// loopback address of its own, as all use the same ports.
+func (s *stage) newProcesses(log string) error {
+	for i := range s.setup.Entries {
+		p, err := s.newProcess("entry", i, mimic.ProcessSettings{Log: log})
+		if err != nil {
+			return err
+		}
+		s.entries = append(s.entries, p)
+	}
+	for _, place := range s.sites {
+		if place.service != serviceModel {
+			continue
+		}
+		p, err := s.newProcess("agent", place.rank, mimic.ProcessSettings{Log: log, Engine: place.link.Address(), Service: place.service})
+		if err != nil {
+			return err
+		}
+		s.agents = append(s.agents, p)
+	}
+	return nil
+}
+
+func (s *stage) newProcess(role string, number int, settings mimic.ProcessSettings) (*process, error) {
+	settings.Name = fmt.Sprint(role, "-", number)
+	host := firstEntryHost + number
+	if role == "agent" {
+		host = firstAgentHost + number
 	}
-	text := mimic.Settings(mimic.EntrySettings{Name: name, IP: e.ip, Log: log})
-	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
-		panic(err) // The directory was made just now.
+	settings.IP = fmt.Sprintf("127.0.%d.%d", 20+s.setup.Seed%200, host)
+	p := &process{
+		binary: s.setup.Binary, role: role, ip: settings.IP,
+		settings: filepath.Join(s.setup.Work, settings.Name+".toml"), logFile: filepath.Join(s.setup.Work, settings.Name+".log"),
 	}
-	return e
+	if err := os.WriteFile(p.settings, []byte(mimic.Settings(settings)), 0o600); err != nil {
+		return nil, fmt.Errorf("write settings: %w", err)
+	}
+	return p, nil
 }
 
-func (e *entryProcess) callers() string {
-	return fmt.Sprintf("%s:%d", e.ip, mimic.CallersPort)
+// The last bytes of the addresses of the first entry and the first agent.
+const (
+	firstEntryHost = 10
+	firstAgentHost = 130
+)
+
+func (p *process) callers() string {
+	return fmt.Sprintf("%s:%d", p.ip, mimic.CallersPort)
 }
 
 // run keeps the process running until the context ends, and ends it then.
-func (e *entryProcess) run(ctx context.Context) error {
+func (p *process) run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if err := e.once(ctx); err != nil {
+		if err := p.once(ctx); err != nil {
 			return err
 		}
 		select {
@@ -282,34 +329,34 @@
 	return nil
 }
 
-func (e *entryProcess) once(ctx context.Context) error {
-	out, err := os.OpenFile(e.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+func (p *process) once(ctx context.Context) error {
+	out, err := os.OpenFile(p.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return fmt.Errorf("open log: %w", err)
 	}
 	defer out.Close()
-	command := exec.CommandContext(ctx, e.setup.Binary, "entry")
-	command.Env = append(os.Environ(), mimic.SettingsVariable+"="+e.settings)
+	command := exec.CommandContext(ctx, p.binary, p.role)
+	command.Env = append(os.Environ(), mimic.SettingsVariable+"="+p.settings)
 	command.Stdout, command.Stderr = out, out
 	// The kernel ends the process if this one is killed.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
-		return fmt.Errorf("start entry: %w", err)
+		return fmt.Errorf("start %s: %w", p.role, err)
 	}
-	e.mu.Lock()
-	e.command = command
-	e.mu.Unlock()
+	p.mu.Lock()
+	p.command = command
+	p.mu.Unlock()
 	// How it ended stands in its log; it is started again in any case.
 	_ = command.Wait()
 	return nil
 }
 
 // signal sends a signal to the process, if it runs.
-func (e *entryProcess) signal(signal syscall.Signal) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.command != nil && e.command.Process != nil {
+func (p *process) signal(signal syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command != nil && p.command.Process != nil {
 		// It may have ended just now.
-		_ = e.command.Process.Signal(signal)
+		_ = p.command.Process.Signal(signal)
 	}
 }
