fix(edge): a change of group reaches agents of other groups at once

On the sites, where agents start after groups have formed, it did not show. Kept: nobody but speakers talks to entries of other zones. Test: TestAChangeOfGroupReachesStrangers, seen red (it waits for the note).

--- a/edge/agent_test.go
+++ b/edge/agent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"slices"
 	"testing"
@@ -12,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/gossip"
 	"filberttrack.example/track/steer"
 )
 
@@ -47,3 +49,43 @@
 	cancel()
 	<-ended
 }
+
+// Agents start before groups form. Whoever becomes a mate then must hear of it at once,
+// though it was a stranger before.
+func TestAChangeOfGroupReachesStrangers(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	conn := &sink{sent: make(chan string, 8)}
+	a := NewAgent(AgentOptions{
+		Self: "side-1", Zone: "rivera", Log: nowhere{}, Topics: Topics{Config: "op", ConfigKey: "config"}, DecodeConfig: decodeConfig,
+		Notes: conn, Remote: func(string) steer.RemoteRank { return nil },
+		Clock: clock, Logger: zap.NewNop(), Metrics: metrics.NewSet(),
+	})
+	a.seen(track.RankShare{Group: "a", Rank: 9, Epoch: 1, Open: true})
+	for i, group := range []string{"a", "a", "a", "a", "b"} {
+		note := gossip.Note{
+			From: track.InstanceID(fmt.Sprint("mate-", i)), Role: track.RoleAgent, Zone: "rivera", Address: fmt.Sprint("127.0.0.1:", 20+i),
+			Seq: 1, Rank: &gossip.RankNote{Group: group, Rank: i},
+		}
+		assert.Assert(t, a.node.Take(note))
+		a.receive(note)
+	}
+	every := map[string]int{}
+	for _, peer := range a.targets() {
+		every[string(peer.Name)] = peer.Every
+	}
+	assert.DeepEqual(t, every, map[string]int{"mate-0": 1, "mate-1": 1, "mate-2": 1, "mate-3": strangerNotes, "mate-4": strangerNotes})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- a.node.RunSend(ctx) }()
+	for range every {
+		<-conn.sent
+	}
+	a.seen(track.RankShare{Group: "b", Rank: 9, Epoch: 2, Open: true})
+	told := map[string]bool{}
+	for range every {
+		told[<-conn.sent] = true
+	}
+	assert.Assert(t, told["127.0.0.1:24"], "the new mate: %v", told)
+	cancel()
+	<-ended
+}
--- a/edge/members.go
+++ b/edge/members.go
@@ -23,8 +23,8 @@
 	// between zones is dear, and replicas of the own zone are preferred.
 	speakerNotes = 2
 	// strangerNotes is the share of notes that agents of other groups get: it only tells
-	// them that the sender isn't of theirs.
-	strangerNotes = 250
+	// them that the sender isn't of theirs. They hear of a change of group at once.
+	strangerNotes = 50
 	// announceBackoff is the time between two tries to make oneself known.
 	announceBackoff = 500 * time.Millisecond
 	// announceInterval is the time after which a process makes itself known again,
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -171,7 +171,7 @@
 	}
 }
 
-// Soon has a note sent at once, but to those that get few.
+// Soon has a note sent at once to all peers.
 func (n *Node) Soon() {
 	select {
 	case n.soon <- struct{}{}:
@@ -206,10 +206,10 @@
 	type variant struct{ far, seldom bool }
 	encoded := make(map[variant][]byte)
 	for _, peer := range n.options.Targets() {
-		v := variant{far: peer.Far, seldom: time.Duration(peer.Every)*n.options.Interval >= Silence}
-		if peer.Name == n.options.Self || (!all || v.seldom) && peer.Every > 1 && seq%uint64(peer.Every) != 0 {
+		if peer.Name == n.options.Self || !all && peer.Every > 1 && seq%uint64(peer.Every) != 0 {
 			continue
 		}
+		v := variant{far: peer.Far, seldom: time.Duration(peer.Every)*n.options.Interval >= Silence}
 		data, known := encoded[v]
 		if !known {
 			data = n.encode(v.far, v.seldom, seq)
