refactor(edge): start the shared duties of entry and agent in one place

Entry.Start and Agent.Start listed the same six duties. startMembership starts them for both. batch.Pool.Tick had no caller left since the entry's tick sets what others have in flight, which dispatches too: removed.

--- a/batch/pool.go
+++ b/batch/pool.go
@@ -509,13 +509,6 @@
 	p.dispatch()
 }
 
-// Tick grants the places of replicas that are open again.
-func (p *Pool) Tick() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.dispatch()
-}
-
 // Window is the state of admission to a service, as one entry sees it.
 type Window struct {
 	// Places is the number of requests that open replicas take at once, Taken the
--- a/edge/agent.go
+++ b/edge/agent.go
@@ -153,17 +153,10 @@
 // Start starts the agent's duties.
 func (a *Agent) Start(ctx context.Context) []*duty.Duty {
 	o := a.options
-	return []*duty.Duty{
-		duty.Start(ctx, "follow configuration", a.config.Run),
-		duty.Start(ctx, "ask peers for configuration", a.config.RunPeers),
-		duty.Start(ctx, "follow members", a.list.Run),
-		duty.Start(ctx, "make known", func(ctx context.Context) error {
-			return announce(ctx, o.Log, o.Clock, o.Self, o.Member, o.Logger)
-		}),
-		duty.Start(ctx, "send notes", a.node.RunSend),
-		duty.Start(ctx, "receive notes", a.node.RunReceive),
-		duty.Start(ctx, "balance experts", a.balancer.Run),
-	}
+	duties := startMembership(ctx, a.config, a.list, a.node, func(ctx context.Context) error {
+		return announce(ctx, o.Log, o.Clock, o.Self, o.Member, o.Logger)
+	})
+	return append(duties, duty.Start(ctx, "balance experts", a.balancer.Run))
 }
 
 // ServePeers adds the paths on which other agents call this one.
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -140,21 +140,16 @@
 // Start starts the entry's duties.
 func (e *Entry) Start(ctx context.Context) []*duty.Duty {
 	o := e.options
-	return []*duty.Duty{
-		duty.Start(ctx, "follow configuration", e.config.Run),
-		duty.Start(ctx, "ask peers for configuration", e.config.RunPeers),
+	duties := startMembership(ctx, e.config, e.list, e.node, func(ctx context.Context) error {
+		return announce(ctx, o.Log, o.Clock, o.Self, o.Member, o.Logger)
+	})
+	return append(duties,
 		duty.Start(ctx, "follow replicas", e.replicas.Run),
 		duty.Start(ctx, "ask peers for replicas", e.replicas.RunPeers),
-		duty.Start(ctx, "follow members", e.list.Run),
-		duty.Start(ctx, "make known", func(ctx context.Context) error {
-			return announce(ctx, o.Log, o.Clock, o.Self, o.Member, o.Logger)
-		}),
-		duty.Start(ctx, "send notes", e.node.RunSend),
-		duty.Start(ctx, "receive notes", e.node.RunReceive),
 		duty.Start(ctx, "tick", func(ctx context.Context) error {
 			return duty.Every(ctx, o.Clock, tickInterval, e.tick)
 		}),
-	}
+	)
 }
 
 // Proxy returns the way of clients' requests.
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -1,10 +1,14 @@
 package edge
 
 import (
+	"context"
+
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/duty"
+	"filberttrack.example/track/gossip"
 	"filberttrack.example/track/keyed"
 	"filberttrack.example/track/latest"
 )
@@ -32,3 +36,16 @@
 		}
 	}
 }
+
+// startMembership starts the duties that entries and agents share: they follow the
+// configuration and the members, make themselves known, and exchange notes.
+func startMembership(ctx context.Context, config, list *keyed.Follower, node *gossip.Node, makeKnown func(context.Context) error) []*duty.Duty {
+	return []*duty.Duty{
+		duty.Start(ctx, "follow configuration", config.Run),
+		duty.Start(ctx, "ask peers for configuration", config.RunPeers),
+		duty.Start(ctx, "follow members", list.Run),
+		duty.Start(ctx, "make known", makeKnown),
+		duty.Start(ctx, "send notes", node.RunSend),
+		duty.Start(ctx, "receive notes", node.RunReceive),
+	}
+}
