feat(rank,steer): change expert maps on engines that ignore fencing tokens

Cause: without require_fence each agent was read-only, since a delayed command of an earlier coordinator could arm one rank alone.

Ranks of silent agents are reached directly only where engines check fences.

--- a/edge/agent.go
+++ b/edge/agent.go
@@ -92,10 +92,9 @@
 	DecodeConfig latest.DecodeFunc
 	// Rank is the rank beside the agent.
 	Rank steer.RemoteRank
-	// DirectRank returns direct access to the rank with the given address.
+	// DirectRank returns direct access to the rank with the given address. It is nil if the
+	// engines don't check fencing tokens.
 	DirectRank func(server string) steer.RemoteRank
-	// ReadOnly keeps the agent from changing any expert map.
-	ReadOnly bool
 	// MessageConn sends and receives messages between peers.
 	MessageConn net.PacketConn
 
@@ -159,7 +158,7 @@
 		SendOrder: func(ctx context.Context, peer steer.PeerAgent, order track.MapOrder) (track.MapReply, error) {
 			return talk.Call[track.MapOrder, track.MapReply](ctx, a.client, peer.AgentAddress, pathMapOrder, order)
 		},
-		DirectRank: o.DirectRank, Spec: a.expertSpec, OnStatus: a.onStatus, ReadOnly: o.ReadOnly,
+		DirectRank: o.DirectRank, Spec: a.expertSpec, OnStatus: a.onStatus,
 		Clock: o.Clock, Logger: o.Logger, Metrics: o.Metrics,
 	})
 	return a
--- a/steer/balance.go
+++ b/steer/balance.go
@@ -92,7 +92,9 @@
 	// Peers returns the other agents of a group from which messages arrived during the
 	// given epoch.
 	Peers func(group string, epoch int64) []PeerAgent
-	// DirectRank returns direct access to the rank with the given address.
+	// DirectRank returns direct access to the rank with the given address. It is nil if the
+	// engines don't check fencing tokens: only an agent may then control its rank, and
+	// changes of the map wait for silent agents.
 	DirectRank func(server string) RemoteRank
 	// QueryStatus asks another agent for the state of its rank, with the recent counts.
 	QueryStatus func(ctx context.Context, peer PeerAgent) (track.RankStatus, error)
@@ -104,10 +106,6 @@
 	Clock   clockwork.Clock
 	Logger  *zap.Logger
 	Metrics *metrics.Set
-	// ReadOnly keeps the agent from changing any map. It is needed for engines that
-	// carry out late orders of earlier coordinators: ranks could otherwise run the same pass
-	// with two different maps.
-	ReadOnly bool
 	// OnStatus is called with each state read from the agent's own rank.
 	OnStatus func(track.RankStatus)
 }
@@ -219,7 +217,7 @@
 		return
 	}
 	b.options.OnStatus(share)
-	if !share.Serving || share.Ranks < 2 || b.options.ReadOnly {
+	if !share.Serving || share.Ranks < 2 {
 		return
 	}
 	now := b.options.Clock.Now()
@@ -411,7 +409,10 @@
 // readPeerShare reads the state of another agent's rank. If the agent is silent, it
 // reads the rank directly, without its counts and experts.
 func (b *Balancer) readPeerShare(ctx context.Context, peer PeerAgent) (track.RankStatus, error) {
-	if peer.Silent {
+	switch {
+	case peer.Silent && b.options.DirectRank == nil:
+		return track.RankStatus{}, errAgentSilent(peer)
+	case peer.Silent:
 		return b.options.DirectRank(peer.RankAddress).Status(ctx)
 	}
 	return b.options.QueryStatus(ctx, peer)
@@ -429,7 +430,7 @@
 		}
 	}
 	i := slices.IndexFunc(peers, func(m PeerAgent) bool { return m.Rank == share.Rank && m.Silent })
-	if share.HeldExperts == nil && i >= 0 {
+	if share.HeldExperts == nil && i >= 0 && b.options.DirectRank != nil {
 		detail, err := b.options.DirectRank(peers[i].RankAddress).WithExperts(ctx, share)
 		if err != nil {
 			return share, err
@@ -453,12 +454,20 @@
 		return track.MapReply{}, track.Fail("send order to rank", track.Unavailable,
 			fmt.Errorf("agent %s is not in the group", o.To.Agent))
 	}
-	if peers[i].Silent {
+	switch {
+	case peers[i].Silent && b.options.DirectRank == nil:
+		return track.MapReply{}, errAgentSilent(peers[i])
+	case peers[i].Silent:
 		return b.directRank(peers[i]).Order(ctx, o)
 	}
 	return b.options.SendOrder(ctx, peers[i], o)
 }
 
+// errAgentSilent returns the error for a rank that can't be reached since its agent is silent.
+func errAgentSilent(peer PeerAgent) error {
+	return track.Fail("reach rank", track.Unavailable, fmt.Errorf("agent %s of rank %d is silent", peer.Agent, peer.Rank))
+}
+
 // directRank returns direct access to the rank of a silent agent, and logs the first use.
 func (b *Balancer) directRank(peer PeerAgent) *swap.Gateway {
 	b.mu.Lock()
