fix(proxy): a stopping entry refuses requests that it can't finish

Change: once it stops, an entry refuses what is likely to last beyond its end, by the 95th percentile of recent requests of the service, or by the request's deadline while there are none. The refusal says that the request has not run and to retry at once; another entry serves it.

--- a/batch/pool.go
+++ b/batch/pool.go
@@ -157,6 +157,7 @@
 	candidates []*replica
 	// meanGrantTime is the moving mean of the time from a grant to its Done.
 	meanGrantTime time.Duration
+	durations     durationWindow
 }
 
 // waiter is a queued request.
@@ -500,6 +501,7 @@
 
 // recordGrantTime adds the duration of a served attempt to the moving mean.
 func (p *Pool) recordGrantTime(held time.Duration) {
+	p.durations.add(held)
 	if p.meanGrantTime == 0 {
 		p.meanGrantTime = held
 		return
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -130,7 +130,7 @@
 	assert.Assert(t, !e.Ready())
 	e.replicaFollower.Mirror().Replace(nil, 3)
 	assert.Assert(t, e.Ready())
-	e.StartDraining()
+	e.StartDraining(time.Now().Add(time.Minute))
 	assert.Assert(t, !e.Ready())
 }
 
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -204,9 +204,11 @@
 }
 
 // StartDraining makes the entry report to peers and readiness checks that it accepts no new
-// connections.
-func (e *Entry) StartDraining() {
+// connections, and refuse requests that are likely to last beyond the given time, at which
+// it stops.
+func (e *Entry) StartDraining(stopAt time.Time) {
 	e.leaving.Store(true)
+	e.proxy.StopAt(stopAt)
 	e.gossipNode.SendNow()
 }
 
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -78,6 +78,9 @@
 	// expected to have its configuration. Clients are also told to retry after this
 	// time if no replica could be reached or the request ran out of time.
 	startRetryAfter = time.Second
+	// stoppingRetryAfter is the delay after which a client of a stopping entry should retry.
+	// Other entries can serve it at once.
+	stoppingRetryAfter = 20 * time.Millisecond
 )
 
 // findRoute finds the route and sets the deadline.
@@ -127,6 +130,23 @@
 	return nil
 }
 
+// checkStop refuses the request if the entry stops and is likely to do so before the
+// request could be served. Another entry can serve it.
+func (x *exchange) checkStop(context.Context) *Refusal {
+	stopAt := x.proxy.stopAt.Load()
+	if stopAt == nil {
+		return nil
+	}
+	expected := x.pool.LongDuration()
+	if expected == 0 {
+		expected = x.deadline.Sub(x.arrived)
+	}
+	if !x.proxy.options.Clock.Now().Add(expected).After(*stopAt) {
+		return nil
+	}
+	return &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: stoppingRetryAfter, Reason: "Stopping"}
+}
+
 // checkBarred refuses a request that is barred because it crashes the replicas that run
 // it.
 func (x *exchange) checkBarred(context.Context) *Refusal {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -96,6 +97,8 @@
 // Proxy forwards clients' requests to replicas. It is safe for concurrent use.
 type Proxy struct {
 	options Options
+	// stopAt is when requests in progress are cut off; nil unless the entry stops.
+	stopAt atomic.Pointer[time.Time]
 }
 
 // New returns a Proxy.
@@ -103,6 +106,12 @@
 	return &Proxy{options: options}
 }
 
+// StopAt tells the proxy that the entry stops, and when requests in progress will be cut
+// off. Requests that are likely to take longer are refused from then on.
+func (p *Proxy) StopAt(t time.Time) {
+	p.stopAt.Store(&t)
+}
+
 // Serve answers one request. The context must end when the client disconnects. Serve
 // returns ErrIncompleteAnswer if the caller must abort the connection.
 func (p *Proxy) Serve(ctx context.Context, w http.ResponseWriter, request *Request) error {
@@ -130,6 +139,7 @@
 	{"find route", (*exchange).findRoute},
 	{"identify client account", (*exchange).identifyAccount},
 	{"choose service", (*exchange).chooseService},
+	{"check stop", (*exchange).checkStop},
 	{"screen", (*exchange).checkBarred},
 	{"send", (*exchange).sendWithRetries},
 }
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -255,6 +255,45 @@
 	}
 }
 
+// A client of a stopping entry gets a refusal at once rather than an answer that breaks off when
+// the entry stops.
+func TestStoppingEntryRefusesRequestsThatWouldBeCutOff(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// served is how long earlier streams took; 0 if there were none.
+		served time.Duration
+		left   time.Duration
+		code   int
+	}{
+		{"streams take longer than is left", 5 * time.Second, 4600 * time.Millisecond, http.StatusServiceUnavailable},
+		{"streams end in time", 3 * time.Second, 4600 * time.Millisecond, http.StatusOK},
+		{"unknown durations, less left than the timeout", 0, 900 * time.Millisecond, http.StatusServiceUnavailable},
+		{"unknown durations, more left than the timeout", 0, 1100 * time.Millisecond, http.StatusOK},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness()
+			if c.served > 0 {
+				grant, err := h.pools["llm"].Acquire(t.Context(), batch.AdmissionRequest{
+					WaitUntil: h.clock.Now().Add(time.Second), OnTimeUntil: h.clock.Now().Add(time.Second),
+					Deadline: h.clock.Now().Add(time.Second),
+				})
+				assert.NilError(t, err)
+				h.clock.Advance(c.served)
+				grant.Done(batch.Result{Verdict: batch.Served})
+			}
+			h.proxy.StopAt(h.clock.Now().Add(c.left))
+			got, err := h.post("/notes/1")
+			assert.NilError(t, err)
+			assert.Equal(t, got.Code, c.code)
+			if c.code != http.StatusOK {
+				assert.Equal(t, got.Header().Get("Reason"), "Stopping")
+				assert.Equal(t, got.Header().Get("Retry-After"), "20ms")
+				assert.Equal(t, len(h.calls), 0, "a refused request is not sent to a replica")
+			}
+		})
+	}
+}
+
 func Example() {
 	h := newHarness(unreachable)
 	got, err := h.post("/book/1")
