feat(batch,proxy,calls): replicas that leave or ask for rest get no requests

Nothing knew the headers Server-Leaving and Retry-After of replicas. A replica that answers 503 with Retry-After gets nothing for that time, whatever its agent reports meanwhile.

--- a/batch/groups.go
+++ b/batch/groups.go
@@ -30,7 +30,7 @@
 	failed := p.replicas[id]
 	for _, r := range p.replicas {
 		other := failed != nil && failed.rank.Group != "" && r.rank.Group != "" && r.rank.Group != failed.rank.Group
-		if other && r.listed && r.remainingBackoff(now) <= 0 {
+		if other && r.available(now) {
 			return true, 0
 		}
 	}
@@ -49,7 +49,7 @@
 // anyHealthyRank reports whether a replica is available whose rank isn't slow.
 func (p *Pool) anyHealthyRank(now time.Time) bool {
 	for _, r := range p.replicas {
-		if r.listed && r.remainingBackoff(now) <= 0 && !r.slow() {
+		if r.available(now) && !r.slow() {
 			return true
 		}
 	}
@@ -138,7 +138,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, r := range p.replicas {
-		if r.listed && r.broken {
+		if r.usable() && r.broken {
 			return true
 		}
 	}
--- a/batch/pool.go
+++ b/batch/pool.go
@@ -24,6 +24,8 @@
 const (
 	// ReasonNoReplica means that no replica of the service is known to be available.
 	ReasonNoReplica Reason = "NoReplica"
+	// ReasonResting means that all replicas of the service want no requests for a while.
+	ReasonResting Reason = "Resting"
 	// ReasonGroupBroken means that the rank groups of the service are broken.
 	ReasonGroupBroken Reason = "GroupBroken"
 	// ReasonBusy means that no replica will have free capacity in time.
@@ -158,6 +160,11 @@
 	// meanGrantTime is the moving mean of the time from a grant to its Done.
 	meanGrantTime time.Duration
 	durations     durationWindow
+	// departures holds the replicas that have said that they leave, by ID. It outlasts
+	// their entries in the list of replicas, which may come back after an outage of the log.
+	departures map[track.ReplicaID]departure
+	// nextReturn is when the next client that is refused while all replicas rest should retry.
+	nextReturn time.Time
 }
 
 // waiter is a queued request.
@@ -172,6 +179,7 @@
 	return &Pool{
 		options: options, createdAt: options.Clock.Now(),
 		replicas: make(map[track.ReplicaID]*replica), passTimes: make(map[string]time.Duration),
+		departures: make(map[track.ReplicaID]departure),
 	}
 }
 
@@ -192,11 +200,15 @@
 			continue
 		}
 		present[r.ID] = true
-		if old := p.replicas[r.ID]; old != nil {
-			old.Replica, old.listed = r, true
-		} else {
-			p.replicas[r.ID] = &replica{Replica: r, listed: true, movable: make(map[*Grant]struct{})}
+		old := p.replicas[r.ID]
+		if old == nil {
+			old = &replica{movable: make(map[*Grant]struct{})}
+			p.replicas[r.ID] = old
 		}
+		if old.StartID != r.StartID {
+			old.restUntil = time.Time{}
+		}
+		old.Replica, old.listed, old.leaving = r, true, p.hasLeft(r)
 	}
 	for id, r := range p.replicas {
 		if present[id] {
@@ -284,19 +296,26 @@
 // after which one is expected; an empty reason if one is available.
 func (p *Pool) unavailableReason(request AdmissionRequest, now time.Time) (Reason, time.Duration) {
 	broken := false
+	var restUntil time.Time
 	for _, r := range p.replicas {
-		if !r.listed || slices.Contains(request.Excluded, r.ID) {
+		if !r.usable() || slices.Contains(request.Excluded, r.ID) {
 			continue
 		}
 		if r.remainingBackoff(now) <= 0 {
 			return "", 0
 		}
 		broken = broken || r.broken
+		if r.restUntil.After(now) && (restUntil.IsZero() || r.restUntil.Before(restUntil)) {
+			restUntil = r.restUntil
+		}
 	}
-	if !broken {
-		return ReasonNoReplica, noReplicaRetryAfter
+	switch {
+	case broken:
+		return ReasonGroupBroken, p.groupRetryAfter(now)
+	case !restUntil.IsZero():
+		return ReasonResting, p.restRetryAfter(restUntil, now)
 	}
-	return ReasonGroupBroken, p.groupRetryAfter(now)
+	return ReasonNoReplica, noReplicaRetryAfter
 }
 
 // maxWaitingForGroup returns the number of late requests that this entry queues while a
@@ -304,7 +323,7 @@
 func (p *Pool) maxWaitingForGroup() int {
 	capacity := 0
 	for _, r := range p.replicas {
-		if r.listed {
+		if r.usable() {
 			capacity += p.limit(r)
 		}
 	}
@@ -323,7 +342,7 @@
 	for _, r := range p.replicas {
 		own += r.ownInFlight.Running
 		all += r.load()
-		if r.listed && r.remainingBackoff(now) <= 0 {
+		if r.available(now) {
 			capacity += p.limit(r)
 		}
 	}
@@ -402,7 +421,7 @@
 	p.candidates = p.candidates[:0]
 	avoidSlow := p.anyHealthyRank(now)
 	for _, r := range p.replicas {
-		if !r.listed || r.remainingBackoff(now) > 0 || slices.Contains(request.Excluded, r.ID) ||
+		if !r.available(now) || slices.Contains(request.Excluded, r.ID) ||
 			!p.hasCapacity(r) || avoidSlow && r.slow() {
 			continue
 		}
@@ -549,7 +568,7 @@
 	now := p.options.Clock.Now()
 	w := Usage{Queued: len(p.queue)}
 	for _, r := range p.replicas {
-		if r.listed && r.remainingBackoff(now) <= 0 {
+		if r.available(now) {
 			w.Capacity += p.limit(r)
 			w.InFlight += r.load()
 		}
--- a/batch/replica.go
+++ b/batch/replica.go
@@ -94,9 +94,13 @@
 	broken bool
 	// backoffUntil is the time until which the replica gets no requests.
 	backoffUntil time.Time
-	failures     int
-	errorRate    float64
-	latency      time.Duration
+	// restUntil is the time until which the replica itself wants no requests.
+	restUntil time.Time
+	// leaving is set once the replica, or a peer, has said that it is about to leave.
+	leaving   bool
+	failures  int
+	errorRate float64
+	latency   time.Duration
 }
 
 func (r *replica) load() int {
@@ -127,10 +131,20 @@
 	return slowdown >= slowThreshold
 }
 
+// available reports whether the replica gets requests now.
+func (r *replica) available(now time.Time) bool {
+	return r.usable() && r.remainingBackoff(now) <= 0
+}
+
+// usable reports whether the replica may get requests, now or after its backoff.
+func (r *replica) usable() bool {
+	return r.listed && !r.leaving
+}
+
 // remainingBackoff returns the time for which the replica gets no requests yet; 0 or less
-// if it is available.
+// if that time is over.
 func (r *replica) remainingBackoff(now time.Time) time.Duration {
-	return r.backoffUntil.Sub(now)
+	return max(r.backoffUntil.Sub(now), r.restUntil.Sub(now))
 }
 
 // limit returns the number of requests that may be on a replica at once.
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -343,9 +343,10 @@
 			e.options.Topics.Config:   e.configFollower.Mirror().End(),
 			e.options.Topics.Replicas: e.replicaFollower.Mirror().End(),
 		},
-		LogAge:  -1,
-		Charges: e.blameTracker.ChargesToShare(),
-		Zones:   e.zoneNotes(otherZone),
+		LogAge:     -1,
+		Charges:    e.blameTracker.ChargesToShare(),
+		Departures: e.recentDepartures(),
+		Zones:      e.zoneNotes(otherZone),
 	}
 	if otherZone {
 		return note
@@ -372,6 +373,7 @@
 		return
 	}
 	e.blameTracker.Merge(note.Charges)
+	e.markLeaving(note.Departures)
 	e.configFollower.NotifyPeerOffset(note.Offsets[e.options.Topics.Config])
 	if since, _ := e.replicaFollower.Outage(); !since.IsZero() {
 		e.replicaFollower.NotifyPeerOffset(note.Offsets[e.options.Topics.Replicas])
@@ -388,6 +390,25 @@
 	return counts
 }
 
+// recentDepartures returns the replicas of which this entry has learned a short time ago that they
+// leave.
+func (e *Entry) recentDepartures() []track.Departure {
+	var departures []track.Departure
+	for _, p := range e.allPools() {
+		departures = append(departures, p.RecentDepartures()...)
+	}
+	return departures
+}
+
+// markLeaving records the departures that a peer has reported.
+func (e *Entry) markLeaving(departures []track.Departure) {
+	for _, p := range e.allPools() {
+		for _, d := range departures {
+			p.MarkLeaving(d)
+		}
+	}
+}
+
 // tick updates what depends on the passing of time: it removes replicas whose entries have
 // expired, and drops the counts of peers that have fallen silent.
 func (e *Entry) tick() {
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -294,6 +294,41 @@
 	}
 }
 
+func TestLeavingAndRestingReplicasGetNoRequests(t *testing.T) {
+	for _, b := range []behaviour{leaves, rests} {
+		h := newHarness(b)
+		for range 20 {
+			got, err := h.post("/notes/1")
+			assert.NilError(t, err)
+			assert.Equal(t, got.Code, http.StatusOK)
+		}
+		first := h.calls[0].Replica.ID
+		for _, call := range h.calls[1:] {
+			assert.Assert(t, call.Replica.ID != first)
+		}
+	}
+}
+
+// When all replicas rest, callers are refused at once, without a further call to a replica.
+func TestAllReplicasRest(t *testing.T) {
+	h := newHarness(rests, rests, rests)
+	got, err := h.post("/book/1")
+	assert.NilError(t, err)
+	assert.Equal(t, got.Code, http.StatusServiceUnavailable)
+	assert.Equal(t, len(h.calls), 2, "a request is sent at most MaxAttempts times")
+	_, err = h.post("/book/2")
+	assert.NilError(t, err)
+	calls := len(h.calls)
+	for range 10 {
+		got, err = h.post("/book/3")
+		assert.NilError(t, err)
+		assert.Equal(t, got.Code, http.StatusServiceUnavailable)
+		assert.Equal(t, got.Header().Get("Reason"), "Resting")
+		assert.Equal(t, got.Header().Get("Retry-After"), restTime.String())
+	}
+	assert.Equal(t, len(h.calls), calls)
+}
+
 func Example() {
 	h := newHarness(unreachable)
 	got, err := h.post("/book/1")
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -223,6 +223,12 @@
 		return x.handleCallError(ctx, err)
 	}
 	defer answer.Body.Close()
+	if answer.Leaving && !answer.WrongReplica {
+		grant.Leaving()
+	}
+	if answer.RestFor > 0 {
+		grant.Rest(answer.RestFor)
+	}
 	x.attempts++
 	switch {
 	case answer.NotRun:
--- a/proxy/world_test.go
+++ b/proxy/world_test.go
@@ -32,6 +32,8 @@
 	replicaCount = 3
 	// streamEvents is the number of events of a complete stream.
 	streamEvents = 5
+	// restTime is the time for which a resting replica wants no requests.
+	restTime = 3 * time.Second
 )
 
 // behaviour is how a replica handles one attempt.
@@ -55,13 +57,17 @@
 	answersOtherRequest
 	skipsEvent
 	repeatsEvent
+	// leaves serves the request and says that the replica leaves.
+	leaves
+	// rests turns the request away and wants no more for restTime.
+	rests
 	behaviourCount
 )
 
 // ran reports whether the replica began to run the attempt.
 func (b behaviour) ran() bool {
 	switch b {
-	case unreachable, atCapacity, otherReplicaAtAddress, groupBroken:
+	case unreachable, atCapacity, otherReplicaAtAddress, groupBroken, rests:
 		return false
 	}
 	return true
@@ -216,6 +222,14 @@
 		a := answer(http.StatusServiceUnavailable, "", nil, notRun)
 		a.FailedReplica = "llm-2"
 		return a, nil
+	case rests:
+		a := answer(http.StatusServiceUnavailable, "", nil, notRun)
+		a.RestFor = restTime
+		return a, nil
+	case leaves:
+		a := h.runAttempt(call, serves)
+		a.Leaving = true
+		return a, nil
 	case answers500:
 		return answer(http.StatusInternalServerError, "sorry", nil, sealed), nil
 	case answers503AfterRunning:
--- a/replica.go
+++ b/replica.go
@@ -47,6 +47,12 @@
 	// FailedReplica is the ID of the replica that caused the failure of its rank group, if it
 	// is known.
 	FailedReplica string
+	// Leaving is set if the replica states that it is about to leave and wants no new
+	// requests.
+	Leaving bool
+	// RestFor is the time for which a replica that turned the request away wants no
+	// requests from this entry; 0 if it doesn't say.
+	RestFor time.Duration
 }
 
 // ReplicaCaller is the interface through which requests are sent to replicas.
@@ -58,6 +64,13 @@
 	Call(ctx context.Context, c ReplicaCall) (ReplicaAnswer, error)
 }
 
+// Departure says that a replica is about to leave.
+type Departure struct {
+	Replica ReplicaID
+	// StartID identifies the start of the replica that leaves.
+	StartID int64
+}
+
 // InFlight counts the requests in flight on a replica.
 type InFlight struct {
 	// Running is the number of requests that were sent and have not ended, Starting
