feat(keyed,fleet,edge): a log that comes back from an older copy

Nothing read Store-Era: a follower whose offset was given out again missed records, and a replica that had left before the copy's end came back as ready.

Pages and positions carry the era. A follower reads the newest records again when it changes, ignores late responses of earlier eras, and learns of a new era from peers. The list of replicas ignores restored entries of replicas that have reported since, and gives those without an entry 2.3 s to report again. Member records outlast their loss and are written again, spread over 2 s. Older configurations were ignored already.

--- a/edge/agent.go
+++ b/edge/agent.go
@@ -111,6 +111,7 @@
 	configHolder   *latest.ConfigHolder
 	configFollower *keyed.Follower
 	memberFollower *keyed.Follower
+	announcer      *announcer
 	gossipNode     *gossip.Node
 	gateway        *swap.Gateway
 	balancer       *steer.Balancer
@@ -127,7 +128,10 @@
 
 // NewAgent returns an agent without a configuration or peers. Start makes it read them.
 func NewAgent(o AgentOptions) *Agent {
-	a := &Agent{options: o, members: newMembers(o.Self, o.Seeds, o.Logger), client: talk.NewClient()}
+	a := &Agent{
+		options: o, members: newMembers(o.Self, o.Seeds, o.Logger), client: talk.NewClient(),
+		announcer: newAnnouncer(o.Log, o.Clock, o.Self, o.Member, o.Logger),
+	}
 	a.configHolder = latest.New(o.DecodeConfig, func(*hosts.Table) {}, o.Logger)
 	relay := keyed.NewRelay(o.Log, a.zoneEntry, o.Clock)
 	followers := followerFactory{
@@ -136,7 +140,8 @@
 	}
 	a.configFollower = followers.newFollower(relay, keyed.Options{
 		Topic: o.Topics.Config, PollInterval: agentConfigReadInterval, MaxPollInterval: agentConfigMaxReadInterval,
-		Apply: applyConfig(a.configHolder, o.Topics.ConfigKey),
+		Apply:         applyConfig(a.configHolder, o.Topics.ConfigKey),
+		ApplyRestored: applyRestoredConfig(a.configHolder, o.Topics.ConfigKey, a.announcer),
 	})
 	a.memberFollower = followers.newFollower(relay, keyed.Options{
 		Topic: topicMembers, PollInterval: membersReadInterval, MaxPollInterval: membersMaxReadInterval, Apply: a.onMembers,
@@ -172,10 +177,7 @@
 
 // Start starts the agent's background tasks, which run until the context ends.
 func (a *Agent) Start(ctx context.Context) []*duty.Duty {
-	o := a.options
-	duties := startCommonTasks(ctx, a.configFollower, a.memberFollower, a.gossipNode, func(ctx context.Context) error {
-		return announce(ctx, o.Log, o.Clock, o.Self, o.Member, o.Logger)
-	})
+	duties := startCommonTasks(ctx, a.configFollower, a.memberFollower, a.gossipNode, a.announcer)
 	return append(duties, duty.Start(ctx, "balance experts", a.balancer.Run))
 }
 
@@ -246,7 +248,7 @@
 func (a *Agent) receive(note gossip.Message) {
 	a.members.addSender(note)
 	if note.Rank == nil {
-		a.configFollower.NotifyPeerOffset(note.Offsets[a.options.Topics.Config])
+		a.configFollower.NotifyPeerPosition(track.LogPosition{Era: note.Era, Offset: note.Offsets[a.options.Topics.Config]})
 	}
 }
 
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -128,7 +128,7 @@
 	assert.Assert(t, !e.Ready())
 	applyConfig(e.configHolder, "config")([]track.KeyedRecord{{Key: "config", Value: []byte("1")}})
 	assert.Assert(t, !e.Ready())
-	e.replicaFollower.Mirror().Replace(nil, 3)
+	e.replicaFollower.Mirror().Replace(track.KeyedPage{End: 3})
 	assert.Assert(t, e.Ready())
 	e.StartDraining(time.Now().Add(time.Minute))
 	assert.Assert(t, !e.Ready())
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -106,6 +106,7 @@
 	// relay reads from the leader of the zone or, if there is none, from the log.
 	relay          *keyed.Relay
 	memberFollower *keyed.Follower
+	announcer      *announcer
 	leaving        atomic.Bool
 
 	mu sync.Mutex
@@ -124,12 +125,13 @@
 // NewEntry returns an entry without a configuration or replicas. Start makes it read them.
 func NewEntry(o Options) *Entry {
 	e := &Entry{
-		options: o,
-		members: newMembers(o.Self, o.Seeds, o.Logger),
-		pools:   make(map[string]*batch.Pool),
-		zones:   make(map[track.AvailabilityZone]zoneSummary),
-		ranks:   make(map[string]rankReport),
-		budgets: make(map[string]*retry.ServiceBudget),
+		options:   o,
+		members:   newMembers(o.Self, o.Seeds, o.Logger),
+		announcer: newAnnouncer(o.Log, o.Clock, o.Self, o.Member, o.Logger),
+		pools:     make(map[string]*batch.Pool),
+		zones:     make(map[track.AvailabilityZone]zoneSummary),
+		ranks:     make(map[string]rankReport),
+		budgets:   make(map[string]*retry.ServiceBudget),
 	}
 	e.configHolder = latest.New(o.DecodeConfig, e.onConfig, o.Logger)
 	e.fleet = fleet.New(fleet.Options{
@@ -143,9 +145,11 @@
 	}
 	e.configFollower = followers.newFollower(o.Log, keyed.Options{
 		Topic: o.Topics.Config, LongPollTimeout: configReadWait, Apply: applyConfig(e.configHolder, o.Topics.ConfigKey),
+		ApplyRestored: applyRestoredConfig(e.configHolder, o.Topics.ConfigKey, e.announcer),
 	})
 	e.replicaFollower = followers.newFollower(e.relay, keyed.Options{
 		Topic: o.Topics.Replicas, PollInterval: replicasReadInterval, Apply: e.fleet.Apply,
+		ApplyRestored: e.fleet.ApplyRestored,
 	})
 	e.memberFollower = followers.newFollower(e.relay, keyed.Options{
 		Topic: topicMembers, PollInterval: membersReadInterval, MaxPollInterval: membersMaxReadInterval,
@@ -170,9 +174,7 @@
 // Start starts the entry's background tasks, which run until the context ends.
 func (e *Entry) Start(ctx context.Context) []*duty.Duty {
 	o := e.options
-	duties := startCommonTasks(ctx, e.configFollower, e.memberFollower, e.gossipNode, func(ctx context.Context) error {
-		return announce(ctx, o.Log, o.Clock, o.Self, o.Member, o.Logger)
-	})
+	duties := startCommonTasks(ctx, e.configFollower, e.memberFollower, e.gossipNode, e.announcer)
 	return append(duties,
 		duty.Start(ctx, "follow replicas", e.replicaFollower.Run),
 		duty.Start(ctx, "ask peers for replicas", e.replicaFollower.RunPeerSync),
@@ -339,15 +341,12 @@
 	note := gossip.Message{
 		Role: track.RoleEntry, Zone: e.options.Zone, Leaving: e.leaving.Load(),
 		Address: e.options.Member.MessageAddress, API: e.options.Member.CallAddress,
-		Offsets: map[string]uint64{
-			e.options.Topics.Config:   e.configFollower.Mirror().End(),
-			e.options.Topics.Replicas: e.replicaFollower.Mirror().End(),
-		},
 		LogAge:     -1,
 		Charges:    e.blameTracker.ChargesToShare(),
 		Departures: e.recentDepartures(),
 		Zones:      e.zoneNotes(otherZone),
 	}
+	note.Era, note.Offsets = e.offsets()
 	if otherZone {
 		return note
 	}
@@ -361,6 +360,21 @@
 	return note
 }
 
+// offsets returns the offsets up to which this entry has read each topic, and their era. A topic that
+// it has not read in the latest era is left out.
+func (e *Entry) offsets() (uint64, map[string]uint64) {
+	offsets := make(map[string]uint64, 2)
+	config, replicas := e.configFollower.Mirror().Position(), e.replicaFollower.Mirror().Position()
+	era := max(config.Era, replicas.Era)
+	if config.Era == era {
+		offsets[e.options.Topics.Config] = config.Offset
+	}
+	if replicas.Era == era {
+		offsets[e.options.Topics.Replicas] = replicas.Offset
+	}
+	return era, offsets
+}
+
 // receive handles a peer's message.
 func (e *Entry) receive(note gossip.Message) {
 	e.members.addSender(note)
@@ -374,9 +388,9 @@
 	}
 	e.blameTracker.Merge(note.Charges)
 	e.markLeaving(note.Departures)
-	e.configFollower.NotifyPeerOffset(note.Offsets[e.options.Topics.Config])
+	e.configFollower.NotifyPeerPosition(track.LogPosition{Era: note.Era, Offset: note.Offsets[e.options.Topics.Config]})
 	if since, _ := e.replicaFollower.Outage(); !since.IsZero() {
-		e.replicaFollower.NotifyPeerOffset(note.Offsets[e.options.Topics.Replicas])
+		e.replicaFollower.NotifyPeerPosition(track.LogPosition{Era: note.Era, Offset: note.Offsets[e.options.Topics.Replicas]})
 	}
 	e.updateZones(note)
 }
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -39,17 +39,30 @@
 	}
 }
 
+// applyRestoredConfig returns a function for the configuration records of a log that came back
+// from an older copy. The holder ignores an older configuration. The process also writes its
+// member record again.
+func applyRestoredConfig(
+	holder *latest.ConfigHolder, key string, announcer *announcer,
+) func([]track.KeyedRecord) {
+	apply := applyConfig(holder, key)
+	return func(records []track.KeyedRecord) {
+		announcer.Again()
+		apply(records)
+	}
+}
+
 // startCommonTasks starts the background tasks that entries and agents share: they follow
 // the configuration and the members, publish their own member record, and exchange
 // messages.
 func startCommonTasks(
-	ctx context.Context, config, members *keyed.Follower, node *gossip.Node, announceSelf func(context.Context) error,
+	ctx context.Context, config, members *keyed.Follower, node *gossip.Node, announcer *announcer,
 ) []*duty.Duty {
 	return []*duty.Duty{
 		duty.Start(ctx, "follow configuration", config.Run),
 		duty.Start(ctx, "ask peers for configuration", config.RunPeerSync),
 		duty.Start(ctx, "follow members", members.Run),
-		duty.Start(ctx, "announce member", announceSelf),
+		duty.Start(ctx, "announce member", announcer.Run),
 		duty.Start(ctx, "send messages", node.RunSend),
 		duty.Start(ctx, "receive messages", node.RunReceive),
 	}
--- a/edge/members.go
+++ b/edge/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"hash/fnv"
 	"sync"
 	"time"
 
@@ -28,6 +29,9 @@
 	otherGroupEvery = 50
 	// announceBackoff is the time after which a failed announcement is retried.
 	announceBackoff = 500 * time.Millisecond
+	// reannounceSpread is the time over which the processes write their records again when
+	// the log has lost the latest records.
+	reannounceSpread = 2 * time.Second
 	// announceInterval is the time after which a process announces itself again, in case
 	// its record was lost.
 	announceInterval = time.Minute
@@ -69,7 +73,8 @@
 	for _, r := range records {
 		name := track.InstanceID(r.Key)
 		if len(r.Value) == 0 {
-			delete(m.known, name)
+			// Members don't delete their records. The log has lost this one, and the member
+			// writes it again.
 			continue
 		}
 		var member Member
@@ -174,26 +179,65 @@
 	return nil, false
 }
 
-// announce publishes the member record of this process at intervals, sooner after a
-// failure, until the context ends. It returns the context's cause.
-func announce(
-	ctx context.Context, log track.KeyedLog, clock clockwork.Clock,
-	self track.InstanceID, member Member, logger *zap.Logger,
-) error {
-	value, err := json.Marshal(member)
+// announcer publishes the member record of a process.
+type announcer struct {
+	log    track.KeyedLog
+	clock  clockwork.Clock
+	self   track.InstanceID
+	member Member
+	logger *zap.Logger
+	// again makes the announcer publish the record once more, since the log may have lost it.
+	again chan struct{}
+}
+
+func newAnnouncer(
+	log track.KeyedLog, clock clockwork.Clock, self track.InstanceID, member Member, logger *zap.Logger,
+) *announcer {
+	return &announcer{log: log, clock: clock, self: self, member: member, logger: logger, again: make(chan struct{}, 1)}
+}
+
+// Again makes the announcer publish the record once more.
+func (a *announcer) Again() {
+	select {
+	case a.again <- struct{}{}:
+	default:
+	}
+}
+
+// Run publishes the record at intervals, sooner after a failure, until the context ends. It
+// returns the context's cause.
+func (a *announcer) Run(ctx context.Context) error {
+	value, err := json.Marshal(a.member)
 	if err != nil {
 		return track.Fail("encode member", track.Invalid, err)
 	}
 	for {
 		pause := announceInterval
-		if err := log.Put(ctx, topicMembers, string(self), value); err != nil {
-			logger.Warn("can't publish member record", zap.Error(err))
+		if err := a.log.Put(ctx, topicMembers, string(a.self), value); err != nil {
+			a.logger.Warn("can't publish member record", zap.Error(err))
 			pause = announceBackoff
 		}
 		select {
 		case <-ctx.Done():
 			return context.Cause(ctx)
-		case <-clock.After(pause):
+		case <-a.clock.After(pause):
+		case <-a.again:
+			if err := a.pauseAtRandom(ctx); err != nil {
+				return err
+			}
 		}
 	}
 }
+
+// pauseAtRandom waits for a part of reannounceSpread that differs between processes, so that
+// they don't all write at once.
+func (a *announcer) pauseAtRandom(ctx context.Context) error {
+	hash := fnv.New32a()
+	hash.Write([]byte(a.self))
+	select {
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	case <-a.clock.After(time.Duration(float64(hash.Sum32()) / (1 << 32) * float64(reannounceSpread))):
+		return nil
+	}
+}
--- a/edge/zones.go
+++ b/edge/zones.go
@@ -101,14 +101,17 @@
 func (e *Entry) summarizeZone() gossip.ZoneSummary {
 	summary := gossip.ZoneSummary{
 		Zone: e.options.Zone, Representative: e.options.Self,
-		Offsets: map[string]uint64{
-			e.options.Topics.Config:   e.configFollower.Mirror().End(),
-			e.options.Topics.Replicas: e.replicaFollower.Mirror().End(),
-		},
 		InFlight: e.inFlight(),
 	}
+	summary.Era, summary.Offsets = e.offsets()
 	for _, note := range e.zonePeers() {
 		addInFlight(summary.InFlight, note.InFlight)
+		if note.Era > summary.Era {
+			summary.Era, summary.Offsets = note.Era, make(map[string]uint64, len(note.Offsets))
+		}
+		if note.Era < summary.Era {
+			continue
+		}
 		for topic, end := range note.Offsets {
 			summary.Offsets[topic] = max(summary.Offsets[topic], end)
 		}
@@ -165,7 +168,9 @@
 			e.zones[summary.Zone] = zoneSummary{note: summary, reportedAt: reportedAt}
 		}
 		e.mu.Unlock()
-		e.configFollower.NotifyPeerOffset(summary.Offsets[e.options.Topics.Config])
+		e.configFollower.NotifyPeerPosition(track.LogPosition{
+			Era: summary.Era, Offset: summary.Offsets[e.options.Topics.Config],
+		})
 		for _, brief := range summary.Ranks {
 			brief.Age += summary.Age
 			e.updateRank(brief, summary.Zone)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -16,6 +16,10 @@
 // listed again if its entry expired during the outage.
 const relistGrace = 2300 * time.Millisecond
 
+// departureMemory is the time for which the last report of a replica that has left is kept.
+// It is longer than the history that a log restored from an older copy can lack.
+const departureMemory = 5 * time.Minute
+
 // DecodeFunc decodes the record of the replica with the given ID.
 type DecodeFunc func(id string, data []byte) (track.Replica, error)
 
@@ -39,6 +43,15 @@
 
 	mu       sync.Mutex
 	replicas map[track.ReplicaID]*listedReplica
+	// departed holds the replicas that have left.
+	departed map[track.ReplicaID]departedReplica
+}
+
+// departedReplica is the last that is known of a replica that has left.
+type departedReplica struct {
+	startID   int64
+	heartbeat uint64
+	leftAt    time.Time
 }
 
 // listedReplica is a replica that is listed, or that was until recently.
@@ -51,7 +64,10 @@
 
 // New returns a ReplicaList without replicas.
 func New(options Options) *ReplicaList {
-	return &ReplicaList{options: options, replicas: make(map[track.ReplicaID]*listedReplica)}
+	return &ReplicaList{
+		options: options, replicas: make(map[track.ReplicaID]*listedReplica),
+		departed: make(map[track.ReplicaID]departedReplica),
+	}
 }
 
 // Apply applies records of the list, which must be in the order of the log.
@@ -68,6 +84,47 @@
 	}
 }
 
+// ApplyRestored applies the records of a log that came back from an older copy of itself. A
+// record is ignored if the replica has reported since, so that one that is draining or has
+// left isn't used again. Replicas without a record have relistGrace to report again.
+func (f *ReplicaList) ApplyRestored(records []track.KeyedRecord) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	until := f.options.Clock.Now().Add(relistGrace)
+	for _, r := range records {
+		id := track.ReplicaID(r.Key)
+		known := f.replicas[id]
+		if len(r.Value) == 0 {
+			if known != nil {
+				f.options.Logger.Info("entry of a replica was lost", zap.String("Replica", r.Key), zap.Time("KeptUntil", until))
+				known.removeAt = until
+			}
+			continue
+		}
+		if f.isOutdated(r, known) {
+			f.options.Logger.Info("ignored an older entry of a replica", zap.String("Replica", r.Key))
+			continue
+		}
+		f.applyRecord(r)
+	}
+	f.publish()
+}
+
+// isOutdated reports whether a replica has reported since the record was written.
+func (f *ReplicaList) isOutdated(r track.KeyedRecord, known *listedReplica) bool {
+	replica, err := f.options.Decode(r.Key, r.Value)
+	if err != nil {
+		return known != nil
+	}
+	if known != nil {
+		return known.replica.StartID > replica.StartID ||
+			known.replica.StartID == replica.StartID && known.replica.Heartbeat >= replica.Heartbeat
+	}
+	left, ok := f.departed[replica.ID]
+	return ok && (left.startID > replica.StartID ||
+		left.startID == replica.StartID && left.heartbeat >= replica.Heartbeat)
+}
+
 // RemoveLapsed removes the replicas whose entry expired during a log outage and that were not
 // listed again in time. It should be called regularly.
 func (f *ReplicaList) RemoveLapsed() {
@@ -93,7 +150,8 @@
 			zap.Uint64("Offset", r.Offset), zap.Error(err))
 		return f.removeReplica(id, known, "Unreadable")
 	}
-	if known != nil && known.removeAt.IsZero() && known.replica == replica {
+	if known != nil && known.removeAt.IsZero() && sameState(known.replica, replica) {
+		known.replica.Heartbeat = replica.Heartbeat
 		return false
 	}
 	if known == nil || known.replica.Draining != replica.Draining ||
@@ -106,6 +164,12 @@
 	return true
 }
 
+// sameState reports whether two reports of a replica differ in their numbers at most.
+func sameState(a, b track.Replica) bool {
+	a.Heartbeat = b.Heartbeat
+	return a == b
+}
+
 // handleDeletion handles the deletion of an entry, and reports whether the list changed.
 // The replica has left, unless its entry may have expired during a log outage. In that
 // case, it stays for relistGrace after the outage.
@@ -129,6 +193,13 @@
 	}
 	f.options.Logger.Info("replica gone", zap.String("Replica", string(id)), zap.String("Reason", reason))
 	delete(f.replicas, id)
+	now := f.options.Clock.Now()
+	for old, left := range f.departed {
+		if now.Sub(left.leftAt) > departureMemory {
+			delete(f.departed, old)
+		}
+	}
+	f.departed[id] = departedReplica{startID: known.replica.StartID, heartbeat: known.replica.Heartbeat, leftAt: now}
 	return true
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -34,7 +37,11 @@
 }
 
 func decode(id string, data []byte) (track.Replica, error) {
-	r := track.Replica{ID: track.ReplicaID(id), Draining: string(data) == "draining"}
+	state, number, _ := strings.Cut(string(data), " ")
+	r := track.Replica{ID: track.ReplicaID(id), Draining: state == "draining"}
+	if n, err := strconv.ParseUint(number, 10, 64); err == nil {
+		r.Heartbeat = n
+	}
 	if string(data) == "broken" {
 		return r, errors.New("unreadable")
 	}
@@ -96,3 +103,65 @@
 	f.apply("a", "")
 	assert.Equal(t, len(f.All()), 0, "a draining replica is removed at once")
 }
+
+// restored is a record of the copy from which the log comes back.
+type restored struct {
+	replica  string
+	state    string
+	reported uint64
+}
+
+// TestRestoredLog checks that replicas that have left or are draining aren't used again because the
+// log comes back from an older copy, and that live ones stay in use until they report again.
+func TestRestoredLog(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		before func(f *fixture)
+		copied []restored
+		usable int
+		after  func(f *fixture)
+		later  int
+	}{
+		{"the copy lacks a replica that started since", func(f *fixture) { f.report("a", "ready", 1) },
+			[]restored{{"a", "", 0}}, 1, func(f *fixture) { f.report("a", "ready", 2) }, 1},
+		{"the copy lacks a replica that is gone since", func(f *fixture) { f.report("a", "ready", 1) },
+			[]restored{{"a", "", 0}}, 1, func(*fixture) {}, 0},
+		{"the copy has a replica that left", func(f *fixture) { f.report("a", "ready", 5); f.apply("a", "") },
+			[]restored{{"a", "ready", 4}}, 0, func(*fixture) {}, 0},
+		{"a replica that was taken for gone reports again", func(f *fixture) { f.report("a", "ready", 5); f.apply("a", "") },
+			[]restored{{"a", "ready", 4}}, 0, func(f *fixture) { f.report("a", "ready", 6) }, 1},
+		{"the copy has a replica as ready that is draining", func(f *fixture) { f.report("a", "draining", 5) },
+			[]restored{{"a", "ready", 4}}, 0, func(*fixture) {}, 0},
+		{"the copy has a newer report", func(f *fixture) { f.report("a", "ready", 5) },
+			[]restored{{"a", "draining", 6}}, 0, func(*fixture) {}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture()
+			c.before(f)
+			var records []track.KeyedRecord
+			for _, r := range c.copied {
+				records = append(records, reportRecord(r.replica, r.state, r.reported))
+			}
+			f.ApplyRestored(records)
+			assert.Equal(t, f.usable, c.usable)
+			f.clock.Advance(time.Second)
+			c.after(f)
+			f.clock.Advance(2 * time.Second)
+			f.RemoveLapsed()
+			assert.Equal(t, f.usable, c.later)
+		})
+	}
+}
+
+// report applies the report of a replica with its number.
+func (f *fixture) report(replica, state string, number uint64) {
+	f.Apply([]track.KeyedRecord{reportRecord(replica, state, number)})
+}
+
+func reportRecord(replica, state string, number uint64) track.KeyedRecord {
+	r := track.KeyedRecord{Key: replica}
+	if state != "" {
+		r.Value = fmt.Appendf(nil, "%s %d", state, number)
+	}
+	return r
+}
--- a/gateway.go
+++ b/gateway.go
@@ -154,4 +154,7 @@
 	WarmupTime time.Duration
 	// StartID differs between restarts of a replica under the same ID.
 	StartID int64
+	// Heartbeat is the number of the replica's report in the list of replicas. It increases
+	// with each report until the replica restarts.
+	Heartbeat uint64
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -51,6 +51,8 @@
 	Leaving bool
 	// Offsets holds, for each topic of the log, the offset up to which the sender has read.
 	Offsets map[string]uint64 `json:"Ends"`
+	// Era is the era of the log that the offsets belong to.
+	Era uint64 `json:",omitempty"`
 	// LogAge is the time since the sender last got the list of replicas from the log
 	// itself; negative if it never did.
 	LogAge time.Duration
@@ -82,6 +84,8 @@
 	// Offsets holds, for each topic of the log, the highest offset up to which an entry of
 	// the zone has read.
 	Offsets map[string]uint64 `json:"Ends"`
+	// Era is the era of the log that the offsets belong to.
+	Era uint64 `json:",omitempty"`
 	// InFlight counts the zone's requests in flight on each replica.
 	InFlight map[track.ReplicaID]track.InFlight
 	// Ranks holds what the agents of the zone report about their ranks.
--- a/keyed/follow.go
+++ b/keyed/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -22,7 +23,7 @@
 type Options struct {
 	Topic string
 	Log   track.KeyedLog
-	// Peers returns the mirrors of peers. The first that answers is read when NotifyPeerOffset
+	// Peers returns the mirrors of peers. The first that answers is read when NotifyPeerPosition
 	// reports that a peer is ahead, for example while the platform's log doesn't answer.
 	Peers func() []track.KeyedLog
 	// LongPollTimeout is how long a read waits for new records. PollInterval is the time between
@@ -33,9 +34,12 @@
 	MaxPollInterval time.Duration
 	// Apply is called with new records in the order of the log. Run and RunPeerSync both call
 	// it, each from one goroutine.
-	Apply  func([]track.KeyedRecord)
-	Clock  clockwork.Clock
-	Logger *zap.Logger
+	Apply func([]track.KeyedRecord)
+	// ApplyRestored is called in place of Apply with the records of a new era of the log,
+	// which may be older than those that Apply got before. Nil means Apply.
+	ApplyRestored func([]track.KeyedRecord)
+	Clock         clockwork.Clock
+	Logger        *zap.Logger
 }
 
 // Follower keeps a mirror of a topic up to date. Its methods are safe for concurrent use.
@@ -62,10 +66,10 @@
 	return f.outage.times()
 }
 
-// NotifyPeerOffset tells the follower that a peer has read the topic up to an offset. If that is
+// NotifyPeerPosition tells the follower that a peer has read the topic up to a position. If that is
 // ahead of the mirror, RunPeerSync reads from a peer.
-func (f *Follower) NotifyPeerOffset(end uint64) {
-	if end <= f.mirror.End() {
+func (f *Follower) NotifyPeerPosition(position track.LogPosition) {
+	if !position.After(f.mirror.Position()) {
 		return
 	}
 	select {
@@ -78,7 +82,7 @@
 func (f *Follower) Run(ctx context.Context) error {
 	backoff := minBackoff
 	loaded := false
-	from := uint64(0)
+	var from track.LogPosition
 	readPause := f.options.PollInterval
 	for {
 		var err error
@@ -98,7 +102,7 @@
 			loaded, backoff = true, minBackoff
 		case track.IsKind(err, track.Expired):
 			f.options.Logger.Info("history expired, reading the newest records",
-				zap.String("Topic", f.options.Topic), zap.Uint64("From", from))
+				zap.String("Topic", f.options.Topic), zap.Uint64("From", from.Offset), zap.Uint64("Era", from.Era), zap.Error(err))
 			loaded, pause = false, 0
 		default:
 			f.recordFailure(err)
@@ -114,51 +118,79 @@
 	}
 }
 
-// load reads the newest record of each key and returns the offset at which to read on.
+// load reads the newest record of each key and returns the position at which to read on.
 // The pages are not a snapshot, so this is the end of the topic at the first page.
-func (f *Follower) load(ctx context.Context) (uint64, error) {
-	var records []track.KeyedRecord
-	after, end := "", uint64(0)
+func (f *Follower) load(ctx context.Context) (track.LogPosition, error) {
+	var whole track.KeyedPage
+	after := ""
 	for first := true; ; first = false {
 		page, err := f.options.Log.Newest(ctx, f.options.Topic, after)
 		if err != nil {
-			return 0, err
+			return track.LogPosition{}, err
 		}
 		if first {
-			end = page.End
+			whole.End, whole.Era = page.End, page.Era
 		}
-		records = append(records, page.Records...)
+		if known := f.mirror.Position().Era; page.Era != whole.Era || page.Era < known {
+			return track.LogPosition{}, eraError(track.Unavailable, page.Era, max(whole.Era, known))
+		}
+		whole.Records = append(whole.Records, page.Records...)
 		if !page.More || len(page.Records) == 0 {
 			break
 		}
 		after = page.Records[len(page.Records)-1].Key
 	}
-	f.apply(f.mirror.Replace(records, end))
-	return end, nil
+	f.replace(whole)
+	return track.LogPosition{Era: whole.Era, Offset: whole.End}, nil
+}
+
+// eraError returns the error for a page of an unexpected era.
+func eraError(kind track.Kind, got, want uint64) error {
+	return track.Fail("read log", kind, fmt.Errorf("the log is in era %d, not %d", got, want))
 }
 
-// read reads all records from an offset on and returns the offset at which to read on.
-func (f *Follower) read(ctx context.Context, from uint64) (uint64, error) {
+// read reads all records from a position on and returns the position at which to read on. It
+// fails with kind Expired if the log has entered another era.
+func (f *Follower) read(ctx context.Context, from track.LogPosition) (track.LogPosition, error) {
 	for {
-		page, err := f.options.Log.Read(ctx, f.options.Topic, from, f.options.LongPollTimeout)
+		page, err := f.options.Log.Read(ctx, f.options.Topic, from.Offset, f.options.LongPollTimeout)
 		if err != nil {
 			return from, err
 		}
-		f.apply(f.mirror.Add(page.Records, page.End))
-		from = max(from, page.End)
+		switch {
+		case page.Era < from.Era:
+			// A late response, or a peer that doesn't know of the new era yet.
+			return from, eraError(track.Unavailable, page.Era, from.Era)
+		case page.Era > from.Era:
+			return from, eraError(track.Expired, page.Era, from.Era)
+		}
+		f.apply(f.mirror.Add(page))
+		from.Offset = max(from.Offset, page.End)
 		if !page.More {
 			return from, nil
 		}
 	}
 }
 
+// replace replaces the mirror's records and applies what has changed.
+func (f *Follower) replace(page track.KeyedPage) int {
+	restored := f.mirror.Loaded() && page.Era > f.mirror.Position().Era
+	changes := f.mirror.Replace(page)
+	if restored && f.options.ApplyRestored != nil {
+		f.options.ApplyRestored(changes)
+	} else {
+		f.apply(changes)
+	}
+	return len(changes)
+}
+
 func (f *Follower) apply(changes []track.KeyedRecord) {
 	if len(changes) > 0 {
 		f.options.Apply(changes)
 	}
 }
 
-// RunPeerSync reads from a peer each time NotifyPeerOffset reports one that is ahead of the mirror,
+// RunPeerSync reads from a peer each time NotifyPeerPosition reports one that is ahead of the mirror,
 // until the context ends. It returns the context's cause.
 func (f *Follower) RunPeerSync(ctx context.Context) error {
 	for {
@@ -184,15 +216,16 @@
 			f.options.Logger.Info("failed to read from a peer", zap.String("Topic", f.options.Topic), zap.Error(err))
 			continue
 		}
-		var changes []track.KeyedRecord
+		changed := 0
 		if complete {
-			changes = f.mirror.Replace(page.Records, page.End)
+			changed = f.replace(page)
 		} else {
-			changes = f.mirror.Add(page.Records, page.End)
+			changes := f.mirror.Add(page)
+			changed = len(changes)
+			f.apply(changes)
 		}
 		f.options.Logger.Info("news from peer", zap.String("Topic", f.options.Topic),
-			zap.Uint64("End", page.End), zap.Int("Records", len(changes)))
-		f.apply(changes)
+			zap.Uint64("End", page.End), zap.Uint64("Era", page.Era), zap.Int("Records", changed))
 		return
 	}
 }
@@ -204,8 +237,9 @@
 	ctx context.Context, peer track.KeyedLog,
 ) (page track.KeyedPage, complete bool, err error) {
 	if f.mirror.Loaded() {
-		page, err = peer.Read(ctx, f.options.Topic, f.mirror.End(), 0)
-		if err == nil || !track.IsKind(err, track.Expired) {
+		position := f.mirror.Position()
+		page, err = peer.Read(ctx, f.options.Topic, position.Offset, 0)
+		if err == nil && page.Era == position.Era || err != nil && !track.IsKind(err, track.Expired) {
 			return page, false, err
 		}
 	}
--- a/keyed/follow_test.go
+++ b/keyed/follow_test.go
@@ -214,14 +214,14 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- f.RunPeerSync(ctx) }()
-	f.NotifyPeerOffset(1)
+	f.NotifyPeerPosition(track.LogPosition{Offset: 1})
 	assert.NilError(t, f.clock.BlockUntilContext(t.Context(), 2))
 	f.assertState(map[string]string{"k00": "a"})
 	peer.put("k00", "")
 	peer.put("k01", "b")
 	f.clock.Advance(200 * time.Millisecond)
-	f.NotifyPeerOffset(1)
-	f.NotifyPeerOffset(3)
+	f.NotifyPeerPosition(track.LogPosition{Offset: 1})
+	f.NotifyPeerPosition(track.LogPosition{Offset: 3})
 	assert.NilError(t, f.clock.BlockUntilContext(t.Context(), 2))
 	f.assertState(map[string]string{"k01": "b"})
 	cancel()
@@ -234,7 +234,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		log := &fakeLog{}
 		source, copied := keyed.NewMirror(), keyed.NewMirror()
-		source.Replace(nil, 0)
+		source.Replace(track.KeyedPage{})
 		for range rapid.IntRange(0, 40).Draw(t, "steps") {
 			if rapid.Bool().Draw(t, "put") {
 				key := fmt.Sprintf("k%02d", rapid.IntRange(0, 5).Draw(t, "key"))
@@ -243,12 +243,12 @@
 			}
 			page, err := log.Read(context.Background(), "", source.End(), 0)
 			assert.NilError(t, err)
-			source.Add(page.Records, page.End)
+			source.Add(page)
 			syncMirror(t, source, copied)
 		}
 		page, err := log.Read(context.Background(), "", source.End(), 0)
 		assert.NilError(t, err)
-		source.Add(page.Records, page.End)
+		source.Add(page)
 		syncMirror(t, source, copied)
 		want, err := source.Newest()
 		assert.NilError(t, err)
@@ -263,19 +263,19 @@
 	if !to.Loaded() {
 		page, err := from.Newest()
 		assert.NilError(t, err)
-		to.Replace(page.Records, page.End)
+		to.Replace(page)
 		return
 	}
 	page, err := from.Since(to.End())
 	assert.NilError(t, err)
-	to.Add(page.Records, page.End)
+	to.Add(page)
 }
 
 func TestSinceFailsForForgottenTombstones(t *testing.T) {
 	mirror := keyed.NewMirror()
 	_, err := mirror.Since(0)
 	assert.Assert(t, track.IsKind(err, track.Expired))
-	mirror.Replace([]track.KeyedRecord{{Key: "k", Value: []byte("a"), Offset: 6}}, 7)
+	mirror.Replace(track.KeyedPage{Records: []track.KeyedRecord{{Key: "k", Value: []byte("a"), Offset: 6}}, End: 7})
 	_, err = mirror.Since(6)
 	assert.Assert(t, track.IsKind(err, track.Expired), "keys deleted before the mirror was loaded are not known")
 	_, err = mirror.Since(7)
@@ -284,7 +284,7 @@
 	for i := range 3000 {
 		records = append(records, track.KeyedRecord{Key: fmt.Sprint(i), Offset: uint64(7 + i)})
 	}
-	mirror.Add(records, 3007)
+	mirror.Add(track.KeyedPage{Records: records, End: 3007})
 	_, err = mirror.Since(7)
 	assert.Assert(t, track.IsKind(err, track.Expired), "the oldest tombstones must have been pruned")
 }
--- a/keyed/mirror.go
+++ b/keyed/mirror.go
@@ -22,6 +22,8 @@
 	mu sync.Mutex
 	// records holds the newest record of each key, tombstones included.
 	records map[string]track.KeyedRecord
+	// era is the era of the log that the records come from.
+	era uint64
 	// end is the offset after the last record read.
 	end uint64
 	// tombstonesFrom is the offset from which on all tombstones are kept.
@@ -42,6 +44,13 @@
 	return m.end
 }
 
+// Position returns the position up to which the mirror holds the topic.
+func (m *Mirror) Position() track.LogPosition {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return track.LogPosition{Era: m.era, Offset: m.end}
+}
+
 // Loaded reports whether the mirror holds the topic's records.
 func (m *Mirror) Loaded() bool {
 	m.mu.Lock()
@@ -49,40 +58,55 @@
 	return m.loaded
 }
 
-// Add adds records in the order of the log, which were read up to the offset end. It
-// returns those that are newer than the mirror's record of their key.
-func (m *Mirror) Add(records []track.KeyedRecord, end uint64) []track.KeyedRecord {
+// Add adds a page of records in the order of the log. It returns those that are newer than
+// the mirror's record of their key. A page of another era is ignored.
+func (m *Mirror) Add(page track.KeyedPage) []track.KeyedRecord {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.loaded && page.Era != m.era {
+		return nil
+	}
+	m.era = page.Era
 	var changes []track.KeyedRecord
-	for _, r := range records {
+	for _, r := range page.Records {
 		if m.put(r) {
 			changes = append(changes, r)
 		}
 	}
-	m.end = max(m.end, end)
+	m.end = max(m.end, page.End)
 	m.pruneTombstones()
 	return changes
 }
 
-// Replace replaces the mirror's records with the newest record of each key as of the offset
-// end, and returns the records that changed. Keys that are missing count as deleted, unless
-// the mirror has already read beyond end. Records that are newer than end are kept.
-func (m *Mirror) Replace(records []track.KeyedRecord, end uint64) []track.KeyedRecord {
+// Replace replaces the mirror's records with a page that holds the newest record of each
+// key, and returns the records that changed. Keys that are missing count as deleted, unless
+// the mirror has already read beyond the end of the page. Records that are newer than that
+// are kept. A page of a later era replaces the records whatever their offsets, one of an
+// earlier era is ignored.
+func (m *Mirror) Replace(page track.KeyedPage) []track.KeyedRecord {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.loaded && page.Era < m.era {
+		return nil
+	}
+	previous, newEra := m.records, page.Era > m.era
+	if newEra {
+		m.era, m.end, m.loaded = page.Era, 0, false
+		m.records = make(map[string]track.KeyedRecord, len(page.Records))
+	}
 	var changes []track.KeyedRecord
-	present := make(map[string]bool, len(records))
-	for _, r := range records {
+	present := make(map[string]bool, len(page.Records))
+	for _, r := range page.Records {
 		present[r.Key] = true
 		if m.put(r) {
 			changes = append(changes, r)
 		}
 	}
+	end := page.End
 	if end >= m.end {
-		for key, r := range m.records {
-			if !present[key] && len(r.Value) > 0 && r.Offset < end {
-				tombstone := track.KeyedRecord{Key: key, Offset: end - 1}
+		for key, r := range previous {
+			if !present[key] && len(r.Value) > 0 && (newEra || r.Offset < end) {
+				tombstone := track.KeyedRecord{Key: key, Offset: max(end, 1) - 1}
 				m.records[key] = tombstone
 				changes = append(changes, tombstone)
 			}
@@ -155,7 +179,7 @@
 
 // page returns the records that match, in the order of the log.
 func (m *Mirror) page(matches func(track.KeyedRecord) bool) track.KeyedPage {
-	page := track.KeyedPage{End: m.end}
+	page := track.KeyedPage{End: m.end, Era: m.era}
 	for _, r := range m.records {
 		if matches(r) {
 			page.Records = append(page.Records, r)
--- a/keyedlog.go
+++ b/keyedlog.go
@@ -20,6 +20,22 @@
 	More bool
 	// End is the offset after the last record of the topic.
 	End uint64
+	// Era is the generation of the log: it increases each time the log comes back from an
+	// older copy of itself, which lacks the latest records and gives out their offsets
+	// again. Offsets are comparable within an era only. It is 0 if the log doesn't say.
+	Era uint64 `json:",omitempty"`
+}
+
+// LogPosition is a position in a topic of the platform's log.
+type LogPosition struct {
+	Era uint64
+	// Offset is the offset after the last record read.
+	Offset uint64
+}
+
+// After reports whether the position is later than the other one.
+func (p LogPosition) After(other LogPosition) bool {
+	return p.Era > other.Era || p.Era == other.Era && p.Offset > other.Offset
 }
 
 // KeyedLog is the interface to compacted topics of the platform's log, which keep
