--- a/batch/groups.go
+++ b/batch/groups.go
@@ -104,6 +104,7 @@
 		}
 	}
 	p.passTimes[state.Group] = p.meanPassTime(state.Group)
+	p.observePass(state.Group)
 	p.dispatch()
 }
 
--- a/batch/pool.go
+++ b/batch/pool.go
@@ -53,6 +53,9 @@
 	Priority int
 	// Tokens estimates the tokens that the request holds while it runs.
 	Tokens int
+	// MaxGap is the longest pause between two events of a stream that is on time; 0 if the
+	// request has no such limit.
+	MaxGap time.Duration
 	// OnTimeUntil is the latest time of admission at which the request can still be served on
 	// time, WaitUntil the time at which it gives up waiting, and Deadline the time by
 	// which it must be answered.
@@ -155,6 +158,10 @@
 	queue    []*waiter
 	// passTimes holds the mean pass duration by group, as its ranks report it.
 	passTimes map[string]time.Duration
+	// paces holds the pace of each group, and maxGap the longest pause between two events of
+	// the latest request.
+	paces  map[string]*groupPace
+	maxGap time.Duration
 	// candidates is scratch space of chooseReplica.
 	candidates []*replica
 	// meanGrantTime is the moving mean of the time from a grant to its Done.
@@ -179,6 +186,7 @@
 	return &Pool{
 		options: options, createdAt: options.Clock.Now(),
 		replicas: make(map[track.ReplicaID]*replica), passTimes: make(map[string]time.Duration),
+		paces:      make(map[string]*groupPace),
 		departures: make(map[track.ReplicaID]departure),
 	}
 }
@@ -246,6 +254,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.options.Clock.Now()
+	if request.MaxGap > 0 {
+		p.maxGap = request.MaxGap
+	}
 	reason, after := p.unavailableReason(request, now)
 	waitForGroup := reason == ReasonGroupBroken && !request.OnTimeUntil.After(now) && len(p.queue) < p.maxWaitingForGroup()
 	if reason != "" && !waitForGroup {
--- a/batch/replica.go
+++ b/batch/replica.go
@@ -154,7 +154,7 @@
 		slots = defaultSlots
 	}
 	if p.engine != nil {
-		return slots
+		return p.batchLimit(r, slots)
 	}
 	return slots * requestsPerSlot
 }
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -109,6 +109,7 @@
 		RequestID:   x.request.ID,
 		Priority:    x.priority,
 		Tokens:      x.request.PromptTokens + x.estimateAnswerTokens(),
+		MaxGap:      x.route.MaxGap,
 		OnTimeUntil: onTimeUntil,
 		WaitUntil:   x.waitUntil(onTimeUntil),
 		Deadline:    x.deadline,
