--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -122,18 +122,36 @@
 		after  func(f *fixture)
 		later  int
 	}{
-		{"the copy lacks a replica that started since", func(f *fixture) { f.report("a", "ready", 1) },
-			[]restored{{"a", "", 0}}, 1, func(f *fixture) { f.report("a", "ready", 2) }, 1},
-		{"the copy lacks a replica that is gone since", func(f *fixture) { f.report("a", "ready", 1) },
-			[]restored{{"a", "", 0}}, 1, func(*fixture) {}, 0},
-		{"the copy has a replica that left", func(f *fixture) { f.report("a", "ready", 5); f.apply("a", "") },
-			[]restored{{"a", "ready", 4}}, 0, func(*fixture) {}, 0},
-		{"a replica that was taken for gone reports again", func(f *fixture) { f.report("a", "ready", 5); f.apply("a", "") },
-			[]restored{{"a", "ready", 4}}, 0, func(f *fixture) { f.report("a", "ready", 6) }, 1},
-		{"the copy has a replica as ready that is draining", func(f *fixture) { f.report("a", "draining", 5) },
-			[]restored{{"a", "ready", 4}}, 0, func(*fixture) {}, 0},
-		{"the copy has a newer report", func(f *fixture) { f.report("a", "ready", 5) },
-			[]restored{{"a", "draining", 6}}, 0, func(*fixture) {}, 0},
+		{
+			"the copy lacks a replica that started since", func(f *fixture) { f.report("a", "ready", 1) },
+			[]restored{{"a", "", 0}},
+			1, func(f *fixture) { f.report("a", "ready", 2) }, 1,
+		},
+		{
+			"the copy lacks a replica that is gone since", func(f *fixture) { f.report("a", "ready", 1) },
+			[]restored{{"a", "", 0}},
+			1, func(*fixture) {}, 0,
+		},
+		{
+			"the copy has a replica that left", func(f *fixture) { f.report("a", "ready", 5); f.apply("a", "") },
+			[]restored{{"a", "ready", 4}},
+			0, func(*fixture) {}, 0,
+		},
+		{
+			"a replica that was taken for gone reports again", func(f *fixture) { f.report("a", "ready", 5); f.apply("a", "") },
+			[]restored{{"a", "ready", 4}},
+			0, func(f *fixture) { f.report("a", "ready", 6) }, 1,
+		},
+		{
+			"the copy has a replica as ready that is draining", func(f *fixture) { f.report("a", "draining", 5) },
+			[]restored{{"a", "ready", 4}},
+			0, func(*fixture) {}, 0,
+		},
+		{
+			"the copy has a newer report", func(f *fixture) { f.report("a", "ready", 5) },
+			[]restored{{"a", "draining", 6}},
+			0, func(*fixture) {}, 0,
+		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f := newFixture()
