fix(proxy): a stream that sends bytes but no event counts as silent

Cause: any byte of a replica restarted the timer of silence, so that a stalled stream that sent a byte or a comment now and then lasted until the deadline.

Change: only complete events with data restart it. The test hangs without the change.

--- a/edge/agent.go
+++ b/edge/agent.go
@@ -257,11 +257,6 @@
 	}
 }
 
-// coordinatorCandidates is the number of agents of a group that get each message of all
-// others: the one that coordinates changes of the expert map, and those that take over if
-// it fails.
-const coordinatorCandidates = 3
-
 // targets returns the peers to send messages to, and how often each gets one. Entries of
 // the own zone get each message, and forward what entries of other zones need. Within the
 // group, the coordinator candidates get each message of all agents, and all agents get each
@@ -299,13 +294,13 @@
 	})
 }
 
-// lowestRanks returns the agents with the lowest ranks, coordinatorCandidates at most.
+// lowestRanks returns the agents with the lowest ranks, steer.CoordinatorCandidates at most.
 func lowestRanks(ranks map[track.InstanceID]int) map[track.InstanceID]bool {
 	names := slices.SortedFunc(maps.Keys(ranks), func(x, y track.InstanceID) int {
 		return cmp.Or(cmp.Compare(ranks[x], ranks[y]), cmp.Compare(x, y))
 	})
 	lowest := make(map[track.InstanceID]bool)
-	for _, name := range names[:min(len(names), coordinatorCandidates)] {
+	for _, name := range names[:min(len(names), steer.CoordinatorCandidates)] {
 		lowest[name] = true
 	}
 	return lowest
--- a/events/events.go
+++ b/events/events.go
@@ -46,6 +46,8 @@
 	lastNumber int64
 	lastID     string
 	count      int
+	// withData is the number of complete events that have a data field.
+	withData int
 }
 
 // New returns a splitter of a stream that starts after the event with the given ID,
@@ -70,6 +72,12 @@
 	return s.count
 }
 
+// CountWithData returns the number of complete events that have data. Comments, which servers send
+// to keep a connection open, have none.
+func (s *Splitter) CountWithData() int {
+	return s.withData
+}
+
 // Partial reports whether the bytes added so far end inside an event.
 func (s *Splitter) Partial() bool {
 	return len(s.pending) > 0
@@ -126,8 +134,14 @@
 	}
 }
 
+// dataField begins a line with data.
+var dataField = []byte("data")
+
 // checkOrder records the ID of an event and checks that numeric IDs increase by 1.
 func (s *Splitter) checkOrder(event []byte) error {
+	if bytes.HasPrefix(event, dataField) || bytes.Contains(event, append([]byte{'\n'}, dataField...)) {
+		s.withData++
+	}
 	id, ok := eventID(event)
 	if !ok {
 		return nil
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -136,7 +136,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		script := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) behaviour {
 			return behaviour(rapid.IntRange(0, int(behaviourCount)-1).Filter(func(n int) bool {
-				return behaviour(n) != hangsInBody
+				return behaviour(n) != hangsInBody && behaviour(n) != dripsBytes && behaviour(n) != dripsComments
 			}).Draw(t, "behaviour"))
 		}), 0, 6).Draw(t, "script")
 		path := rapid.SampledFrom([]string{"/status/1", "/book/1", "/notes/1"}).Draw(t, "path")
@@ -329,6 +329,23 @@
 	assert.Equal(t, len(h.calls), calls)
 }
 
+// A stream whose replica sends a byte or a comment now and then, but no event, continues on another
+// replica before its client leaves.
+func TestStreamThatDripsMovesToAnotherReplica(t *testing.T) {
+	for _, b := range []behaviour{dripsBytes, dripsComments} {
+		h := newHarness(b)
+		start := h.clock.Now()
+		got, err := h.send(&proxy.Request{
+			ID: "r", Host: host, Method: http.MethodPost, Target: "/notes/1", Path: "/notes/1", APIKey: "key", TimeLeft: 8 * time.Second,
+		})
+		assert.NilError(t, err)
+		assert.Equal(t, strings.ReplaceAll(got.Body.String(), ": still here\n\n", ""), eventsAfter("", serves))
+		assert.Equal(t, len(h.calls), 2)
+		assert.Equal(t, h.calls[1].ResumeAfter, "1")
+		assert.Equal(t, h.clock.Since(start), maxDrips*100*time.Millisecond+100*time.Millisecond)
+	}
+}
+
 func Example() {
 	h := newHarness(unreachable)
 	got, err := h.post("/book/1")
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -91,8 +91,12 @@
 	for {
 		n, readErr := answer.Body.Read(buffer)
 		if n > 0 {
-			silenceTimer.Reset(x.shareOfPatience(silencePatienceShare))
+			events := x.splitter.CountWithData()
 			complete, err := x.splitter.Add(buffer[:n])
+			if x.splitter.CountWithData() > events {
+				// Single bytes and comments are no progress: a client that gets no event leaves.
+				silenceTimer.Reset(x.shareOfPatience(silencePatienceShare))
+			}
 			if len(complete) > 0 {
 				if result.FirstByte == 0 {
 					result.FirstByte = clock.Since(started)
--- a/proxy/world_test.go
+++ b/proxy/world_test.go
@@ -59,6 +59,9 @@
 	repeatsEvent
 	// leaves serves the request and says that the replica leaves.
 	leaves
+	// drips sends a part of the events and then single bytes or comments without end.
+	dripsBytes
+	dripsComments
 	// rests turns the request away and wants no more for restTime.
 	rests
 	behaviourCount
@@ -235,6 +238,17 @@
 	case answers503AfterRunning:
 		return answer(http.StatusServiceUnavailable, "busy", nil, sealed), nil
 	}
+	if b == dripsBytes || b == dripsComments {
+		a := answer(http.StatusOK, "", nil, sealed)
+		drip := "x"
+		if b == dripsComments {
+			drip = ": still here\n\n"
+		}
+		a.Body = &drippingBody{
+			Reader: strings.NewReader(eventsAfter("", serves)[:len("id: 1\ndata: piece 1\n\n")]), ctx: ctx, clock: h.clock, drip: drip,
+		}
+		return a, nil
+	}
 	if b == hangsInBody {
 		a := answer(http.StatusOK, "", nil, sealed)
 		a.Body = &hungBody{Reader: strings.NewReader(eventsAfter(call.ResumeAfter, serves)[:40]), ctx: ctx, hung: h.hung}
@@ -243,6 +257,36 @@
 	return h.runAttempt(call, b), nil
 }
 
+// drippingBody is a stream that sends a part of its events and then, every 100 ms, a few bytes that
+// are no event.
+type drippingBody struct {
+	io.Reader
+	ctx   context.Context
+	clock *clockwork.FakeClock
+	drip  string
+	drips int
+}
+
+func (b *drippingBody) Read(p []byte) (int, error) {
+	if n, err := b.Reader.Read(p); err == nil {
+		return n, nil
+	}
+	b.clock.Advance(100 * time.Millisecond)
+	// The timer calls the cancel function in its own goroutine.
+	if b.drips++; b.drips > maxDrips {
+		<-b.ctx.Done()
+	}
+	if b.ctx.Err() != nil {
+		return 0, context.Cause(b.ctx)
+	}
+	return copy(p, b.drip), nil
+}
+
+func (b *drippingBody) Close() error { return nil }
+
+// maxDrips is the number of drips within the 1.7 s after which a stream without events is left.
+const maxDrips = 17
+
 // hungBody is a stream that sends a part of its events and then hangs until the attempt
 // is canceled.
 type hungBody struct {
--- a/steer/balance.go
+++ b/steer/balance.go
@@ -29,9 +29,6 @@
 	// of all others. The others also read it whenever the coordinator asks.
 	rankPollInterval     = 60 * time.Millisecond
 	followerPollInterval = 3 * rankPollInterval
-	// coordinatorCandidates is the number of agents of a group that coordinate changes or are
-	// next to do so.
-	coordinatorCandidates = 3
 	// settleTimeout is the time that a switch may wait for its decision before the
 	// first agent in order settles it; each further agent waits that much longer.
 	settleTimeout = 500 * time.Millisecond
@@ -64,6 +61,10 @@
 	readSharesTimeout = 400 * time.Millisecond
 )
 
+// CoordinatorCandidates is the number of agents of a group that coordinate changes of the map, or
+// take over if those before them fail: those with the lowest ranks.
+const CoordinatorCandidates = 3
+
 // PeerAgent describes another agent of the same rank group and its rank.
 type PeerAgent struct {
 	Agent track.InstanceID
@@ -260,7 +261,7 @@
 		}
 	}
 	b.pollInterval = rankPollInterval
-	if position >= coordinatorCandidates {
+	if position >= CoordinatorCandidates {
 		b.pollInterval = followerPollInterval
 	}
 	if shifted {
