fix(proxy): answers without length and end are cut off

An answer without a declared length was relayed until the deadline, however long. It now ends, visibly incomplete, at 16 MiB.

--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -136,7 +136,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		script := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) behaviour {
 			return behaviour(rapid.IntRange(0, int(behaviourCount)-1).Filter(func(n int) bool {
-				return behaviour(n) != hangsInBody && behaviour(n) != dripsBytes && behaviour(n) != dripsComments
+				return behaviour(n) != hangsInBody && behaviour(n) != dripsBytes && behaviour(n) != dripsComments && behaviour(n) != endlessBody
 			}).Draw(t, "behaviour"))
 		}), 0, 6).Draw(t, "script")
 		path := rapid.SampledFrom([]string{"/status/1", "/book/1", "/notes/1"}).Draw(t, "path")
@@ -346,6 +346,40 @@
 	}
 }
 
+// countingWriter counts the bytes of an answer.
+type countingWriter struct {
+	http.ResponseWriter
+	written int
+}
+
+func (w *countingWriter) Write(p []byte) (int, error) {
+	w.written += len(p)
+	return len(p), nil
+}
+
+// The answer of a replica that never ends is cut off, so that its client doesn't take it for complete.
+func TestEndlessAnswerIsCutOff(t *testing.T) {
+	h := newHarness(endlessBody)
+	w := &countingWriter{ResponseWriter: httptest.NewRecorder()}
+	err := h.proxy.Serve(t.Context(), w, &proxy.Request{
+		ID: "r", Host: host, Method: http.MethodGet, Target: "/status/1", Path: "/status/1", APIKey: "key", TimeLeft: time.Second,
+	})
+	assert.Assert(t, errors.Is(err, proxy.ErrIncompleteAnswer))
+	assert.Assert(t, w.written <= 16<<20, "%d bytes", w.written)
+	got, err := h.post("/notes/1")
+	assert.NilError(t, err)
+	assert.Equal(t, got.Code, http.StatusOK)
+}
+
+// A stream of bytes that never completes an event is left once it exceeds the size of an event.
+func TestEndlessEventIsLeft(t *testing.T) {
+	h := newHarness(endlessBody)
+	got, err := h.post("/notes/1")
+	assert.NilError(t, err)
+	assert.Equal(t, got.Body.String(), eventsAfter("", serves))
+	assert.Equal(t, len(h.calls), 2)
+}
+
 func Example() {
 	h := newHarness(unreachable)
 	got, err := h.post("/book/1")
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -21,6 +21,9 @@
 	// maxBufferedBytes is the maximum size of an answer that is buffered until it is
 	// complete. The part of a longer one beyond that is relayed as it arrives.
 	maxBufferedBytes = 1 << 20
+	// maxUnsizedBytes is the maximum size of an answer without a declared length. A faulty
+	// replica may send bytes without end.
+	maxUnsizedBytes = 16 << 20
 	// readBufferBytes is the size of the read buffer of a stream. An event has a few hundred
 	// bytes.
 	readBufferBytes = 4 << 10
@@ -53,7 +56,7 @@
 	if !exceedsBuffer {
 		return attemptOutcome{result: result}
 	}
-	if _, err := io.Copy(x.w, answer.Body); err != nil {
+	if err := x.relayRest(answer); err != nil {
 		x.lastFailure = err.Error()
 		outcome := x.handleInterruption(ctx, "AnswerBrokeOff")
 		outcome.retryable = false
@@ -62,6 +65,23 @@
 	return attemptOutcome{result: result}
 }
 
+var errEndless = errors.New("the answer has no length and exceeds the limit")
+
+// relayRest relays the part of an answer that wasn't buffered.
+func (x *exchange) relayRest(answer track.ReplicaAnswer) error {
+	if answer.Header.Get("Content-Length") != "" {
+		_, err := io.Copy(x.w, answer.Body)
+		return err
+	}
+	// The buffered part has one byte more than maxBufferedBytes.
+	const limit = maxUnsizedBytes - maxBufferedBytes - 1
+	n, err := io.Copy(x.w, io.LimitReader(answer.Body, limit))
+	if err == nil && n == limit {
+		return errEndless
+	}
+	return err
+}
+
 // writeHead writes the status and headers to the client.
 func (x *exchange) writeHead(status int) {
 	x.w.WriteHeader(status)
--- a/proxy/world_test.go
+++ b/proxy/world_test.go
@@ -62,6 +62,8 @@
 	// drips sends a part of the events and then single bytes or comments without end.
 	dripsBytes
 	dripsComments
+	// endlessBody sends a body without length and end.
+	endlessBody
 	// rests turns the request away and wants no more for restTime.
 	rests
 	behaviourCount
@@ -238,6 +240,11 @@
 	case answers503AfterRunning:
 		return answer(http.StatusServiceUnavailable, "busy", nil, sealed), nil
 	}
+	if b == endlessBody {
+		a := answer(http.StatusOK, "", nil, sealed)
+		a.Body = io.NopCloser(endless{})
+		return a, nil
+	}
 	if b == dripsBytes || b == dripsComments {
 		a := answer(http.StatusOK, "", nil, sealed)
 		drip := "x"
@@ -287,6 +294,11 @@
 // maxDrips is the number of drips within the 1.7 s after which a stream without events is left.
 const maxDrips = 17
 
+// endless is a body without end.
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) { return len(p), nil }
+
 // hungBody is a stream that sends a part of its events and then hangs until the attempt
 // is canceled.
 type hungBody struct {
