perf(steer): orders through relays count as lost later

Cause: in a group of 64 ranks arm and commit take 85 to 190 ms through relays; beyond 100 ms the coordinator took orders for lost and armed two passes ahead for six seconds.

--- a/steer/balance.go
+++ b/steer/balance.go
@@ -50,7 +50,9 @@
 	// which orders must have been lost. For conservativeDuration after such a change,
 	// changes are made in one stage and armed conservativeStepsAhead passes ahead, so that
 	// ranks don't have to wait while a lost order is sent again.
+	// Orders through relays take longer by relayedOrderTime.
 	lostOrderThreshold     = 100 * time.Millisecond
+	relayedOrderTime       = 100 * time.Millisecond
 	conservativeDuration   = 6 * time.Second
 	conservativeStepsAhead = 2
 	// slowRankSkew is the skew beyond which a change fetches as much as the ranks can
@@ -333,7 +335,7 @@
 	if result.Outcome == swap.Idle || result.Outcome == swap.Undone {
 		b.nextPlan = b.options.Clock.Now().Add(newGroupPlanInterval)
 	}
-	if result.HoldTime > lostOrderThreshold {
+	if result.HoldTime > expectedHold(len(peers)) {
 		b.conservativeUntil = b.options.Clock.Now().Add(conservativeDuration)
 	}
 	if result.Outcome == swap.Switched {
@@ -349,6 +351,15 @@
 		zap.Bool("Careful", conservative))
 }
 
+// expectedHold returns the time from the order to arm to the end of a change beyond which orders
+// must have been lost, in a group with the given number of other agents.
+func expectedHold(peers int) time.Duration {
+	if peers > maxDirectPeers {
+		return lostOrderThreshold + relayedOrderTime
+	}
+	return lostOrderThreshold
+}
+
 // rankBits is the number of low bits of a ballot number that hold the rank of the
 // agent, so that agents of a group never use the same number. The other bits rise with
 // time, so that an agent doesn't use a number again after a restart.
