perf(edge): agents read the expert layout of their engines, not the configuration

Cause: each agent read every version of the configuration, of which it needs the layout of the engines.

--- a/edge/agent.go
+++ b/edge/agent.go
@@ -19,7 +19,6 @@
 	"filberttrack.example/track/duty"
 	"filberttrack.example/track/expert"
 	"filberttrack.example/track/gossip"
-	"filberttrack.example/track/hosts"
 	"filberttrack.example/track/keyed"
 	"filberttrack.example/track/latest"
 	"filberttrack.example/track/steer"
@@ -31,14 +30,6 @@
 // rank doesn't change.
 const agentMessageInterval = 400 * time.Millisecond
 
-// agentConfigReadInterval and agentConfigMaxReadInterval are the minimum and maximum time
-// between two reads of the configuration, of which an agent needs only the description of
-// the engines.
-const (
-	agentConfigReadInterval    = time.Second
-	agentConfigMaxReadInterval = 8 * time.Second
-)
-
 // prepareWait is how long an order to prepare an expert map waits for the map to be
 // prepared. The copies of one change take a quarter of a second, and coordinators wait for
 // half a second.
@@ -111,8 +102,7 @@
 type Agent struct {
 	options        AgentOptions
 	members        *members
-	configHolder   *latest.ConfigHolder
-	configFollower *keyed.Follower
+	engines        *engineReader
 	memberFollower *keyed.Follower
 	announcer      *announcer
 	gossipNode     *gossip.Node
@@ -135,19 +125,18 @@
 		options: o, members: newMembers(o.Self, o.Seeds, o.Logger), client: talk.NewClient(),
 		announcer: newAnnouncer(o.Log, o.Clock, o.Self, o.Member, o.Logger),
 	}
-	a.configHolder = latest.New(o.DecodeConfig, func(*hosts.Table) {}, o.Logger)
+	a.engines = &engineReader{
+		service: o.Service, client: a.client, addresses: func() []string { return a.members.entryAddresses(o.Zone) },
+		log: o.Log, topics: o.Topics, decode: o.DecodeConfig, clock: o.Clock, logger: o.Logger,
+	}
 	relay := keyed.NewRelay(o.Log, a.zoneEntry, o.Clock)
 	followers := followerFactory{
 		clock: o.Clock, logger: o.Logger,
 		peers: func() []track.KeyedLog { return a.members.entryMirrors(a.gossipNode.LiveMessages()) },
 	}
-	a.configFollower = followers.newFollower(relay, keyed.Options{
-		Topic: o.Topics.Config, PollInterval: agentConfigReadInterval, MaxPollInterval: agentConfigMaxReadInterval,
-		Apply:         applyConfig(a.configHolder, o.Topics.ConfigKey),
-		ApplyRestored: applyRestoredConfig(a.configHolder, o.Topics.ConfigKey, a.announcer),
-	})
 	a.memberFollower = followers.newFollower(relay, keyed.Options{
 		Topic: topicMembers, PollInterval: membersReadInterval, MaxPollInterval: membersMaxReadInterval, Apply: a.onMembers,
+		ApplyRestored: a.onRestoredMembers,
 	})
 	incarnation := track.Incarnation(o.Clock.Now().UnixMilli())
 	a.gateway = swap.NewGateway(o.Self, incarnation, []track.RankEngine{o.Rank}, nil, o.Clock)
@@ -166,22 +155,23 @@
 			return talk.Call[track.MapOrder, track.MapReply](ctx, a.client, peer.AgentAddress, pathMapOrder, order)
 		},
 		Relays:     relayClient{a.client},
-		DirectRank: o.DirectRank, Spec: a.expertSpec, OnStatus: a.onStatus,
+		DirectRank: o.DirectRank, Spec: a.engines.Experts, OnStatus: a.onStatus,
 		Clock: o.Clock, Logger: o.Logger, Metrics: o.Metrics,
 	})
 	return a
 }
 
-// zoneEntry returns the mirrors of an entry of the zone. The agent reads the configuration
-// there rather than from the log, since it needs only the description of the engines.
+// zoneEntry returns the mirrors of an entry of the zone. The agent reads the members there
+// rather than from the log.
 func (a *Agent) zoneEntry() (track.KeyedLog, bool) {
 	return a.members.mirrorsInZone(a.options.Zone)
 }
 
 // Start starts the agent's background tasks, which run until the context ends.
 func (a *Agent) Start(ctx context.Context) []*duty.Duty {
-	duties := startCommonTasks(ctx, a.configFollower, a.memberFollower, a.gossipNode, a.announcer)
-	return append(duties, duty.Start(ctx, "balance experts", a.balancer.Run))
+	return append(startCommonTasks(ctx, a.memberFollower, a.gossipNode, a.announcer),
+		duty.Start(ctx, "read engines", a.engines.Run),
+		duty.Start(ctx, "balance experts", a.balancer.Run))
 }
 
 // ServePeers registers the handlers for calls of other agents.
@@ -195,20 +185,6 @@
 	talk.Handle(mux, pathRelayStatuses, a.readStatuses)
 }
 
-// expertSpec returns the expert layout of the engines of the agent's service; false while
-// it isn't known.
-func (a *Agent) expertSpec() (track.ExpertSpec, bool) {
-	table := a.configHolder.Table()
-	if table == nil {
-		return track.ExpertSpec{}, false
-	}
-	service, ok := table.Service(a.options.Service)
-	if !ok || service.Engine == nil {
-		return track.ExpertSpec{}, false
-	}
-	return service.Engine.Experts, true
-}
-
 // onStatus records the state of the agent's rank. If the group has started or stopped
 // serving, has formed anew, or the rank has become slow or normal again, peers are informed
 // at once.
@@ -233,6 +209,13 @@
 	}
 }
 
+// onRestoredMembers applies records of a log that came back from an older copy, which may lack
+// the record of this agent.
+func (a *Agent) onRestoredMembers(records []track.KeyedRecord) {
+	a.announcer.Again()
+	a.onMembers(records)
+}
+
 // composeNote returns the message for peers, which is the same for all zones.
 func (a *Agent) composeNote(bool) gossip.Message {
 	note := gossip.Message{
@@ -252,9 +235,6 @@
 // receive handles a peer's message.
 func (a *Agent) receive(note gossip.Message) {
 	a.members.addSender(note)
-	if note.Rank == nil {
-		a.configFollower.NotifyPeerPosition(track.LogPosition{Era: note.Era, Offset: note.Offsets[a.options.Topics.Config]})
-	}
 }
 
 // targets returns the peers to send messages to, and how often each gets one. Entries of
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -27,6 +27,7 @@
 	"filberttrack.example/track/latest"
 	"filberttrack.example/track/proxy"
 	"filberttrack.example/track/retry"
+	"filberttrack.example/track/talk"
 )
 
 const (
@@ -174,8 +175,9 @@
 // Start starts the entry's background tasks, which run until the context ends.
 func (e *Entry) Start(ctx context.Context) []*duty.Duty {
 	o := e.options
-	duties := startCommonTasks(ctx, e.configFollower, e.memberFollower, e.gossipNode, e.announcer)
-	return append(duties,
+	return append(startCommonTasks(ctx, e.memberFollower, e.gossipNode, e.announcer),
+		duty.Start(ctx, "follow configuration", e.configFollower.Run),
+		duty.Start(ctx, "ask peers for configuration", e.configFollower.RunPeerSync),
 		duty.Start(ctx, "follow replicas", e.replicaFollower.Run),
 		duty.Start(ctx, "ask peers for replicas", e.replicaFollower.RunPeerSync),
 		duty.Start(ctx, "tick", func(ctx context.Context) error {
@@ -190,8 +192,9 @@
 }
 
 // ServePeers registers the handlers through which peers read this entry's mirrors of the
-// log.
+// log, and agents the description of their engines.
 func (e *Entry) ServePeers(mux *http.ServeMux) {
+	talk.Handle(mux, pathEngine, e.engineSpec)
 	keyed.HandleMirrors(mux, map[string]*keyed.Mirror{
 		e.options.Topics.Config:   e.configFollower.Mirror(),
 		e.options.Topics.Replicas: e.replicaFollower.Mirror(),
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -53,14 +53,11 @@
 }
 
 // startCommonTasks starts the background tasks that entries and agents share: they follow
-// the configuration and the members, publish their own member record, and exchange
-// messages.
+// the members, publish their own member record, and exchange messages.
 func startCommonTasks(
-	ctx context.Context, config, members *keyed.Follower, node *gossip.Node, announcer *announcer,
+	ctx context.Context, members *keyed.Follower, node *gossip.Node, announcer *announcer,
 ) []*duty.Duty {
 	return []*duty.Duty{
-		duty.Start(ctx, "follow configuration", config.Run),
-		duty.Start(ctx, "ask peers for configuration", config.RunPeerSync),
 		duty.Start(ctx, "follow members", members.Run),
 		duty.Start(ctx, "announce member", announcer.Run),
 		duty.Start(ctx, "send messages", node.RunSend),
--- a/edge/members.go
+++ b/edge/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"hash/fnv"
+	"slices"
 	"sync"
 	"time"
 
@@ -182,6 +183,29 @@
 	return keyed.NewPeerClient(m.client, member.CallAddress), true
 }
 
+// maxEntriesToAsk is the number of entries that entryAddresses returns.
+const maxEntriesToAsk = 3
+
+// entryAddresses returns the addresses of some entries, of different ones over time: those of a zone
+// first, then those of other zones and the seeds.
+func (m *members) entryAddresses(zone track.AvailabilityZone) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var near, far []string
+	// The iteration order of a map varies.
+	for _, member := range m.known {
+		switch {
+		case member.Role != track.RoleEntry || member.CallAddress == "":
+		case member.Zone == zone:
+			near = append(near, member.CallAddress)
+		default:
+			far = append(far, member.CallAddress)
+		}
+	}
+	all := slices.Concat(near, far, m.seeds)
+	return all[:min(len(all), maxEntriesToAsk)]
+}
+
 // mirrorsInZone returns the mirrors of an entry of a zone, of different entries over time;
 // false if none is known.
 func (m *members) mirrorsInZone(zone track.AvailabilityZone) (track.KeyedLog, bool) {
