fix(boot): agents open a connection for each request to their backend server

A backend server that sent an answer a second time, late, gave it to the next caller on the same connection (TestSecondCopyOfAnAnswer, red before). Response headers are limited to 64 KiB.

--- a/boot/ports.go
+++ b/boot/ports.go
@@ -71,17 +71,18 @@
 	}, dialer
 }
 
-// maxIdleBackendConns bounds the idle connections kept open to the backend server.
-const maxIdleBackendConns = 256
+// maxBackendHeaderBytes limits the header of a response of the backend server.
+const maxBackendHeaderBytes = 64 << 10
 
 // newBackendClient returns the HTTP client with which an agent calls its backend
-// server.
+// server. Each request has a connection of its own, which on the same machine costs little: a
+// server that sends an answer a second time, late, could otherwise answer the next request with it.
 func newBackendClient() *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			MaxIdleConns:        maxIdleBackendConns,
-			MaxIdleConnsPerHost: maxIdleBackendConns,
-			DisableCompression:  true,
+			DisableKeepAlives:      true,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxBackendHeaderBytes,
 		},
 		// Following a redirect would run the request a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
