fix(duty,gossip,rank,steer): a malformed message doesn't end a process

Cause: ranks in messages and reports were used as indexes and shift counts, and experts that an engine lists as indexes; a negative one panicked in a background task and with it ended the process (TestUnknownExpertsKeepTheMap panics without the check).

Change: such messages and reports are refused; background tasks of trackd run again after a panic, which is logged with its stack.

--- a/edge/agent.go
+++ b/edge/agent.go
@@ -169,9 +169,10 @@
 
 // Start starts the agent's background tasks, which run until the context ends.
 func (a *Agent) Start(ctx context.Context) []*duty.Duty {
-	return append(startCommonTasks(ctx, a.memberFollower, a.gossipNode, a.announcer),
-		duty.Start(ctx, "read engines", a.engines.Run),
-		duty.Start(ctx, "balance experts", a.balancer.Run))
+	tasks := duty.Supervisor{Clock: a.options.Clock, Logger: a.options.Logger}
+	return append(startCommonTasks(ctx, tasks, a.memberFollower, a.gossipNode, a.announcer),
+		tasks.Start(ctx, "read engines", a.engines.Run),
+		tasks.Start(ctx, "balance experts", a.balancer.Run))
 }
 
 // ServePeers registers the handlers for calls of other agents.
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -175,12 +175,13 @@
 // Start starts the entry's background tasks, which run until the context ends.
 func (e *Entry) Start(ctx context.Context) []*duty.Duty {
 	o := e.options
-	return append(startCommonTasks(ctx, e.memberFollower, e.gossipNode, e.announcer),
-		duty.Start(ctx, "follow configuration", e.configFollower.Run),
-		duty.Start(ctx, "ask peers for configuration", e.configFollower.RunPeerSync),
-		duty.Start(ctx, "follow replicas", e.replicaFollower.Run),
-		duty.Start(ctx, "ask peers for replicas", e.replicaFollower.RunPeerSync),
-		duty.Start(ctx, "tick", func(ctx context.Context) error {
+	tasks := duty.Supervisor{Clock: o.Clock, Logger: o.Logger}
+	return append(startCommonTasks(ctx, tasks, e.memberFollower, e.gossipNode, e.announcer),
+		tasks.Start(ctx, "follow configuration", e.configFollower.Run),
+		tasks.Start(ctx, "ask peers for configuration", e.configFollower.RunPeerSync),
+		tasks.Start(ctx, "follow replicas", e.replicaFollower.Run),
+		tasks.Start(ctx, "ask peers for replicas", e.replicaFollower.RunPeerSync),
+		tasks.Start(ctx, "tick", func(ctx context.Context) error {
 			return duty.Every(ctx, o.Clock, tickInterval, e.tick)
 		}),
 	)
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -55,12 +55,12 @@
 // startCommonTasks starts the background tasks that entries and agents share: they follow
 // the members, publish their own member record, and exchange messages.
 func startCommonTasks(
-	ctx context.Context, members *keyed.Follower, node *gossip.Node, announcer *announcer,
+	ctx context.Context, tasks duty.Supervisor, members *keyed.Follower, node *gossip.Node, announcer *announcer,
 ) []*duty.Duty {
 	return []*duty.Duty{
-		duty.Start(ctx, "follow members", members.Run),
-		duty.Start(ctx, "announce member", announcer.Run),
-		duty.Start(ctx, "send messages", node.RunSend),
-		duty.Start(ctx, "receive messages", node.RunReceive),
+		tasks.Start(ctx, "follow members", members.Run),
+		tasks.Start(ctx, "announce member", announcer.Run),
+		tasks.Start(ctx, "send messages", node.RunSend),
+		tasks.Start(ctx, "receive messages", node.RunReceive),
 	}
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -134,6 +134,11 @@
 	Address string
 }
 
+// valid reports whether the rank has a place in its group; true for nil.
+func (r *RankStatus) valid() bool {
+	return r == nil || r.Rank >= 0 && (r.Ranks == 0 || r.Rank < r.Ranks)
+}
+
 // Peer is a process that messages are sent to.
 type Peer struct {
 	ID track.InstanceID
@@ -327,9 +332,10 @@
 }
 
 // Accept records a message of a peer, and reports whether it is newer than the previous one.
-// It ignores messages without a sender and those of this process.
+// It ignores messages without a sender, those of this process, and those of ranks without a
+// place in their group.
 func (n *Node) Accept(message Message) bool {
-	if message.From == "" || message.From == n.options.Self {
+	if message.From == "" || message.From == n.options.Self || !message.Rank.valid() {
 		return false
 	}
 	n.mu.Lock()
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -81,6 +81,24 @@
 
 // The same message is sent to a peer of the own zone and to one of another zone; only the
 // latter copy is compressed.
+// Ranks are used as indexes and as numbers of bits.
+func TestRankWithoutPlaceInGroupIsRefused(t *testing.T) {
+	node := newNode(clockwork.NewFakeClock(), nil, "self", gossip.Peer{}, nil)
+	for i, c := range []struct {
+		rank, ranks int
+		accepted    bool
+	}{
+		{-1, 4, false},
+		{4, 4, false},
+		{-1, 0, false},
+		{3, 4, true},
+		{3, 0, true},
+	} {
+		note := gossip.Message{From: "a", Seq: uint64(i + 1), Rank: &gossip.RankStatus{Rank: c.rank, Ranks: c.ranks}}
+		assert.Equal(t, node.Accept(note), c.accepted, "%+v", c)
+	}
+}
+
 func TestMessagesToOtherZonesAreCompressed(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	counts := make(map[track.ReplicaID]track.InFlight)
--- a/steer/balance_test.go
+++ b/steer/balance_test.go
@@ -301,3 +301,13 @@
 	assert.Equal(t, g.ranks[0].detailReads, 2)
 	assert.DeepEqual(t, status.HeldExperts, g.ranks[0].held)
 }
+
+// An engine that lists an expert which its model doesn't have must not take the agent down.
+func TestUnknownExpertsKeepTheMap(t *testing.T) {
+	for _, expert := range []int32{-1, numExperts, 1 << 30} {
+		g := newBalancedGroup(t)
+		g.ranks[1].held = [][]int32{{0, expert}}
+		g.serve(firstExpertHot, 10)
+		assert.Equal(t, g.ranks[0].Map.Version, track.Ballot{})
+	}
+}
--- a/steer/plan.go
+++ b/steer/plan.go
@@ -138,6 +138,11 @@
 				return m, fmt.Errorf("rank %d holds experts of %d layers, the engine has %d layers with %d slots per rank",
 					s.Rank, len(s.HeldExperts), spec.Layers, spec.SlotsPerRank)
 			}
+			for _, e := range s.HeldExperts[layer] {
+				if e < 0 || int(e) >= spec.Experts {
+					return m, fmt.Errorf("rank %d holds expert %d, the engine has %d", s.Rank, e, spec.Experts)
+				}
+			}
 			m.Layers[layer] = append(m.Layers[layer], s.HeldExperts[layer]...)
 			for range spec.SlotsPerRank - len(s.HeldExperts[layer]) {
 				m.Layers[layer] = append(m.Layers[layer], track.NoExpert)
