--- a/proxy/world_test.go
+++ b/proxy/world_test.go
@@ -240,30 +240,30 @@
 	case answers503AfterRunning:
 		return answer(http.StatusServiceUnavailable, "busy", nil, sealed), nil
 	}
-	if b == endlessBody {
+	if body := h.oddBody(ctx, call, b); body != nil {
 		a := answer(http.StatusOK, "", nil, sealed)
-		a.Body = io.NopCloser(endless{})
-		return a, nil
-	}
-	if b == dripsBytes || b == dripsComments {
-		a := answer(http.StatusOK, "", nil, sealed)
-		drip := "x"
-		if b == dripsComments {
-			drip = ": still here\n\n"
-		}
-		a.Body = &drippingBody{
-			Reader: strings.NewReader(eventsAfter("", serves)[:len("id: 1\ndata: piece 1\n\n")]), ctx: ctx, clock: h.clock, drip: drip,
-		}
-		return a, nil
-	}
-	if b == hangsInBody {
-		a := answer(http.StatusOK, "", nil, sealed)
-		a.Body = &hungBody{Reader: strings.NewReader(eventsAfter(call.ResumeAfter, serves)[:40]), ctx: ctx, hung: h.hung}
+		a.Body = body
 		return a, nil
 	}
 	return h.runAttempt(call, b), nil
 }
 
+// oddBody returns the body of a replica whose answer doesn't end by itself; nil for other behaviours.
+func (h *harness) oddBody(ctx context.Context, call track.ReplicaCall, b behaviour) io.ReadCloser {
+	firstEvent := strings.NewReader(eventsAfter("", serves)[:len("id: 1\ndata: piece 1\n\n")])
+	switch b {
+	case endlessBody:
+		return io.NopCloser(endless{})
+	case dripsBytes:
+		return &drippingBody{Reader: firstEvent, ctx: ctx, clock: h.clock, drip: "x"}
+	case dripsComments:
+		return &drippingBody{Reader: firstEvent, ctx: ctx, clock: h.clock, drip: ": still here\n\n"}
+	case hangsInBody:
+		return &hungBody{Reader: strings.NewReader(eventsAfter(call.ResumeAfter, serves)[:40]), ctx: ctx, hung: h.hung}
+	}
+	return nil
+}
+
 // drippingBody is a stream that sends a part of its events and then, every 100 ms, a few bytes that
 // are no event.
 type drippingBody struct {
