--- a/edge/agent.go
+++ b/edge/agent.go
@@ -182,8 +182,14 @@
 		return packStatus(status), err
 	})
 	talk.Handle(mux, pathMapOrder, a.gateway.Order)
-	talk.Handle(mux, pathRelayOrder, a.passOrderOn)
-	talk.Handle(mux, pathRelayStatuses, a.readStatuses)
+	relay := a.newRelay()
+	talk.Handle(mux, pathRelayOrder, func(ctx context.Context, o steer.RelayedOrder) (steer.RelayedReplies, error) {
+		return relay.Orders(ctx, o), nil
+	})
+	talk.Handle(mux, pathRelayStatuses, func(ctx context.Context, request relayRequest) (packedStatuses, error) {
+		statuses := relay.Statuses(ctx, request.Targets)
+		return packedStatuses{Shares: statuses.Shares, Packed: expert.PackCounts(statuses.Counts)}, nil
+	})
 }
 
 // onStatus records the state of the agent's rank. If the group has started or stopped
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -42,30 +42,24 @@
 	return steer.RelayedStatuses{Shares: reply.Shares, Counts: expert.UnpackCounts(reply.Packed)}, err
 }
 
-// passOrderOn passes an order on to the agents of other ranks.
-func (a *Agent) passOrderOn(ctx context.Context, o steer.RelayedOrder) (steer.RelayedReplies, error) {
-	return steer.PassOrderOn(ctx, o, func(
-		ctx context.Context, target steer.RelayTarget, order track.MapOrder,
-	) (track.MapReply, error) {
-		if target.Agent == a.options.Self {
-			return a.gateway.Order(ctx, order)
-		}
-		return talk.Call[track.MapOrder, track.MapReply](ctx, a.client, target.Address, pathMapOrder, order)
-	}), nil
-}
-
-// readStatuses reads the states of the ranks of several agents.
-func (a *Agent) readStatuses(ctx context.Context, request relayRequest) (packedStatuses, error) {
-	statuses := steer.ReadStatuses(ctx, request.Targets, func(
-		ctx context.Context, target steer.RelayTarget,
-	) (track.RankStatus, error) {
-		if target.Agent == a.options.Self {
-			status, _, err := a.balancer.ReadOwnStatus(ctx)
-			return status, err
-		}
-		return a.queryStatus(ctx, target.Address)
-	})
-	return packedStatuses{Shares: statuses.Shares, Packed: expert.PackCounts(statuses.Counts)}, nil
+// newRelay returns the part of the agent that passes calls on to other agents.
+func (a *Agent) newRelay() steer.Relay {
+	return steer.Relay{
+		Clock: a.options.Clock,
+		SendOrder: func(ctx context.Context, target steer.RelayTarget, order track.MapOrder) (track.MapReply, error) {
+			if target.Agent == a.options.Self {
+				return a.gateway.Order(ctx, order)
+			}
+			return talk.Call[track.MapOrder, track.MapReply](ctx, a.client, target.Address, pathMapOrder, order)
+		},
+		QueryStatus: func(ctx context.Context, target steer.RelayTarget) (track.RankStatus, error) {
+			if target.Agent == a.options.Self {
+				status, _, err := a.balancer.ReadOwnStatus(ctx)
+				return status, err
+			}
+			return a.queryStatus(ctx, target.Address)
+		},
+	}
 }
 
 // queryStatus asks another agent for the state of its rank.
--- a/steer/fanout.go
+++ b/steer/fanout.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"filberttrack.example/track"
 )
 
@@ -206,30 +208,33 @@
 	}
 }
 
-// PassOrderOn carries out the part of a relay: it sends an order to each target, with call, and returns the
-// replies that arrive in time.
-func PassOrderOn(
-	ctx context.Context, o RelayedOrder, call func(context.Context, RelayTarget, track.MapOrder) (track.MapReply, error),
-) RelayedReplies {
+// Relay is the part of an agent that passes calls on to the agents of other ranks.
+type Relay struct {
+	Clock clockwork.Clock
+	// SendOrder sends an order to an agent, or to the relay's own member.
+	SendOrder func(context.Context, RelayTarget, track.MapOrder) (track.MapReply, error)
+	// QueryStatus reads the state of an agent's rank, or of the relay's own.
+	QueryStatus func(context.Context, RelayTarget) (track.RankStatus, error)
+}
+
+// Orders sends an order to each target and returns the replies that arrive in time.
+func (r Relay) Orders(ctx context.Context, o RelayedOrder) RelayedReplies {
 	timeout := relayOrderTimeout
 	if o.Order.Kind == track.OrderPrepare {
 		timeout = relayPrepareTimeout
 	}
-	replies := collect(ctx, timeout, o.Targets, func(ctx context.Context, target RelayTarget) (track.MapReply, error) {
+	replies := collect(ctx, r.Clock, timeout, o.Targets, func(ctx context.Context, target RelayTarget) (track.MapReply, error) {
 		order := o.Order
 		order.To, order.Incarnation = track.RankID{Agent: target.Agent}, target.Incarnation
-		return call(ctx, target, order)
+		return r.SendOrder(ctx, target, order)
 	})
 	return RelayedReplies{Replies: replies}
 }
 
-// ReadStatuses carries out the part of a relay: it reads the state of each target's rank, with call, and returns
-// those that arrive in time.
-func ReadStatuses(
-	ctx context.Context, targets []RelayTarget, call func(context.Context, RelayTarget) (track.RankStatus, error),
-) RelayedStatuses {
+// Statuses reads the state of each target's rank and returns those that arrive in time.
+func (r Relay) Statuses(ctx context.Context, targets []RelayTarget) RelayedStatuses {
 	var statuses RelayedStatuses
-	for _, share := range collect(ctx, relayOrderTimeout, targets, call) {
+	for _, share := range collect(ctx, r.Clock, relayOrderTimeout, targets, r.QueryStatus) {
 		if statuses.Counts == nil && len(share.Counts) > 0 {
 			statuses.Counts = make([]float64, len(share.Counts))
 		}
@@ -244,9 +249,10 @@
 
 // collect calls all targets and returns the results that arrive within the timeout.
 func collect[T any](
-	ctx context.Context, timeout time.Duration, targets []RelayTarget, call func(context.Context, RelayTarget) (T, error),
+	ctx context.Context, clock clockwork.Clock, timeout time.Duration, targets []RelayTarget,
+	call func(context.Context, RelayTarget) (T, error),
 ) []T {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := clockwork.WithTimeout(ctx, clock, timeout)
 	defer cancel()
 	type result struct {
 		value T
--- a/steer/fanout_test.go
+++ b/steer/fanout_test.go
@@ -81,29 +81,35 @@
 	if err := g.record(relay, o.Targets); err != nil {
 		return RelayedReplies{}, err
 	}
-	return PassOrderOn(ctx, o, func(_ context.Context, target RelayTarget, order track.MapOrder) (track.MapReply, error) {
-		if target.Agent == g.deadMember {
-			return track.MapReply{}, errors.New("no answer")
-		}
-		return track.MapReply{From: order.To, Kind: order.Kind, Incarnation: order.Incarnation}, nil
-	}), nil
+	return g.relay().Orders(ctx, o), nil
 }
 
 func (g *largeGroup) Statuses(ctx context.Context, relay PeerAgent, targets []RelayTarget) (RelayedStatuses, error) {
 	if err := g.record(relay, targets); err != nil {
 		return RelayedStatuses{}, err
 	}
-	return ReadStatuses(ctx, targets, func(_ context.Context, target RelayTarget) (track.RankStatus, error) {
-		if target.Agent == g.deadMember {
-			return track.RankStatus{}, errors.New("no answer")
-		}
-		for _, peer := range g.peers {
-			if peer.Agent == target.Agent {
-				return track.RankStatus{Rank: peer.Rank, Counts: []float64{1, 2}}, nil
+	return g.relay().Statuses(ctx, targets), nil
+}
+
+// relay returns the relay part of any agent of the group.
+func (g *largeGroup) relay() Relay {
+	return Relay{
+		Clock: clockwork.NewFakeClock(),
+		SendOrder: func(_ context.Context, target RelayTarget, order track.MapOrder) (track.MapReply, error) {
+			if target.Agent == g.deadMember {
+				return track.MapReply{}, errors.New("no answer")
 			}
-		}
-		return track.RankStatus{}, errors.New("not in the group")
-	}), nil
+			return track.MapReply{From: order.To, Kind: order.Kind, Incarnation: order.Incarnation}, nil
+		},
+		QueryStatus: func(_ context.Context, target RelayTarget) (track.RankStatus, error) {
+			for _, peer := range g.peers {
+				if peer.Agent == target.Agent && peer.Agent != g.deadMember {
+					return track.RankStatus{Rank: peer.Rank, Counts: []float64{1, 2}}, nil
+				}
+			}
+			return track.RankStatus{}, errors.New("no answer")
+		},
+	}
 }
 
 // The driver of a large group has a link of 6 Mbit/s and a quarter of a core, and each phase of a
