perf(gossip): messages to many peers are spread over time

Cause, traced on the large site: coordinators took live agents for silent several times a second (peer heard after 1.5 s) and lost a change to a wrong incarnation. A candidate sends to 90 peers at once over a link of 6 Mbit/s, which drops what exceeds its queue.

Change: eight messages at a time, with 6 ms between.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -29,6 +29,11 @@
 	compressBytes = 6 << 10
 	// maxDecodedBytes is the maximum size of a message after decompression.
 	maxDecodedBytes = 1 << 20
+	// burstMessages is the number of messages that are sent at once, and burstPause the time
+	// until the next ones. A link of a few Mbit/s drops most of what exceeds its queue when a
+	// message goes to a hundred peers.
+	burstMessages = 8
+	burstPause    = 6 * time.Millisecond
 	// PeerTimeout is the time without a message after which a peer counts as gone.
 	PeerTimeout = 1500 * time.Millisecond
 )
@@ -219,7 +224,7 @@
 	defer ticker.Stop()
 	toAll := true
 	for {
-		n.sendMessages(toAll)
+		n.sendMessages(ctx, toAll)
 		toAll = false
 		select {
 		case <-ctx.Done():
@@ -232,13 +237,14 @@
 }
 
 // sendMessages sends the next message to all peers, or only to those whose turn it is.
-func (n *Node) sendMessages(toAll bool) {
+func (n *Node) sendMessages(ctx context.Context, toAll bool) {
 	n.mu.Lock()
 	n.seq++
 	seq := n.seq
 	n.mu.Unlock()
 	type variant struct{ otherZone, infrequent bool }
 	encoded := make(map[variant][]byte)
+	sent := 0
 	for _, peer := range n.options.Peers() {
 		if peer.ID == n.options.Self || !toAll && peer.EveryNth > 1 && seq%uint64(peer.EveryNth) != 0 {
 			continue
@@ -257,6 +263,14 @@
 			n.options.Logger.Warn("peer address can't be resolved", zap.String("Peer", string(peer.ID)), zap.Error(err))
 			continue
 		}
+		if sent > 0 && sent%burstMessages == 0 {
+			select {
+			case <-ctx.Done():
+				return
+			case <-n.options.Clock.After(burstPause):
+			}
+		}
+		sent++
 		// An error is ignored: messages may be lost, and the next one follows soon.
 		_, _ = n.options.Conn.WriteTo(data, address)
 	}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -171,3 +171,49 @@
 		return copy(p, c.data), &net.UDPAddr{}, nil
 	}
 }
+
+// countingConn counts the messages that are sent. It implements net.PacketConn.
+type countingConn struct {
+	net.PacketConn
+	sent chan struct{}
+}
+
+func (c countingConn) WriteTo(data []byte, _ net.Addr) (int, error) {
+	c.sent <- struct{}{}
+	return len(data), nil
+}
+
+// A message to a hundred peers is not sent in one burst, which a link of a few Mbit/s would drop in part.
+func TestMessagesToManyPeersAreSpread(t *testing.T) {
+	const peers, burst = 100, 8
+	clock, conn := clockwork.NewFakeClock(), countingConn{sent: make(chan struct{}, peers)}
+	var all []gossip.Peer
+	for i := range peers {
+		all = append(all, gossip.Peer{ID: track.InstanceID(fmt.Sprint("peer-", i)), Address: fmt.Sprint("127.0.0.1:", 1000+i)})
+	}
+	node := gossip.New(gossip.Options{
+		Conn: conn, Interval: time.Second, Self: "self", Clock: clock, Logger: zap.NewNop(),
+		Compose: func(bool) gossip.Message { return gossip.Message{Role: track.RoleAgent} },
+		Peers:   func() []gossip.Peer { return all },
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- node.RunSend(ctx) }()
+	sent := 0
+	for sent < peers {
+		// The ticker of the interval is one waiter, the pause another.
+		waiters := 1
+		if sent+burst < peers {
+			waiters = 2
+		}
+		assert.NilError(t, clock.BlockUntilContext(ctx, waiters))
+		for range min(burst, peers-sent) {
+			<-conn.sent
+			sent++
+		}
+		assert.Equal(t, len(conn.sent), 0)
+		clock.Advance(6 * time.Millisecond)
+	}
+	cancel()
+	<-done
+}
