perf(gossip,edge): a change of a group's state goes to its coordinators and entries

Cause: each agent whose group broke, formed or became slow sent a message to all members: 64 agents to 290, 9 MB a change on the large site, most of it between zones, over links of 6 Mbit/s.

Change: all members get it only when the agent starts or joins another group.

--- a/edge/agent.go
+++ b/edge/agent.go
@@ -193,8 +193,8 @@
 }
 
 // onStatus records the state of the agent's rank. If the group has started or stopped
-// serving, has formed anew, or the rank has become slow or normal again, peers are informed
-// at once.
+// serving, has formed anew, or the rank has become slow or normal again, the entries of the
+// zone and the agents that coordinate the group are informed at once.
 func (a *Agent) onStatus(status track.RankStatus) {
 	previous := a.rankStatus.Swap(&status)
 	a.passDuration.Store(int64(a.passTimer.Observe(status, a.options.Clock.Now())))
@@ -204,6 +204,11 @@
 	}
 	a.options.Logger.Info("rank group", zap.String("Group", status.Group), zap.Int64("Epoch", status.Epoch),
 		zap.Int("Rank", status.Rank), zap.Bool("Open", status.Serving), zap.Float64("Pace", status.Slowdown))
+	if previous == nil || previous.Group != status.Group {
+		// Members of the new group may have counted as strangers until now.
+		a.gossipNode.SendToAllNow()
+		return
+	}
 	a.gossipNode.SendNow()
 }
 
@@ -212,7 +217,7 @@
 func (a *Agent) onMembers(records []track.KeyedRecord) {
 	a.members.applyRecords(records)
 	if !a.membersKnown.Swap(true) {
-		a.gossipNode.SendNow()
+		a.gossipNode.SendToAllNow()
 	}
 }
 
--- a/edge/agent_test.go
+++ b/edge/agent_test.go
@@ -97,3 +97,39 @@
 	cancel()
 	<-ended
 }
+
+// In a large fleet a group that breaks must not make each of its agents send a message to all others.
+func TestChangeWithinGroupIsSentToCoordinatorsOnly(t *testing.T) {
+	conn := &recordingConn{sent: make(chan string, 64)}
+	a := NewAgent(AgentOptions{
+		Self: "side-1", Zone: "rivera", Log: unavailableLog{},
+		Topics: Topics{Config: "op", ConfigKey: "config"}, DecodeConfig: decodeConfig,
+		MessageConn: conn, Clock: clockwork.NewFakeClock(), Logger: zap.NewNop(), Metrics: metrics.NewSet(),
+	})
+	a.onStatus(track.RankStatus{Group: "a", Rank: 9, Epoch: 1, Serving: true})
+	const peers = 7
+	for i := range peers {
+		note := gossip.Message{
+			From: track.InstanceID(fmt.Sprint("mate-", i)), Role: track.RoleAgent, Zone: "rivera",
+			Address: fmt.Sprint("127.0.0.1:", 20+i), Seq: 1, Rank: &gossip.RankStatus{Group: "a", Rank: i},
+		}
+		assert.Assert(t, a.gossipNode.Accept(note))
+		a.receive(note)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- a.gossipNode.RunSend(ctx) }()
+	for range peers {
+		<-conn.sent
+	}
+	a.onStatus(track.RankStatus{Group: "a", Rank: 9, Epoch: 1, Serving: false})
+	var receivers []string
+	for range steer.CoordinatorCandidates {
+		receivers = append(receivers, <-conn.sent)
+	}
+	slices.Sort(receivers)
+	assert.DeepEqual(t, receivers, []string{"127.0.0.1:20", "127.0.0.1:21", "127.0.0.1:22"})
+	cancel()
+	<-ended
+	assert.Equal(t, len(conn.sent), 0)
+}
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -215,7 +215,7 @@
 func (e *Entry) StartDraining(stopAt time.Time) {
 	e.leaving.Store(true)
 	e.proxy.StopAt(stopAt)
-	e.gossipNode.SendNow()
+	e.gossipNode.SendToAllNow()
 }
 
 // MaxBodyBytes returns the maximum size of a request's body in bytes; 0 before the first
@@ -246,7 +246,7 @@
 	for _, s := range table.Services() {
 		e.Pool(s.Name).Configure(s.Engine)
 	}
-	e.gossipNode.SendNow()
+	e.gossipNode.SendToAllNow()
 }
 
 // onReplicas applies a new list of replicas.
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -185,9 +185,11 @@
 	// sendNow has RunSend send a message before the next tick.
 	sendNow chan struct{}
 
-	mu     sync.Mutex
-	seq    uint64
-	latest map[track.InstanceID]receivedMessage
+	mu  sync.Mutex
+	seq uint64
+	// sendToAll is set if the next message goes to all peers.
+	sendToAll bool
+	latest    map[track.InstanceID]receivedMessage
 	// addresses caches the resolved addresses of peers.
 	addresses map[string]*net.UDPAddr
 }
@@ -210,8 +212,21 @@
 	}
 }
 
-// SendNow makes RunSend send a message to all peers at once.
+// SendNow makes RunSend send a message at once to the peers that get each message.
 func (n *Node) SendNow() {
+	n.requestSend(false)
+}
+
+// SendToAllNow makes RunSend send a message to all peers at once.
+func (n *Node) SendToAllNow() {
+	n.requestSend(true)
+}
+
+// requestSend makes RunSend send a message before the next tick.
+func (n *Node) requestSend(toAll bool) {
+	n.mu.Lock()
+	n.sendToAll = n.sendToAll || toAll
+	n.mu.Unlock()
 	select {
 	case n.sendNow <- struct{}{}:
 	default:
@@ -222,31 +237,33 @@
 func (n *Node) RunSend(ctx context.Context) error {
 	ticker := n.options.Clock.NewTicker(n.options.Interval)
 	defer ticker.Stop()
-	toAll := true
+	n.SendToAllNow()
 	for {
-		n.sendMessages(ctx, toAll)
-		toAll = false
+		scheduled := false
 		select {
 		case <-ctx.Done():
 			return context.Cause(ctx)
 		case <-ticker.Chan():
+			scheduled = true
 		case <-n.sendNow:
-			toAll = true
 		}
+		n.sendMessages(ctx, scheduled)
 	}
 }
 
-// sendMessages sends the next message to all peers, or only to those whose turn it is.
-func (n *Node) sendMessages(ctx context.Context, toAll bool) {
+// sendMessages sends the next message to all peers if that was requested, and else to those that
+// get each message and, if the message is a scheduled one, those whose turn it is.
+func (n *Node) sendMessages(ctx context.Context, scheduled bool) {
 	n.mu.Lock()
 	n.seq++
-	seq := n.seq
+	seq, toAll := n.seq, n.sendToAll
+	n.sendToAll = false
 	n.mu.Unlock()
 	type variant struct{ otherZone, infrequent bool }
 	encoded := make(map[variant][]byte)
 	sent := 0
 	for _, peer := range n.options.Peers() {
-		if peer.ID == n.options.Self || !toAll && peer.EveryNth > 1 && seq%uint64(peer.EveryNth) != 0 {
+		if peer.ID == n.options.Self || !toAll && peer.EveryNth > 1 && (!scheduled || seq%uint64(peer.EveryNth) != 0) {
 			continue
 		}
 		v := variant{otherZone: peer.OtherZone, infrequent: time.Duration(peer.EveryNth)*n.options.Interval >= PeerTimeout}
