perf(keyed,edge): versions in quick succession are read together

Change: an entry waits 350 ms after a new version before it asks for the next one, and decodes only the newest of those that it got.

--- a/edge/entry.go
+++ b/edge/entry.go
@@ -33,6 +33,10 @@
 const (
 	// configReadWait is how long a read of the configuration waits for new records.
 	configReadWait = 25 * time.Second
+	// configGatherTime is the time for which an entry waits after a new version of the configuration
+	// before it asks for the next one. A version may have thousands of routes, and several a
+	// second may follow each other.
+	configGatherTime = 350 * time.Millisecond
 	// membersReadInterval and membersMaxReadInterval are the minimum and maximum time
 	// between two reads of the members. The maximum can be long because all processes
 	// start at about the same time, and later ones become known by their messages.
@@ -145,7 +149,7 @@
 		peers: func() []track.KeyedLog { return e.members.entryMirrors(e.gossipNode.LiveMessages()) },
 	}
 	e.configFollower = followers.newFollower(o.Log, keyed.Options{
-		Topic: o.Topics.Config, LongPollTimeout: configReadWait, Apply: applyConfig(e.configHolder, o.Topics.ConfigKey),
+		Topic: o.Topics.Config, LongPollTimeout: configReadWait, GatherTime: configGatherTime, Apply: applyConfig(e.configHolder, o.Topics.ConfigKey),
 		ApplyRestored: applyRestoredConfig(e.configHolder, o.Topics.ConfigKey, e.announcer),
 	})
 	e.replicaFollower = followers.newFollower(e.relay, keyed.Options{
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
@@ -27,13 +28,13 @@
 	return keyed.NewFollower(o)
 }
 
-// applyConfig returns a function that passes the configuration records with the given key
-// to the holder.
+// applyConfig returns a function that passes the newest configuration record with the given
+// key to the holder, or the one before if it can't be decoded.
 func applyConfig(holder *latest.ConfigHolder, key string) func([]track.KeyedRecord) {
 	return func(records []track.KeyedRecord) {
-		for _, r := range records {
-			if r.Key == key && len(r.Value) > 0 {
-				holder.Update(r.Value)
+		for _, r := range slices.Backward(records) {
+			if r.Key == key && len(r.Value) > 0 && holder.Update(r.Value) {
+				return
 			}
 		}
 	}
--- a/keyed/follow.go
+++ b/keyed/follow.go
@@ -32,6 +32,9 @@
 	LongPollTimeout time.Duration
 	PollInterval    time.Duration
 	MaxPollInterval time.Duration
+	// GatherTime is the time after a read with new records until the next long poll, so that
+	// records in quick succession are read together.
+	GatherTime time.Duration
 	// Apply is called with new records in the order of the log. Run and RunPeerSync both call
 	// it, each from one goroutine.
 	Apply func([]track.KeyedRecord)
@@ -86,6 +89,7 @@
 	readPause := f.options.PollInterval
 	for {
 		var err error
+		before := from
 		if loaded {
 			from, err = f.read(ctx, from)
 		} else {
@@ -99,6 +103,9 @@
 		case err == nil:
 			f.recordAnswer()
 			readPause = max(readPause, min(2*readPause, f.options.MaxPollInterval))
+			if from != before {
+				pause = max(pause, f.options.GatherTime)
+			}
 			loaded, backoff = true, minBackoff
 		case track.IsKind(err, track.Expired):
 			f.options.Logger.Info("history expired, reading the newest records",
--- a/keyed/follow_test.go
+++ b/keyed/follow_test.go
@@ -202,6 +202,23 @@
 	}
 }
 
+// Records in quick succession are read together.
+func TestGatherTime(t *testing.T) {
+	log := &fakeLog{}
+	log.put("k00", "a")
+	f := newTestFollower(t, keyed.Options{Log: log, LongPollTimeout: time.Second, GatherTime: 300 * time.Millisecond})
+	f.assertState(map[string]string{"k00": "a"})
+	calls := log.callCount()
+	for _, value := range []string{"b", "c", "d"} {
+		log.put("k00", value)
+		f.clock.Advance(90 * time.Millisecond)
+	}
+	assert.Equal(t, log.callCount(), calls)
+	f.endPause(30 * time.Millisecond)
+	f.assertState(map[string]string{"k00": "d"})
+	assert.Equal(t, log.callCount(), calls+1)
+}
+
 func TestReadsFromPeerDuringOutage(t *testing.T) {
 	peer := &fakeLog{}
 	peer.put("k00", "a")
--- a/latest/latest.go
+++ b/latest/latest.go
@@ -47,12 +47,12 @@
 
 // Update replaces the current configuration with an encoded one from the log or a peer, if
 // that is newer. If it isn't newer or can't be decoded, the current configuration stays and
-// the reason is logged.
-func (h *ConfigHolder) Update(data []byte) {
+// the reason is logged. Update returns false if the configuration can't be decoded.
+func (h *ConfigHolder) Update(data []byte) bool {
 	config, err := h.decode(data)
 	if err != nil {
 		h.logger.Error("failed to decode a configuration, keeping the current one", zap.Error(err))
-		return
+		return false
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -60,7 +60,7 @@
 	if old != nil && old.Version() >= config.Version {
 		h.logger.Info("ignored a configuration that isn't newer than the current one",
 			zap.Uint64("Version", config.Version), zap.Uint64("InForce", old.Version()))
-		return
+		return true
 	}
 	table := hosts.New(config)
 	h.current.Store(table)
@@ -70,4 +70,5 @@
 	h.logger.Info("configuration in force", zap.Uint64("Version", config.Version),
 		zap.Int("Routes", len(config.Routes)), zap.Int("Accounts", len(config.Accounts)))
 	h.onChange(table)
+	return true
 }
