test(soak): restored log, leaving and resting replicas, answers without end

The stand-ins of log and replicas play the drills; the soak injects them beside the others and checks that resting replicas get nothing.

--- a/soak/check.go
+++ b/soak/check.go
@@ -44,6 +44,10 @@
 	LeftAt map[string]time.Time
 	// RevokedAt holds, by key, the time at which the key was revoked.
 	RevokedAt map[string]time.Time
+	// ArrivalsDuringRest holds the requests that reached replicas which had asked for rest.
+	ArrivalsDuringRest []mimic.Arrival
+	// Entries is the number of entries.
+	Entries int
 	// MixedMaps describes a pass in which ranks used different expert maps; empty if there was
 	// none. MapChanges is the number of changes of the maps of ranks.
 	MixedMaps  string
@@ -74,6 +78,10 @@
 
 // Bounds holds the bounds that the checks apply.
 type Bounds struct {
+	// RestGrace is the time after which a replica that asked for rest gets no requests, but for
+	// MaxDuringRest from each entry.
+	RestGrace     time.Duration
+	MaxDuringRest int
 	// DrainTime is the time after which a leaving replica gets no new request.
 	DrainTime time.Duration
 	// ApplyTime is the time after which a change of the configuration is in force.
@@ -91,6 +99,7 @@
 // those that the documentation for users states.
 func DefaultBounds() Bounds {
 	return Bounds{
+		RestGrace: 500 * time.Millisecond, MaxDuringRest: 2,
 		DrainTime: 2 * time.Second, ApplyTime: 2 * time.Second,
 		RecoveryTime: 12 * time.Second, MinRecoveredShare: 0.95, MinServedRatio: 0.25,
 	}
@@ -112,6 +121,7 @@
 	{"OwnWholeAnswer", ownWholeAnswer},
 	{"NoPieceLostOrDoubled", noPieceLostOrDoubled},
 	{"LeavingReplicasGetNothing", leavingReplicasGetNothing},
+	{"RestingReplicasGetNothing", restingReplicasGetNothing},
 	{"RevokedKeysAreRefused", revokedKeysAreRefused},
 	{"OneMapInEachPass", oneMapInEachPass},
 	{"NobodyStarves", nobodyStarves},
@@ -219,8 +229,10 @@
 	var found []string
 	for _, r := range h.Runs {
 		leftAt, left := h.LeftAt[r.Replica]
-		// Faults can delay a request that was sent in time, which breaks no guarantee.
-		delayed := !h.noFaultsBefore(r.At, Freeze, LinkDelay, LinkSilent, LinkSlow, LogAway, LogSlow)
+		// Faults can delay a request that was sent in time, which breaks no guarantee. A log that
+		// came back from an older copy may have lost that the replica leaves.
+		delayed := !h.noFaultsBefore(r.At, Freeze, LinkDelay, LinkSilent, LinkSlow, LogAway, LogSlow) ||
+			!h.noFaultsBefore(r.At, LogRestored) && !h.noFaultsBefore(r.At, Kill, Stop)
 		if left && !delayed && r.At.After(leftAt.Add(b.DrainTime)) {
 			found = append(found, fmt.Sprintf("request %s ran on replica %s %s after the replica left", r.Request, r.Replica, r.At.Sub(leftAt)))
 		}
@@ -228,6 +240,29 @@
 	return found
 }
 
+// restingReplicasGetNothing checks that replicas that have asked for rest get next to nothing until
+// its end. A request may be under way when the replica asks.
+func restingReplicasGetNothing(h *History, b Bounds) []string {
+	type rest struct {
+		replica string
+		start   time.Time
+	}
+	arrivals := make(map[rest]int)
+	for _, a := range h.ArrivalsDuringRest {
+		if a.At.After(a.RestStart.Add(b.RestGrace)) && h.noFaultsBefore(a.At, Freeze, Kill, Stop, LinkDelay, LinkSilent, LinkSlow) {
+			arrivals[rest{a.Replica, a.RestStart}]++
+		}
+	}
+	var found []string
+	for r, n := range arrivals {
+		if n > b.MaxDuringRest*h.Entries {
+			found = append(found, fmt.Sprintf("%d requests of %d entries reached replica %s while it rested", n, h.Entries, r.replica))
+		}
+	}
+	slices.Sort(found)
+	return found
+}
+
 // revokedKeysAreRefused checks that requests with a revoked key don't run after ApplyTime, and
 // that no replica receives a client's key.
 func revokedKeysAreRefused(h *History, b Bounds) []string {
@@ -235,7 +270,8 @@
 	runs := h.runsByRequest()
 	for _, o := range h.Requests {
 		revokedAt, revoked := h.RevokedAt[o.Request.Key]
-		delayed := !h.noFaultsBefore(o.Sent, Freeze, LogAway, LogSlow)
+		delayed := !h.noFaultsBefore(o.Sent, Freeze, LogAway, LogSlow) ||
+			!h.noFaultsBefore(o.Sent, LogRestored) && !h.noFaultsBefore(o.Sent, Kill, Stop)
 		if revoked && !delayed && o.Sent.After(revokedAt.Add(b.ApplyTime)) && len(runs[o.Request.ID]) > 0 {
 			found = append(found, fmt.Sprintf("request %s was sent %s after its key was revoked and ran", o.Request.ID, o.Sent.Sub(revokedAt)))
 		}
--- a/soak/disturb.go
+++ b/soak/disturb.go
@@ -13,8 +13,8 @@
 
 // injectFault injects a planned fault, waits for its duration and ends it.
 func (s *testbed) injectFault(ctx context.Context, e PlannedFault) error {
-	if e.Fault == ReplicaLeaves || e.Fault == ReplicaDies {
-		return s.replaceReplica(ctx, s.endpoints[e.Target%len(s.endpoints)], e.Duration, e.Fault == ReplicaLeaves)
+	if e.Fault == ReplicaLeaves || e.Fault == ReplicaDies || e.Fault == ReplicaSaysLeaving {
+		return s.replaceReplica(ctx, s.endpoints[e.Target%len(s.endpoints)], e.Duration, e.Fault)
 	}
 	end := faultInjectors[e.Fault](s, e)
 	if end != nil {
@@ -69,6 +69,45 @@
 		s.group.Break()
 		return s.group.Restart
 	},
+	LogRestored: func(s *testbed, e PlannedFault) func() {
+		s.log.SetUnavailable(true)
+		return func() { s.restoreLog(1 + e.Target%maxLostRecords) }
+	},
+	ReplicaRests: func(s *testbed, e PlannedFault) func() {
+		s.endpoints[e.Target%len(s.endpoints)].current().Rest(e.Duration)
+		return nil
+	},
+	ReplicasRest: func(s *testbed, e PlannedFault) func() {
+		service := s.endpoints[e.Target%len(s.endpoints)].service
+		for _, ep := range s.endpoints {
+			if ep.service == service {
+				ep.current().Rest(e.Duration)
+			}
+		}
+		return nil
+	},
+}
+
+const (
+	// maxLostRecords is the largest number of records of a topic that a restored log lacks.
+	maxLostRecords = 12
+	// rewriteDelay is the time after which the operator and the replicas write again what a
+	// restored log lacks.
+	rewriteDelay = 400 * time.Millisecond
+)
+
+// restoreLog brings the log back from a copy that lacks the latest records of each topic. The
+// operator and the replicas then write theirs again.
+func (s *testbed) restoreLog(lost int) {
+	s.log.Restore(lost)
+	s.log.SetUnavailable(false)
+	time.Sleep(rewriteDelay)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.putConfig()
+	for id, data := range s.listed {
+		s.log.Put(topicReplicas, id, data)
+	}
 }
 
 // freeze suspends a process. The returned function resumes it.
@@ -167,13 +206,21 @@
 	if err != nil {
 		return fmt.Errorf("list replica: %w", err)
 	}
-	s.log.Put(topicReplicas, id, data)
+	s.putReplica(id, data)
 	return nil
 }
 
-// replaceReplica stops the replica at an endpoint, gracefully or at once, and starts another one
-// at the same address after some time.
-func (s *testbed) replaceReplica(ctx context.Context, ep *endpoint, away time.Duration, graceful bool) error {
+// putReplica writes the record of a replica, or deletes it if there is no data.
+func (s *testbed) putReplica(id string, data []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listed[id] = data
+	s.log.Put(topicReplicas, id, data)
+}
+
+// replaceReplica stops the replica at an endpoint and starts another one at the same address after
+// some time. The replica dies, or leaves after it has said so in the list or in its answers.
+func (s *testbed) replaceReplica(ctx context.Context, ep *endpoint, away time.Duration, fault Fault) error {
 	ep.mu.Lock()
 	old, born, unavailable := ep.replica, int64(ep.starts), ep.unavailable
 	ep.unavailable = true
@@ -181,10 +228,15 @@
 	if unavailable {
 		return sleep(ctx, away)
 	}
-	if graceful {
+	switch fault {
+	case ReplicaLeaves:
 		if err := s.listReplica(ep, old.ID, true, born); err != nil {
 			return err
 		}
+	case ReplicaSaysLeaving:
+		old.SetLeaving()
+	}
+	if fault != ReplicaDies {
 		s.mu.Lock()
 		s.history.LeftAt[old.ID] = time.Now()
 		s.mu.Unlock()
@@ -196,7 +248,7 @@
 	if err := sleep(ctx, away); err != nil {
 		return err
 	}
-	s.log.Put(topicReplicas, old.ID, nil)
+	s.putReplica(old.ID, nil)
 	return s.startReplica(ep)
 }
 
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -34,6 +34,14 @@
 	OrdersLost    Fault = "OrdersLost"
 	DemandShifts  Fault = "DemandShifts"
 	GroupBreaks   Fault = "GroupBreaks"
+	// LogRestored takes the log away and brings it back from an older copy.
+	LogRestored Fault = "LogRestored"
+	// ReplicaSaysLeaving makes a replica leave that says so in its answers only.
+	ReplicaSaysLeaving Fault = "ReplicaSaysLeaving"
+	// ReplicasRest makes all replicas of a service turn requests away and ask for rest.
+	ReplicasRest Fault = "ReplicasRest"
+	// ReplicaRests does so for one replica.
+	ReplicaRests Fault = "ReplicaRests"
 )
 
 // faults lists all kinds of faults in the order from which PlanFaults draws them. DemandShifts is
@@ -42,6 +50,7 @@
 	Freeze, Kill, Stop, Reload, LogAway, LogSlow, ReplicaFaults, ReplicaLeaves, ReplicaDies,
 	LinkDelay, LinkReset, LinkSilent, LinkSlow, RevokeKey, NewRoute,
 	AgentFreezes, AgentKilled, OrdersLost, DemandShifts, DemandShifts, GroupBreaks,
+	LogRestored, ReplicaSaysLeaving, ReplicasRest, ReplicaRests,
 }
 
 // PlannedFault is a fault to inject.
@@ -79,7 +88,7 @@
 	between := func(low, high time.Duration) time.Duration { return low + time.Duration(rng.Int64N(int64(high-low))) }
 	replicaFaults := []mimic.Fault{
 		mimic.ResetAfterRun, mimic.ServerError, mimic.Hang, mimic.TruncateResponse,
-		mimic.Reject,
+		mimic.Reject, mimic.EndlessBody, mimic.DripBytes, mimic.SecondCopy,
 	}
 	var planned []PlannedFault
 	for at := between(minPause, maxPause); at < length; at += between(minPause, maxPause) {
--- a/soak/play.go
+++ b/soak/play.go
@@ -74,6 +74,8 @@
 	routes   []mimic.Route
 	history  History
 	requests []RequestRecord
+	// listed holds the latest record of each replica; nil for one that was deleted.
+	listed map[string][]byte
 }
 
 // endpoint is a fixed address at which replicas run one after the other, behind a link.
@@ -107,7 +109,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s := &testbed{setup: setup, log: mimic.NewLog(), ledger: &mimic.ExecutionRecorder{}, keys: make(map[string]string)}
+	s := &testbed{setup: setup, log: mimic.NewLog(), ledger: &mimic.ExecutionRecorder{}, keys: make(map[string]string), listed: make(map[string][]byte)}
 	s.shape = tier.Shape{Ranks: setup.Replicas, Sets: 2, Experts: 8 * setup.Replicas, Places: 11, Spare: 4}
 	s.group = tier.New(setup.Seed, s.shape)
 	s.history.LeftAt, s.history.RevokedAt = make(map[string]time.Time), make(map[string]time.Time)
@@ -141,6 +143,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.history.Requests, s.history.Runs = s.requests, s.ledger.Executions()
+	s.history.ArrivalsDuringRest, s.history.Entries = s.ledger.ArrivalsDuringRest(), len(s.entries)
 	return &s.history, nil
 }
 
@@ -249,6 +252,11 @@
 // publishConfig appends the configuration to the log with the next version.
 func (s *testbed) publishConfig() {
 	s.version++
+	s.putConfig()
+}
+
+// putConfig appends the configuration to the log with its present version.
+func (s *testbed) putConfig() {
 	services := map[string]tier.Shape{serviceDesk: {}, serviceModel: s.shape}
 	data, err := mimic.Config(s.version, s.routes, services, s.keys)
 	if err != nil {
