--- a/steer/balance.go
+++ b/steer/balance.go
@@ -17,8 +17,11 @@
 )
 
 const (
-	// planInterval is the time between two plans while the demand is steady.
-	planInterval = 1500 * time.Millisecond
+	// planInterval is the time between two plans while the demand is steady, and
+	// largeGroupPlanInterval that of a group whose agents are reached through relays. Without
+	// any shift, the requests that happen to run together may make a map uneven.
+	planInterval           = 400 * time.Millisecond
+	largeGroupPlanInterval = 800 * time.Millisecond
 	// newGroupPlanInterval is the time between two plans for newGroupDuration after a
 	// group has formed or the agent has started. Plans are frequent then because agents
 	// learn of each other one by one, and the first counts cover only a few requests.
@@ -282,6 +285,9 @@
 		return
 	}
 	b.nextPlan = now.Add(planInterval)
+	if len(peers) > maxDirectPeers {
+		b.nextPlan = now.Add(largeGroupPlanInterval)
+	}
 	if now.Before(b.newGroupUntil) {
 		b.nextPlan = now.Add(newGroupPlanInterval)
 	}
