--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -41,8 +41,8 @@
 		Self: "front-2", Zone: "rivera", Member: Member{Role: track.RoleEntry, Zone: "rivera"},
 		Log: unavailableLog{}, Topics: Topics{Config: "op", Replicas: "servers", ConfigKey: "config"},
 		DecodeConfig: decodeConfig, DecodeReplica: decodeReplica,
-		RetryLimit: retry.ServiceLimit{Share: 0.2, Slack: 60, Window: 10 * time.Second},
-		Clock:      clock, Random: func() float64 { return 0 }, Logger: zap.NewNop(), Metrics: metrics.NewSet(),
+		RetryLimit: retry.ServiceLimit{Share: 0.2, Slack: 60, Window: 10 * time.Second}, DrainTimeout: 2 * time.Second,
+		Clock: clock, Random: func() float64 { return 0 }, Logger: zap.NewNop(), Metrics: metrics.NewSet(),
 	})
 }
 
@@ -235,3 +235,15 @@
 	}
 	assert.DeepEqual(t, every, map[track.InstanceID]int{"front-1": 1})
 }
+
+// The list of replicas is read as often as the time to drain demands.
+func TestReplicasReadInterval(t *testing.T) {
+	for _, c := range []struct{ drain, want time.Duration }{
+		{0, 300 * time.Millisecond},
+		{2 * time.Second, 600 * time.Millisecond},
+		{4 * time.Second, 1200 * time.Millisecond},
+		{time.Minute, 1500 * time.Millisecond},
+	} {
+		assert.Equal(t, Options{DrainTimeout: c.drain}.replicasReadInterval(), c.want)
+	}
+}
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -42,12 +42,16 @@
 	// start at about the same time, and later ones become known by their messages.
 	membersReadInterval    = 500 * time.Millisecond
 	membersMaxReadInterval = 30 * time.Second
-	// replicasReadInterval is the time between two reads of the replicas. Each replica
-	// reports about once a second, and a change must be known within two seconds.
-	replicasReadInterval = 600 * time.Millisecond
-	// leaderMaxAge is the maximum age of the replica list of an entry that reads it from the
-	// log for other entries.
-	leaderMaxAge = 2*replicasReadInterval + 300*time.Millisecond
+	// replicasReadShare is the time between two reads of the replicas, as a share of the time
+	// after which a draining replica must get no request. A change passes through two reads:
+	// that of the zone's leader and that of the entry. minReplicasReadInterval and
+	// maxReplicasReadInterval bound the time.
+	replicasReadShare       = 0.3
+	minReplicasReadInterval = 300 * time.Millisecond
+	maxReplicasReadInterval = 1500 * time.Millisecond
+	// leaderAgeMargin is the time beyond two reads after which the replica list of an entry that
+	// reads it from the log for other entries is out of date.
+	leaderAgeMargin = 300 * time.Millisecond
 	// entryMessageInterval is the time between two messages of an entry. It bounds the age
 	// of the counts of requests in flight.
 	entryMessageInterval = 100 * time.Millisecond
@@ -85,6 +89,8 @@
 	MessageConn net.PacketConn
 	// RetryLimit limits the retries that all entries together send to a service.
 	RetryLimit retry.ServiceLimit
+	// DrainTimeout is the time after which a draining replica must get no request.
+	DrainTimeout time.Duration
 	// MaxEventDelay is the longest time for which an event of a stream is delayed to even out
 	// the pauses between events.
 	MaxEventDelay time.Duration
@@ -96,6 +102,12 @@
 	Metrics *metrics.Set
 }
 
+// replicasReadInterval returns the time between two reads of the replicas.
+func (o Options) replicasReadInterval() time.Duration {
+	interval := time.Duration(replicasReadShare * float64(o.DrainTimeout))
+	return min(max(interval, minReplicasReadInterval), maxReplicasReadInterval)
+}
+
 // Entry is an entry without its listeners: it finds replicas and peers, and proxies
 // requests.
 type Entry struct {
@@ -153,7 +165,7 @@
 		ApplyRestored: applyRestoredConfig(e.configHolder, o.Topics.ConfigKey, e.announcer),
 	})
 	e.replicaFollower = followers.newFollower(e.relay, keyed.Options{
-		Topic: o.Topics.Replicas, PollInterval: replicasReadInterval, Apply: e.fleet.Apply,
+		Topic: o.Topics.Replicas, PollInterval: o.replicasReadInterval(), Apply: e.fleet.Apply,
 		ApplyRestored: e.fleet.ApplyRestored,
 	})
 	e.memberFollower = followers.newFollower(e.relay, keyed.Options{
@@ -321,7 +333,7 @@
 func (e *Entry) leaderNote() (gossip.Message, bool) {
 	var first gossip.Message
 	for _, note := range e.gossipNode.LiveMessages() {
-		readRecently := note.LogAge >= 0 && note.LogAge < leaderMaxAge
+		readRecently := note.LogAge >= 0 && note.LogAge < 2*e.options.replicasReadInterval()+leaderAgeMargin
 		if note.Role == track.RoleEntry && note.Zone == e.options.Zone && readRecently && !note.Leaving &&
 			(first.From == "" || note.From < first.From) {
 			first = note
