--- a/steer/balance.go
+++ b/steer/balance.go
@@ -284,16 +284,21 @@
 	if !settle && (position > 0 || now.Before(b.nextPlan)) {
 		return
 	}
-	b.nextPlan = now.Add(planInterval)
-	if len(peers) > maxDirectPeers {
-		b.nextPlan = now.Add(largeGroupPlanInterval)
-	}
-	if now.Before(b.newGroupUntil) {
-		b.nextPlan = now.Add(newGroupPlanInterval)
-	}
+	b.nextPlan = now.Add(b.intervalToNextPlan(now, len(peers)))
 	b.balance(ctx, share, peers, settle)
 }
 
+// intervalToNextPlan returns the time between two plans of a group with so many other agents.
+func (b *Balancer) intervalToNextPlan(now time.Time, peers int) time.Duration {
+	switch {
+	case now.Before(b.newGroupUntil):
+		return newGroupPlanInterval
+	case peers > maxDirectPeers:
+		return largeGroupPlanInterval
+	}
+	return planInterval
+}
+
 // shouldSettle reports whether the agent's own rank has waited for the decision on a
 // switch for so long that this agent has to settle it.
 func (b *Balancer) shouldSettle(share track.RankStatus, now time.Time, position int) bool {
