feat(edge): gauges of the duties that an agent leaves off

Cause: on engines without fencing an agent never calls the ranks of silent agents itself, and without experts in the configuration it changes no map; only a line at the start said the first, nothing the second.

Change: filberttrack_duty_left_off{duty,reason} is 1 while a duty is left off. status of the platform's processes is their metrics page; the command line's status has no such duty yet.

--- a/edge/agent.go
+++ b/edge/agent.go
@@ -158,6 +158,7 @@
 		DirectRank: o.DirectRank, Spec: a.engines.Experts, OnStatus: a.onStatus,
 		Clock: o.Clock, Logger: o.Logger, Metrics: o.Metrics,
 	})
+	a.registerLeftOff()
 	return a
 }
 
--- a/edge/agent_test.go
+++ b/edge/agent_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -133,3 +134,35 @@
 	<-ended
 	assert.Equal(t, len(conn.sent), 0)
 }
+
+func TestDutiesLeftOffShowInGauges(t *testing.T) {
+	newAgent := func(directRank func(string) steer.RemoteRank) *Agent {
+		return NewAgent(AgentOptions{
+			Self: "side-1", Zone: "rivera", Log: unavailableLog{},
+			Topics: Topics{Config: "op", ConfigKey: "config"}, DecodeConfig: decodeConfig,
+			MessageConn: &recordingConn{}, DirectRank: directRank,
+			Clock: clockwork.NewFakeClock(), Logger: zap.NewNop(), Metrics: metrics.NewSet(),
+		})
+	}
+	leftOff := func(a *Agent) []string {
+		var text strings.Builder
+		a.options.Metrics.WritePrometheus(&text)
+		var names []string
+		for line := range strings.Lines(text.String()) {
+			if name, ok := strings.CutSuffix(line, " 1\n"); ok && strings.HasPrefix(name, "filberttrack_duty_left_off") {
+				names = append(names, name)
+			}
+		}
+		return names
+	}
+	const (
+		directRanks    = `filberttrack_duty_left_off{duty="DirectRanks",reason="EnginesCheckNoFencing"}`
+		balanceExperts = `filberttrack_duty_left_off{duty="BalanceExperts",reason="NoExpertsInConfiguration"}`
+	)
+	a := newAgent(nil)
+	assert.DeepEqual(t, leftOff(a), []string{balanceExperts, directRanks})
+	a.engines.update(engineReply{Experts: track.ExpertSpec{Experts: 64}})
+	assert.DeepEqual(t, leftOff(a), []string{directRanks})
+	a = newAgent(func(string) steer.RemoteRank { return nil })
+	assert.DeepEqual(t, leftOff(a), []string{balanceExperts})
+}
--- a/edge/gauges.go
+++ b/edge/gauges.go
@@ -49,3 +49,30 @@
 func (e *Entry) registerBudget(service string, budget *retry.ServiceBudget) {
 	e.options.Metrics.GetOrCreateGauge(fmt.Sprintf("filberttrack_repeats_left{service=%q}", service), budget.Remaining)
 }
+
+// The duties that an agent may leave off, and the reasons, as labels of the gauge.
+const (
+	dutyDirectRanks       = "DirectRanks"
+	reasonNoFencing       = "EnginesCheckNoFencing"
+	dutyBalanceExperts    = "BalanceExperts"
+	reasonNoExpertsListed = "NoExpertsInConfiguration"
+)
+
+// registerLeftOff registers the gauges of the duties that the deployment may make the agent leave off. A gauge
+// is 1 while its duty is left off.
+func (a *Agent) registerLeftOff() {
+	leftOff := func(duty, reason string, condition func() bool) {
+		name := fmt.Sprintf("filberttrack_duty_left_off{duty=%q,reason=%q}", duty, reason)
+		a.options.Metrics.GetOrCreateGauge(name, func() float64 {
+			if condition() {
+				return 1
+			}
+			return 0
+		})
+	}
+	leftOff(dutyDirectRanks, reasonNoFencing, func() bool { return a.options.DirectRank == nil })
+	leftOff(dutyBalanceExperts, reasonNoExpertsListed, func() bool {
+		spec, known := a.engines.Experts()
+		return !known || spec.Experts == 0
+	})
+}
