fix(wire,beat): a call whose handler panics fails, and the process goes on

Cause: gRPC recovers no panic of a handler, so one message that a handler can't cope with ended an entry or agent of filberttrack with all its requests. Seen red: without the interceptors the test's process ends.

Change: the recovery interceptors of go-grpc-middleware; the caller gets an error that says nothing about whether the attempt ran (Ambiguous). A heartbeat is handled under a deferred unlock, so that a panic there leaves no lock held. Background tasks still end the process with their panics: claims and appends must not go on from a state that nobody knows.

--- a/beat/exchange.go
+++ b/beat/exchange.go
@@ -134,16 +134,7 @@
 
 // Heartbeat implements track.Peer. It handles a heartbeat from a peer.
 func (x *Exchange) Heartbeat(_ context.Context, h track.Heartbeat) (track.HeartbeatReply, error) {
-	now := x.options.Clock.Now()
-	local := x.options.Local()
-	x.mu.Lock()
-	err := x.state.HandleHeartbeat(now, h)
-	reply := x.state.Reply(h)
-	if x.options.Self.Role == track.RoleAgent {
-		self := x.newHeartbeat(local)
-		reply.AgentState = &self
-	}
-	x.mu.Unlock()
+	reply, err := x.handleHeartbeat(h)
 	if err != nil {
 		x.counters.heartbeatsDropped.Inc()
 		if member.IsStale(err) {
@@ -160,6 +151,21 @@
 	return reply, nil
 }
 
+// handleHeartbeat applies a heartbeat to the state and returns the reply to it.
+func (x *Exchange) handleHeartbeat(h track.Heartbeat) (track.HeartbeatReply, error) {
+	now := x.options.Clock.Now()
+	local := x.options.Local()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	err := x.state.HandleHeartbeat(now, h)
+	reply := x.state.Reply(h)
+	if x.options.Self.Role == track.RoleAgent {
+		self := x.newHeartbeat(local)
+		reply.AgentState = &self
+	}
+	return reply, err
+}
+
 // Digest implements track.Peer. It answers the digest request of an entry of another
 // zone.
 func (x *Exchange) Digest(_ context.Context, q track.DigestQuery) (track.Digest, error) {
@@ -174,15 +180,19 @@
 // publish passes the current replicas to Options.OnServersChanged and logs the membership changes.
 func (x *Exchange) publish() {
 	if x.options.OnServersChanged != nil {
-		// OnServersChanged is called with the lock held, so that an older set of replicas never
-		// replaces a newer one.
-		x.mu.Lock()
-		x.options.OnServersChanged(x.state.Servers())
-		x.mu.Unlock()
+		x.reportServers()
 	}
 	x.logEvents()
 }
 
+// reportServers calls OnServersChanged with the lock held, so that an older set of replicas never
+// replaces a newer one.
+func (x *Exchange) reportServers() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.options.OnServersChanged(x.state.Servers())
+}
+
 // logEvents logs the membership changes since the last call, sorted by instance. Agents
 // log them at debug level, since the changes have no effect there.
 func (x *Exchange) logEvents() {
--- a/boot/agent.go
+++ b/boot/agent.go
@@ -50,7 +50,7 @@
 	a := &Agent{
 		AgentCore: core, logger: logger, cancel: cancel, dialer: dialer,
 		drainTimeouts: drain.Timeouts{MaxDuration: s.Agent.StopTimeout},
-		grpcServer:    wire.NewServer(security.serverOptions()...),
+		grpcServer:    wire.NewServer(logger, security.serverOptions()...),
 	}
 	wire.RegisterAgent(a.grpcServer, core.Agent())
 	wire.RegisterPeer(a.grpcServer, core.Peer(), security.verifyZone)
--- a/boot/entry.go
+++ b/boot/entry.go
@@ -49,7 +49,7 @@
 		logger:        logger,
 		dialer:        dialer,
 		drainTimeouts: drain.Timeouts{DeregistrationDelay: s.Entry.BalancerDelay, MaxDuration: s.Entry.StopTimeout},
-		grpcServer:    wire.NewServer(security.serverOptions()...),
+		grpcServer:    wire.NewServer(logger, security.serverOptions()...),
 		cancel:        cancel,
 	}
 	wire.RegisterPeer(e.grpcServer, e.Peer(), security.verifyZone)
--- a/cmd/capacity/members.go
+++ b/cmd/capacity/members.go
@@ -6,6 +6,7 @@
 	"runtime"
 	"time"
 
+	"go.uber.org/zap"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/protobuf/proto"
@@ -120,7 +121,7 @@
 
 // measureHeartbeats measures heartbeat calls over one connection.
 func measureHeartbeats(ctx context.Context, calls int) ([]float64, error) {
-	server := wire.NewServer()
+	server := wire.NewServer(zap.NewNop())
 	wire.RegisterPeer(server, stubPeer{}, func(context.Context, track.AvailabilityZone) error { return nil })
 	address, err := serveLoopback(ctx, server)
 	if err != nil {
--- a/cmd/capacity/memory.go
+++ b/cmd/capacity/memory.go
@@ -6,6 +6,8 @@
 	"net"
 	"runtime"
 
+	"go.uber.org/zap"
+
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
@@ -77,7 +79,7 @@
 	dialer := wire.NewDialer(nil)
 	defer dialer.Close()
 	for i := range n {
-		server := wire.NewServer()
+		server := wire.NewServer(zap.NewNop())
 		defer server.Stop()
 		wire.RegisterAgent(server, stubAgent{})
 		address, err := serveLoopback(ctx, server)
--- a/wire/expert_test.go
+++ b/wire/expert_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"filberttrack.example/track"
@@ -38,7 +39,7 @@
 
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	server := wire.NewServer()
+	server := wire.NewServer(zap.NewNop())
 	wire.RegisterRankGateway(
 		server, swap.NewGateway("a", 7, engines, orders.NewCounter(http.DefaultClient, backend), clock),
 	)
--- a/wire/peer_test.go
+++ b/wire/peer_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
@@ -109,7 +110,7 @@
 ) (track.Peer, *atomic.Int64, *grpc.Server) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	server := wire.NewServer()
+	server := wire.NewServer(zap.NewNop())
 	wire.RegisterPeer(server, p, verifyZone)
 	count := new(atomic.Int64)
 	served := make(chan error, 1)
--- a/wire/server.go
+++ b/wire/server.go
@@ -5,7 +5,11 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"runtime/debug"
 
+	"github.com/grpc-ecosystem/go-grpc-middleware/v2/interceptors/recovery"
+	"go.uber.org/zap"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/keepalive"
@@ -37,9 +41,16 @@
 }
 
 // NewServer returns a gRPC server with the limits on messages, flow control and
-// keepalive that match those of a Dialer. The options are added to them.
-func NewServer(options ...grpc.ServerOption) *grpc.Server {
+// keepalive that match those of a Dialer. The options are added to them. A call whose
+// handler panics fails with codes.Internal; the process goes on.
+func NewServer(logger *zap.Logger, options ...grpc.ServerOption) *grpc.Server {
+	afterPanic := recovery.WithRecoveryHandler(func(cause any) error {
+		logger.Error("call panicked", zap.String("Cause", fmt.Sprint(cause)), zap.ByteString("Stack", debug.Stack()))
+		return status.Error(codes.Internal, "the handler of the call panicked")
+	})
 	defaults := []grpc.ServerOption{
+		grpc.ChainUnaryInterceptor(recovery.UnaryServerInterceptor(afterPanic)),
+		grpc.ChainStreamInterceptor(recovery.StreamServerInterceptor(afterPanic)),
 		grpc.MaxRecvMsgSize(MaxMessageBytes),
 		grpc.StaticStreamWindowSize(streamWindowBytes),
 		grpc.StaticConnWindowSize(connWindowBytes),
--- a/wire/stamp_test.go
+++ b/wire/stamp_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"filberttrack.example/track"
@@ -28,7 +29,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	peer := &recordingPeer{}
-	server := wire.NewServer()
+	server := wire.NewServer(zap.NewNop())
 	wire.RegisterPeer(server, peer, nil)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"filberttrack.example/track"
@@ -54,7 +55,7 @@
 	}}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	server := wire.NewServer()
+	server := wire.NewServer(zap.NewNop())
 	wire.RegisterAgent(server, agent)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
@@ -102,3 +103,43 @@
 	assert.Assert(t, track.IsKind(err, track.Unavailable), "%v", err)
 	dialer.Close()
 }
+
+// panickingAgent panics in every call but Report.
+type panickingAgent struct{ track.Agent }
+
+// Run implements track.Agent.
+func (panickingAgent) Run(context.Context, track.Dispatch, track.FrameFunc) error {
+	panic("an unexpected dispatch")
+}
+
+// PreventStart implements track.Agent.
+func (panickingAgent) PreventStart(context.Context, track.AttemptRef) (track.AttemptState, error) {
+	panic("an unexpected reference")
+}
+
+// Report implements track.Agent.
+func (panickingAgent) Report(context.Context) (track.Report, error) { return track.Report{Seq: 1}, nil }
+
+// A call that panics must not end the process, and nobody may take it for one that has not run.
+func TestPanicOfAHandlerFailsTheCallOnly(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := wire.NewServer(zap.NewNop())
+	wire.RegisterAgent(server, panickingAgent{})
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	dialer := wire.NewDialer(nil)
+	client, err := dialer.Dial(track.Instance{Address: listener.Addr().String()})
+	assert.NilError(t, err)
+
+	err = client.Run(t.Context(), track.Dispatch{Timeout: time.Second}, func(track.Frame) error { return nil })
+	assert.Assert(t, track.IsKind(err, track.Ambiguous), "%v", err)
+	_, err = client.PreventStart(t.Context(), track.AttemptRef{})
+	assert.Assert(t, err != nil)
+	report, err := client.Report(t.Context())
+	assert.NilError(t, err, "the server answers after the panics")
+	assert.Equal(t, report.Seq, uint64(1))
+	server.Stop()
+	assert.NilError(t, <-served)
+	dialer.Close()
+}
