fix(edge): a log that turns one entry away alone is no outage

Change: an outage counts only if the log answered no entry of the zone for 2.2 s, less than which lapses no entry of a live replica. Each entry knows this from the age of the others' last answer, which they send anyway; LogBack is gone from their messages.

--- a/edge/entry.go
+++ b/edge/entry.go
@@ -122,6 +122,7 @@
 	replicaFollower *keyed.Follower
 	// relay reads from the leader of the zone or, if there is none, from the log.
 	relay          *keyed.Relay
+	logContact     *logContact
 	memberFollower *keyed.Follower
 	announcer      *announcer
 	leaving        atomic.Bool
@@ -142,13 +143,14 @@
 // NewEntry returns an entry without a configuration or replicas. Start makes it read them.
 func NewEntry(o Options) *Entry {
 	e := &Entry{
-		options:   o,
-		members:   newMembers(o.Self, o.Seeds, o.Logger),
-		announcer: newAnnouncer(o.Log, o.Clock, o.Self, o.Member, o.Logger),
-		pools:     make(map[string]*batch.Pool),
-		zones:     make(map[track.AvailabilityZone]zoneSummary),
-		ranks:     make(map[string]rankReport),
-		budgets:   make(map[string]*retry.ServiceBudget),
+		options:    o,
+		members:    newMembers(o.Self, o.Seeds, o.Logger),
+		announcer:  newAnnouncer(o.Log, o.Clock, o.Self, o.Member, o.Logger),
+		logContact: newLogContact(o.Clock.Now()),
+		pools:      make(map[string]*batch.Pool),
+		zones:      make(map[track.AvailabilityZone]zoneSummary),
+		ranks:      make(map[string]rankReport),
+		budgets:    make(map[string]*retry.ServiceBudget),
 	}
 	e.configHolder = latest.New(o.DecodeConfig, e.onConfig, o.Logger)
 	e.fleet = fleet.New(fleet.Options{
@@ -343,14 +345,12 @@
 }
 
 // logOutage returns the time since when the log has not answered reads of the replicas,
-// and the time at which its latest outage ended; zero if there was none. The latter may
-// come from the leader that this entry reads from.
+// and the time at which its latest outage ended; zero if there was none. The latter may be
+// an outage that only the other entries of the zone have noticed.
 func (e *Entry) logOutage() (since, returned time.Time) {
 	since, returned = e.replicaFollower.Outage()
-	if note, ok := e.leaderNote(); ok && note.SinceLogOutage > 0 {
-		if ended := e.options.Clock.Now().Add(-note.SinceLogOutage); ended.After(returned) {
-			returned = ended
-		}
+	if ended := e.logContact.returned(); ended.After(returned) {
+		returned = ended
 	}
 	return since, returned
 }
@@ -373,9 +373,6 @@
 	if age, known := e.relay.LogAge(); known {
 		note.LogAge = age
 	}
-	if _, returned := e.replicaFollower.Outage(); !returned.IsZero() {
-		note.SinceLogOutage = e.options.Clock.Since(returned)
-	}
 	note.InFlight = e.inFlight()
 	return note
 }
@@ -406,6 +403,9 @@
 		e.updateRanks([]gossip.RankSummary{brief}, note.Zone)
 		return
 	}
+	if note.Role == track.RoleEntry && note.Zone == e.options.Zone && note.LogAge >= 0 {
+		e.logContact.observe(e.options.Clock.Now().Add(-note.LogAge))
+	}
 	e.blameTracker.Merge(note.Charges)
 	e.markLeaving(note.Departures)
 	e.configFollower.NotifyPeerPosition(track.LogPosition{Era: note.Era, Offset: note.Offsets[e.options.Topics.Config]})
@@ -446,6 +446,9 @@
 // tick updates what depends on the passing of time: it removes replicas whose entries have
 // expired, and drops the counts of peers that have fallen silent.
 func (e *Entry) tick() {
+	if age, known := e.relay.LogAge(); known {
+		e.logContact.observe(e.options.Clock.Now().Add(-age))
+	}
 	e.fleet.RemoveLapsed()
 	others := e.otherInFlight()
 	for _, p := range e.allPools() {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -61,8 +61,6 @@
 	// LogAge is the time since the sender last got the list of replicas from the log
 	// itself; negative if it never did.
 	LogAge time.Duration
-	// SinceLogOutage is the time since the log came back after an outage; 0 if there was none.
-	SinceLogOutage time.Duration `json:"LogBack"`
 	// InFlight counts the sender's requests in flight on each replica.
 	InFlight map[track.ReplicaID]track.InFlight `json:",omitempty"`
 	// Zones holds summaries of whole zones. In each zone one entry acts as representative: it
