--- a/agent/down_test.go
+++ b/agent/down_test.go
@@ -25,18 +25,24 @@
 	return nil, io.ErrUnexpectedEOF
 }
 
-// TestAttemptsAreRefusedAfterCrash sends a second attempt to an agent whose backend
-// server has just crashed. The attempt must neither reach the backend server nor be
-// counted as in flight there.
-func TestAttemptsAreRefusedAfterCrash(t *testing.T) {
-	backend := &crashingBackend{}
+// newTestAgent returns an agent of the model dispatch-llm whose backend server is simulated.
+func newTestAgent(t *testing.T, backend http.RoundTripper) *Agent {
+	t.Helper()
 	address, err := url.Parse("http://agent-1")
 	assert.NilError(t, err)
-	a := New(Options{
+	return New(Options{
 		Instance: track.Instance{ID: "agent-1", Serves: "dispatch-llm"}, Incarnation: 1, Backend: address,
 		Client: &http.Client{Transport: backend}, Clock: clockwork.NewFakeClock(), Logger: zap.NewNop(),
 		Metrics: metrics.NewSet(), Ledger: ledger.Defaults(),
 	})
+}
+
+// TestAttemptsAreRefusedAfterCrash sends a second attempt to an agent whose backend
+// server has just crashed. The attempt must neither reach the backend server nor be
+// counted as in flight there.
+func TestAttemptsAreRefusedAfterCrash(t *testing.T) {
+	backend := &crashingBackend{}
+	a := newTestAgent(t, backend)
 	run := func(number uint32) track.Frame {
 		report, err := a.Report(context.Background())
 		assert.NilError(t, err)
--- a/agent/slow_test.go
+++ b/agent/slow_test.go
@@ -4,18 +4,13 @@
 	"context"
 	"io"
 	"net/http"
-	"net/url"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-	"github.com/jonboulle/clockwork"
-	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"filberttrack.example/track"
-	"filberttrack.example/track/ledger"
 )
 
 // slowBackend is a backend server that sends one line after each interval: lines first, then
@@ -59,13 +54,7 @@
 // runSlowly returns the final frame of a generation, and how long it took.
 func runSlowly(t *testing.T, backend *slowBackend, timeout time.Duration) (track.Frame, time.Duration) {
 	t.Helper()
-	address, err := url.Parse("http://agent-1")
-	assert.NilError(t, err)
-	a := New(Options{
-		Instance: track.Instance{ID: "agent-1", Serves: "dispatch-llm"}, Incarnation: 1, Backend: address,
-		Client: &http.Client{Transport: backend}, Clock: clockwork.NewRealClock(), Logger: zap.NewNop(),
-		Metrics: metrics.NewSet(), Ledger: ledger.Defaults(),
-	})
+	a := newTestAgent(t, backend)
 	report, err := a.Report(t.Context())
 	assert.NilError(t, err)
 	start := time.Now()
