--- a/batch/pool.go
+++ b/batch/pool.go
@@ -335,6 +335,12 @@
 // maxWaitingForGroup returns the number of late requests that this entry queues while a
 // group is broken: its share of what the group can run once it works again.
 func (p *Pool) maxWaitingForGroup() int {
+	return p.capacityPerEntry()
+}
+
+// capacityPerEntry returns the number of requests that may be on all usable replicas at once,
+// divided by the number of entries.
+func (p *Pool) capacityPerEntry() int {
 	capacity := 0
 	for _, r := range p.replicas {
 		if r.usable() {
--- a/batch/rest.go
+++ b/batch/rest.go
@@ -27,14 +27,8 @@
 	if p.nextReturn.Before(restUntil) {
 		p.nextReturn = restUntil
 	}
-	capacity := 0
-	for _, r := range p.replicas {
-		if r.usable() {
-			capacity += p.limit(r)
-		}
-	}
 	wait := p.nextReturn.Sub(now)
-	share := max(capacity/max(p.options.Entries(), 1), 1)
+	share := max(p.capacityPerEntry(), 1)
 	p.nextReturn = p.nextReturn.Add(p.meanGrantTime / time.Duration(share))
 	return max(wait, minRetryAfter)
 }
--- a/cmd/capacity/memory.go
+++ b/cmd/capacity/memory.go
@@ -7,7 +7,6 @@
 	"runtime"
 
 	"go.uber.org/zap"
-
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
--- a/edge/gauges.go
+++ b/edge/gauges.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"filberttrack.example/track/batch"
 	"filberttrack.example/track/retry"
 )
@@ -37,8 +39,13 @@
 	e.options.Metrics.GetOrCreateGauge(fmt.Sprintf("filberttrack_places_taken{service=%q}", service), func() float64 {
 		return float64(pool.Usage().InFlight)
 	})
-	e.options.Metrics.GetOrCreateGauge(fmt.Sprintf("filberttrack_group_broken{service=%q}", service), func() float64 {
-		if pool.HasBrokenGroup() {
+	registerCondition(e.options.Metrics, fmt.Sprintf("filberttrack_group_broken{service=%q}", service), pool.HasBrokenGroup)
+}
+
+// registerCondition registers a gauge that is 1 while the condition holds, else 0.
+func registerCondition(set *metrics.Set, name string, holds func() bool) {
+	set.GetOrCreateGauge(name, func() float64 {
+		if holds() {
 			return 1
 		}
 		return 0
@@ -61,14 +68,9 @@
 // registerLeftOff registers the gauges of the duties that the deployment may make the agent leave off. A gauge
 // is 1 while its duty is left off.
 func (a *Agent) registerLeftOff() {
-	leftOff := func(duty, reason string, condition func() bool) {
+	leftOff := func(duty, reason string, holds func() bool) {
 		name := fmt.Sprintf("filberttrack_duty_left_off{duty=%q,reason=%q}", duty, reason)
-		a.options.Metrics.GetOrCreateGauge(name, func() float64 {
-			if condition() {
-				return 1
-			}
-			return 0
-		})
+		registerCondition(a.options.Metrics, name, holds)
 	}
 	leftOff(dutyDirectRanks, reasonNoFencing, func() bool { return a.options.DirectRank == nil })
 	leftOff(dutyBalanceExperts, reasonNoExpertsListed, func() bool {
--- a/events/events.go
+++ b/events/events.go
@@ -134,12 +134,16 @@
 	}
 }
 
-// dataField begins a line with data.
-var dataField = []byte("data")
+// dataField begins the data of an event on its first line, and dataLine on a later one.
+var (
+	dataField = []byte("data")
+	dataLine  = []byte("\ndata")
+)
 
-// checkOrder records the ID of an event and checks that numeric IDs increase by 1.
+// checkOrder records the ID of an event and whether it has data, and checks that numeric IDs
+// increase by 1.
 func (s *Splitter) checkOrder(event []byte) error {
-	if bytes.HasPrefix(event, dataField) || bytes.Contains(event, append([]byte{'\n'}, dataField...)) {
+	if bytes.HasPrefix(event, dataField) || bytes.Contains(event, dataLine) {
 		s.withData++
 	}
 	id, ok := eventID(event)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -49,9 +49,8 @@
 
 // departedReplica is the last that is known of a replica that has left.
 type departedReplica struct {
-	startID   int64
-	heartbeat uint64
-	leftAt    time.Time
+	replica track.Replica
+	leftAt  time.Time
 }
 
 // listedReplica is a replica that is listed, or that was until recently.
@@ -117,12 +116,15 @@
 		return known != nil
 	}
 	if known != nil {
-		return known.replica.StartID > replica.StartID ||
-			known.replica.StartID == replica.StartID && known.replica.Heartbeat >= replica.Heartbeat
+		return !reportedLater(replica, known.replica)
 	}
 	left, ok := f.departed[replica.ID]
-	return ok && (left.startID > replica.StartID ||
-		left.startID == replica.StartID && left.heartbeat >= replica.Heartbeat)
+	return ok && !reportedLater(replica, left.replica)
+}
+
+// reportedLater reports whether a is a later report of a replica than b.
+func reportedLater(a, b track.Replica) bool {
+	return a.StartID > b.StartID || a.StartID == b.StartID && a.Heartbeat > b.Heartbeat
 }
 
 // RemoveLapsed removes the replicas whose entry expired during a log outage and that were not
@@ -199,7 +201,7 @@
 			delete(f.departed, old)
 		}
 	}
-	f.departed[id] = departedReplica{startID: known.replica.StartID, heartbeat: known.replica.Heartbeat, leftAt: now}
+	f.departed[id] = departedReplica{replica: known.replica, leftAt: now}
 	return true
 }
 
