feat(blame,proxy): logs and metrics of how a crash is attributed to a request

The record shows that a request went on to crash replicas after the third crash. What was logged could not tell three hypotheses apart: deaths are confirmed too late, deaths seen by other entries arrive too late, or broken attempts aren't counted at all.

Each broken attempt is logged with its fault and fingerprint. A charge names the request, the evidence and the time from the broken attempt to the confirmation; a request barred through a peer is logged with the deaths this entry knew itself. filberttrack_death_confirmation_seconds, filberttrack_deaths_unconfirmed_total and filberttrack_requests_barred show the same over time.

--- a/blame/blame.go
+++ b/blame/blame.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
@@ -73,11 +74,28 @@
 	Left time.Duration
 }
 
+// Attempt is an attempt to run a request on a replica.
+type Attempt struct {
+	RequestID   track.RequestID
+	Fingerprint Fingerprint
+	Replica     track.Replica
+}
+
+// Evidence says what confirmed the death of a replica.
+type Evidence string
+
+// EvidenceListed means that the list of replicas lacks the replica or shows another start of it.
+const EvidenceListed Evidence = "Listed"
+
 // Tracker records which requests crashed replicas. It is safe for concurrent use.
 type Tracker struct {
 	clock  clockwork.Clock
 	logger *zap.Logger
 
+	// confirmationTime is the time from a broken attempt to the confirmation of its replica's death.
+	confirmationTime *metrics.Histogram
+	unconfirmedTotal *metrics.Counter
+
 	mu      sync.Mutex
 	charges map[Fingerprint]*charge
 	// unconfirmed holds the failed attempts whose replica is still listed, oldest first.
@@ -96,18 +114,36 @@
 
 // failedAttempt is an attempt that broke off, and may have crashed its replica.
 type failedAttempt struct {
+	requestID   track.RequestID
 	fingerprint Fingerprint
 	death       Death
-	// until is when the time to confirm the death is over.
-	until time.Time
+	brokeAt     time.Time
 }
 
-// New returns a Tracker without charges.
-func New(clock clockwork.Clock, logger *zap.Logger) *Tracker {
-	return &Tracker{
+// New returns a Tracker without charges. It registers its metrics in the given set.
+func New(clock clockwork.Clock, logger *zap.Logger, set *metrics.Set) *Tracker {
+	b := &Tracker{
 		clock: clock, logger: logger,
-		charges: make(map[Fingerprint]*charge), listedStarts: make(map[track.ReplicaID]int64),
+		confirmationTime: set.GetOrCreateHistogram("filberttrack_death_confirmation_seconds"),
+		unconfirmedTotal: set.GetOrCreateCounter("filberttrack_deaths_unconfirmed_total"),
+		charges:          make(map[Fingerprint]*charge),
+		listedStarts:     make(map[track.ReplicaID]int64),
+	}
+	set.GetOrCreateGauge("filberttrack_requests_barred", func() float64 { return float64(b.barredCount()) })
+	return b
+}
+
+// barredCount returns the number of requests that must not be sent to a replica.
+func (b *Tracker) barredCount() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for f := range b.charges {
+		if c := b.activeCharge(f); c != nil && len(c.deaths) >= deathLimit {
+			n++
+		}
 	}
+	return n
 }
 
 // BarredFor returns how long the request must not be sent to a replica; 0 if it may be.
@@ -124,19 +160,21 @@
 // AttemptBroke records that an attempt broke off on a replica. The replica's death is attributed
 // to the request once SetReplicas confirms it, or at once if the replica has already left the
 // list or restarted.
-func (b *Tracker) AttemptBroke(f Fingerprint, replica track.Replica) {
+func (b *Tracker) AttemptBroke(attempt Attempt) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.unconfirmed) == maxUnconfirmed {
 		b.unconfirmed = slices.Delete(b.unconfirmed, 0, 1)
 	}
+	replica := attempt.Replica
 	a := failedAttempt{
-		fingerprint: f,
+		requestID:   attempt.RequestID,
+		fingerprint: attempt.Fingerprint,
 		death:       Death{Replica: replica.ID, Born: replica.StartID},
-		until:       b.clock.Now().Add(confirmWindow),
+		brokeAt:     b.clock.Now(),
 	}
 	if born, listed := b.listedStarts[replica.ID]; !listed || born != replica.StartID {
-		b.chargeDeath(a)
+		b.chargeDeath(a, EvidenceListed)
 		return
 	}
 	b.unconfirmed = append(b.unconfirmed, a)
@@ -166,20 +204,21 @@
 	}
 	now := b.clock.Now()
 	b.unconfirmed = slices.DeleteFunc(b.unconfirmed, func(a failedAttempt) bool {
-		if now.After(a.until) {
+		if now.Sub(a.brokeAt) > confirmWindow {
+			b.unconfirmedTotal.Inc()
 			return true
 		}
 		if born, listed := b.listedStarts[a.death.Replica]; listed && born == a.death.Born {
 			return false
 		}
-		b.chargeDeath(a)
+		b.chargeDeath(a, EvidenceListed)
 		return true
 	})
 }
 
 // chargeDeath attributes the death of an attempt's replica to its request. Each death
 // counts once.
-func (b *Tracker) chargeDeath(a failedAttempt) {
+func (b *Tracker) chargeDeath(a failedAttempt, evidence Evidence) {
 	c := b.activeCharge(a.fingerprint)
 	if c == nil {
 		c = b.insertCharge(a.fingerprint)
@@ -190,10 +229,13 @@
 	if len(c.deaths) < deathLimit {
 		c.deaths = append(c.deaths, a.death)
 	}
-	c.until = b.clock.Now().Add(chargeDuration)
-	b.logger.Warn("request charged with a replica's death", zap.Uint64("Fingerprint", uint64(a.fingerprint)),
-		zap.String("Replica", string(a.death.Replica)), zap.Int("Deaths", len(c.deaths)),
-		zap.Bool("Barred", len(c.deaths) >= deathLimit))
+	now := b.clock.Now()
+	c.until = now.Add(chargeDuration)
+	b.confirmationTime.Update(now.Sub(a.brokeAt).Seconds())
+	b.logger.Warn("request charged with a replica's death", zap.String("RequestID", string(a.requestID)),
+		zap.Uint64("Fingerprint", uint64(a.fingerprint)), zap.String("Replica", string(a.death.Replica)),
+		zap.String("Evidence", string(evidence)), zap.Int64("ConfirmedAfterMs", now.Sub(a.brokeAt).Milliseconds()),
+		zap.Int("Deaths", len(c.deaths)), zap.Bool("Barred", len(c.deaths) >= deathLimit))
 }
 
 // ChargesToShare returns the charges to send to peers: those with the most deaths first, then those
@@ -235,11 +277,16 @@
 		if other.Round > c.round {
 			c.round, c.deaths = other.Round, nil
 		}
+		before := len(c.deaths)
 		for _, d := range other.Deaths {
 			if len(c.deaths) < deathLimit && !slices.Contains(c.deaths, d) {
 				c.deaths = append(c.deaths, d)
 			}
 		}
+		if len(c.deaths) >= deathLimit && before < deathLimit {
+			b.logger.Warn("request barred by what a peer reports", zap.Uint64("Fingerprint", uint64(other.Fingerprint)),
+				zap.Int("Deaths", len(c.deaths)), zap.Int("OwnDeaths", before))
+		}
 		if until := now.Add(left); until.After(c.until) {
 			c.until = until
 		}
--- a/blame/blame_test.go
+++ b/blame/blame_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
@@ -25,7 +26,7 @@
 
 func newFixture(replicas int) *fixture {
 	f := &fixture{clock: clockwork.NewFakeClock()}
-	f.tracker = blame.New(f.clock, zap.NewNop())
+	f.tracker = blame.New(f.clock, zap.NewNop(), metrics.NewSet())
 	for i := range replicas {
 		f.replicas = append(f.replicas, track.Replica{ID: track.ReplicaID(fmt.Sprint("llm-", i)), StartID: 1})
 	}
@@ -43,7 +44,7 @@
 	f := newFixture(4)
 	for i := range 3 {
 		assert.Equal(t, f.tracker.BarredFor(crasher), time.Duration(0), "after %d deaths", i)
-		f.tracker.AttemptBroke(crasher, f.replicas[i])
+		f.tracker.AttemptBroke(blame.Attempt{Fingerprint: crasher, Replica: f.replicas[i]})
 		f.clock.Advance(time.Second)
 		f.restart(i)
 	}
@@ -56,7 +57,7 @@
 func TestBrokenAttemptWithoutDeathIsNotCharged(t *testing.T) {
 	f := newFixture(8)
 	for i := range 8 {
-		f.tracker.AttemptBroke(crasher, f.replicas[i])
+		f.tracker.AttemptBroke(blame.Attempt{Fingerprint: crasher, Replica: f.replicas[i]})
 		f.tracker.SetReplicas(f.replicas)
 	}
 	// Replicas that die long after the attempt die for another reason.
@@ -72,8 +73,8 @@
 	for i := range 3 {
 		old := f.replicas[i]
 		f.restart(i)
-		f.tracker.AttemptBroke(crasher, old)
-		f.tracker.AttemptBroke(crasher, old)
+		f.tracker.AttemptBroke(blame.Attempt{Fingerprint: crasher, Replica: old})
+		f.tracker.AttemptBroke(blame.Attempt{Fingerprint: crasher, Replica: old})
 	}
 	assert.Assert(t, f.tracker.BarredFor(crasher) > 0)
 }
@@ -81,7 +82,7 @@
 func TestCompletionClearsRequest(t *testing.T) {
 	f, other := newFixture(3), newFixture(3)
 	for i := range 3 {
-		f.tracker.AttemptBroke(crasher, f.replicas[i])
+		f.tracker.AttemptBroke(blame.Attempt{Fingerprint: crasher, Replica: f.replicas[i]})
 		f.restart(i)
 	}
 	other.tracker.Merge(f.tracker.ChargesToShare())
@@ -108,7 +109,7 @@
 				}
 				died[i] = true
 				for _, f := range peers {
-					f.tracker.AttemptBroke(crasher, f.replicas[i])
+					f.tracker.AttemptBroke(blame.Attempt{Fingerprint: crasher, Replica: f.replicas[i]})
 					f.restart(i)
 				}
 			},
@@ -127,12 +128,12 @@
 
 func Example() {
 	clock := clockwork.NewFakeClock()
-	tracker := blame.New(clock, zap.NewNop())
+	tracker := blame.New(clock, zap.NewNop(), metrics.NewSet())
 	request := blame.FingerprintOf([]byte("POST"), []byte("/draft"), []byte("body"))
 	for i := range 3 {
 		replica := track.Replica{ID: track.ReplicaID(fmt.Sprint("llm-", i)), StartID: 1}
 		tracker.SetReplicas([]track.Replica{replica})
-		tracker.AttemptBroke(request, replica)
+		tracker.AttemptBroke(blame.Attempt{Fingerprint: request, Replica: replica})
 		tracker.SetReplicas(nil)
 	}
 	fmt.Println(tracker.BarredFor(request))
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -179,7 +179,7 @@
 		Peers: e.targets,
 		Clock: o.Clock, Logger: o.Logger,
 	})
-	e.blameTracker = blame.New(o.Clock, o.Logger)
+	e.blameTracker = blame.New(o.Clock, o.Logger, o.Metrics)
 	e.proxy = proxy.New(proxy.Options{
 		RoutingTable: e.configHolder.Table, Services: e, Caller: o.Caller, WriteRefusal: o.WriteRefusal,
 		CrashTracker:  e.blameTracker,
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -8,9 +8,11 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/batch"
+	"filberttrack.example/track/blame"
 )
 
 const (
@@ -98,7 +100,12 @@
 	case batch.Served:
 		x.proxy.options.CrashTracker.RequestCompleted(x.fingerprint)
 	case batch.Interrupted:
-		x.proxy.options.CrashTracker.AttemptBroke(x.fingerprint, grant.Replica)
+		x.proxy.options.Logger.Info("attempt broke off", zap.String("RequestID", string(x.request.ID)),
+			zap.Int("Attempt", x.attempts), zap.String("Replica", string(grant.Replica.ID)),
+			zap.Uint64("Fingerprint", uint64(x.fingerprint)), zap.String("Fault", x.lastFailure))
+		x.proxy.options.CrashTracker.AttemptBroke(blame.Attempt{
+			RequestID: x.request.ID, Fingerprint: x.fingerprint, Replica: grant.Replica,
+		})
 	}
 }
 
--- a/proxy/world_test.go
+++ b/proxy/world_test.go
@@ -153,7 +153,7 @@
 		h.pools[service].Update(replicas)
 	}
 	h.replicas = replicas
-	h.blameTracker = blame.New(h.clock, zap.NewNop())
+	h.blameTracker = blame.New(h.clock, zap.NewNop(), metrics.NewSet())
 	h.blameTracker.SetReplicas(replicas)
 	h.budget = retry.NewServiceBudget(retry.ServiceLimit{Share: 0.2, Slack: 50, Window: 10 * time.Second}, h.clock,
 		func() int { return 1 })
