--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -227,6 +228,26 @@
 	assert.Equal(t, got.Code, http.StatusOK, "other requests are served")
 }
 
+// Guards against a request that goes on to crash replicas for as long as the list shows the crashed ones.
+func TestCrashingRequestIsBarredWhileCrashedReplicasAreListed(t *testing.T) {
+	h := newHarness(slices.Repeat([]behaviour{crashesUnnoticed}, 20)...)
+	for range 2 {
+		_, err := h.post("/status/1")
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, h.runs, 3)
+	var reasons []string
+	for range 3 {
+		got, err := h.post("/status/1")
+		assert.NilError(t, err)
+		reasons = append(reasons, got.Header().Get("Reason"))
+		h.clock.Advance(time.Second)
+		h.replaceCrashed()
+	}
+	assert.Equal(t, h.runs, 3, "replicas that took the place of crashed ones must not get the request")
+	assert.DeepEqual(t, reasons, []string{"CrashesReplicas", "CrashesReplicas", "CrashesReplicas"})
+}
+
 // When a group has lost a rank, all its replicas answer that they did not run the request.
 func TestRequestToBrokenRankGroup(t *testing.T) {
 	for _, c := range []struct {
--- a/proxy/world_test.go
+++ b/proxy/world_test.go
@@ -47,6 +47,8 @@
 	groupBroken
 	resetsBeforeHead
 	crashes
+	// crashesUnnoticed crashes the replica, which stays in the list. Its address refuses connections.
+	crashesUnnoticed
 	hangsInBody
 	resetsInBody
 	truncatesBody
@@ -93,6 +95,8 @@
 	hung chan struct{}
 
 	mu sync.Mutex
+	// down holds the addresses that refuse connections.
+	down map[string]bool
 	// script lists the behaviours of the attempts, in order.
 	script []behaviour
 	// calls lists the attempts so far, and runs counts those that a replica has run.
@@ -132,6 +136,7 @@
 func newHarnessWithLogger(logger *zap.Logger, script ...behaviour) *harness {
 	h := &harness{
 		clock: clockwork.NewFakeClock(), hung: make(chan struct{}, 1), script: script, pools: map[string]*batch.Pool{},
+		down: map[string]bool{},
 	}
 	h.table = hosts.New(track.RouteConfig{
 		Version: 1, Routes: routes, Accounts: []track.RouteAccount{{Name: "mills", Keys: []string{"key"}}},
@@ -166,6 +171,21 @@
 	return h
 }
 
+// replaceCrashed starts a new replica at each address that is down. The crashed ones are still listed.
+func (h *harness) replaceCrashed() {
+	for _, r := range slices.Clone(h.replicas) {
+		if h.down[r.Address] {
+			r.ID += "-new"
+			h.replicas = append(h.replicas, r)
+		}
+	}
+	clear(h.down)
+	h.blameTracker.SetReplicas(h.replicas)
+	for _, p := range h.pools {
+		p.Update(h.replicas)
+	}
+}
+
 // refuse writes a refusal as the HTTP listener does.
 func refuse(w http.ResponseWriter, r proxy.Refusal) {
 	if r.RetryAfter > 0 {
@@ -200,6 +220,9 @@
 func (h *harness) Call(ctx context.Context, call track.ReplicaCall) (track.ReplicaAnswer, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.down[call.Replica.Address] {
+		return track.ReplicaAnswer{}, track.Fail("call", track.Unavailable, errors.New("connection refused"))
+	}
 	b := serves
 	if len(h.calls) < len(h.script) {
 		b = h.script[len(h.calls)]
@@ -217,6 +240,9 @@
 		h.replicas[i].StartID++
 		h.blameTracker.SetReplicas(h.replicas)
 		return track.ReplicaAnswer{}, track.Fail("call", track.Ambiguous, errors.New("connection reset"))
+	case crashesUnnoticed:
+		h.down[call.Replica.Address] = true
+		return track.ReplicaAnswer{}, track.Fail("call", track.Ambiguous, errors.New("connection reset"))
 	case resetsBeforeHead, answersOtherRequest:
 		return track.ReplicaAnswer{}, track.Fail("call", track.Ambiguous, errors.New("connection reset"))
 	case atCapacity:
