fix(blame): a replica that refuses connections after a broken attempt has died

A request kept crashing the replicas that replaced those which it had crashed.

Cause: a death counted only once the list of replicas showed it. An entry of the list lapses after three intervals of 1.2 s without a report, and lists are read each 0.6 s through the zone's leader, so a death was known 2.4 to 4.8 s after the crash. Replacements start 3 s after it under new IDs at the same addresses, and the request ran on them. The class: evidence that is slower than the process which it guards.

A replica with a later start at the same address confirms the death as well. A reset alone, a full or a silent replica is no evidence, as before.

--- a/blame/blame.go
+++ b/blame/blame.go
@@ -2,13 +2,14 @@
 // requests from being sent to further replicas.
 //
 // A broken connection alone does not prove a crash. A replica's death is attributed to a
-// request only once the list of replicas confirms the death, and a request that runs to
-// completion is cleared.
+// request only once it is confirmed: the address of the replica refuses connections, or the
+// list of replicas shows the death. A request that runs to completion is cleared.
 package blame
 
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -24,9 +25,9 @@
 	// deathLimit is the number of deaths at which a request is barred. With fewer, a
 	// harmless request could be barred while replicas crash for other reasons.
 	deathLimit = 3
-	// confirmWindow is the time after a failed attempt within which the list of replicas
-	// must show the replica's death. Replicas report once a second, and one whose reports
-	// have lapsed is dropped from the list within 3 s.
+	// confirmWindow is the time after a failed attempt within which the replica's death
+	// must be confirmed. Replicas report about once a second, and one whose reports have
+	// lapsed is dropped from the list within 4 s.
 	confirmWindow = 5 * time.Second
 	// chargeDuration is how long a charge is kept after the latest death, and so how
 	// long a request is barred.
@@ -84,8 +85,13 @@
 // Evidence says what confirmed the death of a replica.
 type Evidence string
 
-// EvidenceListed means that the list of replicas lacks the replica or shows another start of it.
-const EvidenceListed Evidence = "Listed"
+const (
+	// EvidenceListed means that the list of replicas lacks the replica, or shows another start of
+	// it or another replica at its address.
+	EvidenceListed Evidence = "Listed"
+	// EvidenceRefused means that the address of the replica refused a connection.
+	EvidenceRefused Evidence = "Refused"
+)
 
 // Tracker records which requests crashed replicas. It is safe for concurrent use.
 type Tracker struct {
@@ -100,8 +106,13 @@
 	charges map[Fingerprint]*charge
 	// unconfirmed holds the failed attempts whose replica is still listed, oldest first.
 	unconfirmed []failedAttempt
-	// listedStarts holds the Born value under which each replica is listed.
+	// refused holds the time at which the address of a replica that is still listed refused a
+	// connection.
+	refused map[Death]time.Time
+	// listedStarts holds the Born value under which each replica is listed, and latestStarts the
+	// highest one of the replicas at each address.
 	listedStarts map[track.ReplicaID]int64
+	latestStarts map[string]int64
 }
 
 // charge is the record of a request. See Charge for its fields.
@@ -117,6 +128,7 @@
 	requestID   track.RequestID
 	fingerprint Fingerprint
 	death       Death
+	address     string
 	brokeAt     time.Time
 }
 
@@ -127,7 +139,9 @@
 		confirmationTime: set.GetOrCreateHistogram("filberttrack_death_confirmation_seconds"),
 		unconfirmedTotal: set.GetOrCreateCounter("filberttrack_deaths_unconfirmed_total"),
 		charges:          make(map[Fingerprint]*charge),
+		refused:          make(map[Death]time.Time),
 		listedStarts:     make(map[track.ReplicaID]int64),
+		latestStarts:     make(map[string]int64),
 	}
 	set.GetOrCreateGauge("filberttrack_requests_barred", func() float64 { return float64(b.barredCount()) })
 	return b
@@ -158,8 +172,7 @@
 }
 
 // AttemptBroke records that an attempt broke off on a replica. The replica's death is attributed
-// to the request once SetReplicas confirms it, or at once if the replica has already left the
-// list or restarted.
+// to the request once SetReplicas or ReplicaDied confirms it, or at once if it is known already.
 func (b *Tracker) AttemptBroke(attempt Attempt) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -171,15 +184,53 @@
 		requestID:   attempt.RequestID,
 		fingerprint: attempt.Fingerprint,
 		death:       Death{Replica: replica.ID, Born: replica.StartID},
+		address:     replica.Address,
 		brokeAt:     b.clock.Now(),
 	}
-	if born, listed := b.listedStarts[replica.ID]; !listed || born != replica.StartID {
-		b.chargeDeath(a, EvidenceListed)
+	if evidence, died := b.confirm(a); died {
+		b.chargeDeath(a, evidence)
 		return
 	}
 	b.unconfirmed = append(b.unconfirmed, a)
 }
 
+// ReplicaDied records that the address of a replica refuses connections, which confirms the
+// death of the replica for all attempts that broke off on it.
+func (b *Tracker) ReplicaDied(replica track.Replica) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refused[Death{Replica: replica.ID, Born: replica.StartID}] = b.clock.Now()
+	b.chargeConfirmed()
+}
+
+// confirm reports whether the replica of a failed attempt is known to have died, and from
+// which evidence.
+func (b *Tracker) confirm(a failedAttempt) (Evidence, bool) {
+	if at, refused := b.refused[a.death]; refused && b.clock.Since(at) <= confirmWindow {
+		return EvidenceRefused, true
+	}
+	born, listed := b.listedStarts[a.death.Replica]
+	replaced := a.address != "" && b.latestStarts[a.address] > a.death.Born
+	return EvidenceListed, !listed || born != a.death.Born || replaced
+}
+
+// chargeConfirmed charges the attempts whose replica's death is confirmed, and drops those for
+// which the time to confirm it is over.
+func (b *Tracker) chargeConfirmed() {
+	now := b.clock.Now()
+	b.unconfirmed = slices.DeleteFunc(b.unconfirmed, func(a failedAttempt) bool {
+		if now.Sub(a.brokeAt) > confirmWindow {
+			b.unconfirmedTotal.Inc()
+			return true
+		}
+		evidence, died := b.confirm(a)
+		if died {
+			b.chargeDeath(a, evidence)
+		}
+		return died
+	})
+}
+
 // RequestCompleted records that the request ran to completion, which clears it.
 func (b *Tracker) RequestCompleted(f Fingerprint) {
 	b.mu.Lock()
@@ -199,21 +250,16 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	clear(b.listedStarts)
+	clear(b.latestStarts)
 	for _, r := range replicas {
 		b.listedStarts[r.ID] = r.StartID
+		b.latestStarts[r.Address] = max(b.latestStarts[r.Address], r.StartID)
 	}
-	now := b.clock.Now()
-	b.unconfirmed = slices.DeleteFunc(b.unconfirmed, func(a failedAttempt) bool {
-		if now.Sub(a.brokeAt) > confirmWindow {
-			b.unconfirmedTotal.Inc()
-			return true
-		}
-		if born, listed := b.listedStarts[a.death.Replica]; listed && born == a.death.Born {
-			return false
-		}
-		b.chargeDeath(a, EvidenceListed)
-		return true
+	maps.DeleteFunc(b.refused, func(d Death, _ time.Time) bool {
+		born, listed := b.listedStarts[d.Replica]
+		return !listed || born != d.Born
 	})
+	b.chargeConfirmed()
 }
 
 // chargeDeath attributes the death of an attempt's replica to its request. Each death
--- a/blame/blame_test.go
+++ b/blame/blame_test.go
@@ -79,6 +79,53 @@
 	assert.Assert(t, f.tracker.BarredFor(crasher) > 0)
 }
 
+// Guards against deaths that count only when the entry of the replica has lapsed.
+func TestRefusedConnectionConfirmsDeath(t *testing.T) {
+	f := newFixture(3)
+	for i, r := range f.replicas {
+		f.tracker.AttemptBroke(blame.Attempt{Fingerprint: crasher, Replica: r})
+		f.tracker.ReplicaDied(r)
+		assert.Equal(t, f.tracker.BarredFor(crasher) > 0, i == 2)
+	}
+	other := blame.FingerprintOf([]byte("GET"), []byte("/notes/1"))
+	for _, r := range f.replicas {
+		f.tracker.AttemptBroke(blame.Attempt{Fingerprint: other, Replica: r})
+	}
+	assert.Assert(t, f.tracker.BarredFor(other) > 0, "attempts that break later are charged, too")
+}
+
+// Guards against a replica that is held for dead although its address refused connections long ago.
+func TestRefusalIsForgotten(t *testing.T) {
+	f := newFixture(3)
+	for _, r := range f.replicas {
+		f.tracker.ReplicaDied(r)
+	}
+	f.clock.Advance(6 * time.Second)
+	for _, r := range f.replicas {
+		f.tracker.AttemptBroke(blame.Attempt{Fingerprint: crasher, Replica: r})
+	}
+	assert.Equal(t, f.tracker.BarredFor(crasher), time.Duration(0))
+}
+
+// Guards against deaths that count only when the entry of the replica has lapsed, although another replica has
+// taken its address.
+func TestReplacementAtTheSameAddressConfirmsDeath(t *testing.T) {
+	f := newFixture(3)
+	for i := range 3 {
+		f.replicas[i].Address = fmt.Sprint("10.0.0.", i, ":80")
+		f.tracker.AttemptBroke(blame.Attempt{Fingerprint: crasher, Replica: f.replicas[i]})
+	}
+	f.tracker.SetReplicas(f.replicas)
+	assert.Equal(t, f.tracker.BarredFor(crasher), time.Duration(0))
+	for i := range 3 {
+		f.replicas = append(f.replicas, track.Replica{
+			ID: track.ReplicaID(fmt.Sprint("new-", i)), Address: f.replicas[i].Address, StartID: 2,
+		})
+	}
+	f.tracker.SetReplicas(f.replicas)
+	assert.Assert(t, f.tracker.BarredFor(crasher) > 0)
+}
+
 func TestCompletionClearsRequest(t *testing.T) {
 	f, other := newFixture(3), newFixture(3)
 	for i := range 3 {
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -83,6 +83,7 @@
 	DecodeConfig  latest.DecodeFunc
 	DecodeReplica fleet.DecodeFunc
 	Caller        track.ReplicaCaller
+	Prober        track.ReplicaProber
 	// WriteRefusal writes a refusal to the client.
 	WriteRefusal func(http.ResponseWriter, proxy.Refusal)
 	// MessageConn sends and receives messages between peers.
@@ -182,7 +183,7 @@
 	e.blameTracker = blame.New(o.Clock, o.Logger, o.Metrics)
 	e.proxy = proxy.New(proxy.Options{
 		RoutingTable: e.configHolder.Table, Services: e, Caller: o.Caller, WriteRefusal: o.WriteRefusal,
-		CrashTracker:  e.blameTracker,
+		Prober: o.Prober, CrashTracker: e.blameTracker,
 		MaxEventDelay: o.MaxEventDelay, Clock: o.Clock, Random: o.Random, Logger: o.Logger,
 		Metrics: proxy.NewMetrics(o.Metrics),
 	})
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -80,6 +80,8 @@
 	RoutingTable func() *hosts.Table
 	Services     Services
 	Caller       track.ReplicaCaller
+	// Prober confirms the deaths of replicas.
+	Prober track.ReplicaProber
 	// CrashTracker detects requests that crash replicas, so that they aren't sent to further ones.
 	CrashTracker *blame.Tracker
 	// WriteRefusal writes a refusal to the client.
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -68,7 +68,7 @@
 		x.grant = grant
 		outcome := x.attempt(ctx, grant)
 		grant.Done(outcome.result)
-		x.reportAttempt(grant, outcome)
+		x.reportAttempt(ctx, grant, outcome)
 		if outcome.refusal == nil {
 			return nil
 		}
@@ -93,9 +93,9 @@
 	}
 }
 
-// reportAttempt tells the blame tracker if the request ran to completion or broke off on
+// reportAttempt tells the crash tracker if the request ran to completion or broke off on
 // the replica.
-func (x *exchange) reportAttempt(grant *batch.Grant, outcome attemptOutcome) {
+func (x *exchange) reportAttempt(ctx context.Context, grant *batch.Grant, outcome attemptOutcome) {
 	switch outcome.result.Verdict {
 	case batch.Served:
 		x.proxy.options.CrashTracker.RequestCompleted(x.fingerprint)
@@ -106,6 +106,9 @@
 		x.proxy.options.CrashTracker.AttemptBroke(blame.Attempt{
 			RequestID: x.request.ID, Fingerprint: x.fingerprint, Replica: grant.Replica,
 		})
+		if x.proxy.options.Prober.Refuses(ctx, grant.Replica) {
+			x.proxy.options.CrashTracker.ReplicaDied(grant.Replica)
+		}
 	}
 }
 
--- a/proxy/world_test.go
+++ b/proxy/world_test.go
@@ -81,7 +81,7 @@
 }
 
 // harness holds a proxy and the fake replicas that it sends requests to. It implements
-// proxy.Services and track.ReplicaCaller.
+// proxy.Services, track.ReplicaCaller and track.ReplicaProber.
 type harness struct {
 	clock        *clockwork.FakeClock
 	proxy        *proxy.Proxy
@@ -164,8 +164,8 @@
 		func() int { return 1 })
 	h.proxy = proxy.New(proxy.Options{
 		RoutingTable: func() *hosts.Table { return h.table }, Services: h, Caller: h, WriteRefusal: refuse,
-		CrashTracker: h.blameTracker,
-		Clock:        h.clock, Random: func() float64 { return 0 },
+		Prober: h, CrashTracker: h.blameTracker,
+		Clock: h.clock, Random: func() float64 { return 0 },
 		Logger: logger, Metrics: proxy.NewMetrics(metrics.NewSet()),
 	})
 	return h
@@ -274,6 +274,13 @@
 	return h.runAttempt(call, b), nil
 }
 
+// Refuses implements track.ReplicaProber.
+func (h *harness) Refuses(_ context.Context, replica track.Replica) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.down[replica.Address]
+}
+
 // oddBody returns the body of a replica whose answer doesn't end by itself; nil for other behaviours.
 func (h *harness) oddBody(ctx context.Context, call track.ReplicaCall, b behaviour) io.ReadCloser {
 	firstEvent := strings.NewReader(eventsAfter("", serves)[:len("id: 1\ndata: piece 1\n\n")])
--- a/replica.go
+++ b/replica.go
@@ -64,6 +64,13 @@
 	Call(ctx context.Context, c ReplicaCall) (ReplicaAnswer, error)
 }
 
+// ReplicaProber finds out whether replicas are alive.
+type ReplicaProber interface {
+	// Refuses reports whether the address of the replica refuses connections, because no
+	// process listens there. It returns false if that isn't known soon.
+	Refuses(ctx context.Context, replica Replica) bool
+}
+
 // Departure says that a replica is about to leave.
 type Departure struct {
 	Replica ReplicaID
