fix(store,conns): a long poll notices a silent connection after 2 s, not 4 s

Cause: entries read the configuration with long polls of 25 s. If open connections to the log fall silent without a reset, at all entries at once, peers have no news to pass on either, and each entry waits for its keep-alive probes to fail after 4 s. The class: a detection time that exceeds the time after which a promise is in force again.

--- a/conns/conns.go
+++ b/conns/conns.go
@@ -20,25 +20,40 @@
 	// UserTimeout is the time after which a connection fails if its peer acknowledges
 	// neither data nor keep-alive probes.
 	UserTimeout = 4 * time.Second
-	// keepAliveInterval and keepAliveCount make the keep-alive probes of an idle
-	// connection frequent enough for it to fail within UserTimeout.
+	// LongPollTimeout takes the place of UserTimeout for connections that wait idle for
+	// news. Nothing is lost if one of them fails too early: the poll is repeated.
+	LongPollTimeout = 2 * time.Second
+	// keepAliveInterval is the time between two keep-alive probes of an idle connection, the
+	// shortest that the kernel offers. An idle connection fails when the first probe after the
+	// user timeout is due.
 	keepAliveInterval = time.Second
-	keepAliveCount    = 3
 )
 
-var keepAlive = net.KeepAliveConfig{
-	Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount,
-}
-
 // NewDialer returns a dialer whose connections use keep-alive probes and UserTimeout.
 func NewDialer() *net.Dialer {
-	return &net.Dialer{Timeout: DialTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	return &net.Dialer{Timeout: DialTimeout, KeepAliveConfig: keepAliveFor(UserTimeout), Control: setUserTimeout(UserTimeout)}
+}
+
+// NewLongPollDialer returns a dialer like NewDialer, with LongPollTimeout in place of
+// UserTimeout.
+func NewLongPollDialer() *net.Dialer {
+	dialer := NewDialer()
+	dialer.KeepAliveConfig, dialer.Control = keepAliveFor(LongPollTimeout), setUserTimeout(LongPollTimeout)
+	return dialer
+}
+
+// keepAliveFor returns the keep-alive probes with which an idle connection fails after the given
+// time without an answer.
+func keepAliveFor(userTimeout time.Duration) net.KeepAliveConfig {
+	return net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: int(userTimeout/keepAliveInterval) - 1,
+	}
 }
 
 // Listen listens on a TCP address. The accepted connections use keep-alive probes and
 // UserTimeout.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	config := net.ListenConfig{KeepAliveConfig: keepAliveFor(UserTimeout), Control: setUserTimeout(UserTimeout)}
 	listener, err := config.Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
@@ -46,15 +61,18 @@
 	return listener, nil
 }
 
-// setUserTimeout limits the time that sent data may stay unacknowledged. An accepted
-// connection inherits the option from its listener.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var optErr error
-	err := raw.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(UserTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
+// setUserTimeout returns a control function that limits the time for which sent data and
+// keep-alive probes may stay unacknowledged. An accepted connection inherits the option from
+// its listener.
+func setUserTimeout(timeout time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var optErr error
+		err := raw.Control(func(fd uintptr) {
+			optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return optErr
 	}
-	return optErr
 }
