feat(proxy,door): the parts of a prompt in the log line of a broken attempt

Requests that are all different crashed replicas; what they had in common, the parts of their prompts, was in no log. 'attempt broke off' now names the parts that other requests may share, and whether the replica had begun to write. No change of behaviour.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -52,6 +52,8 @@
 	// committed is set once the status and headers of an answer were written to the
 	// client.
 	committed bool
+	// firstEventAt is when the latest attempt got its first event; zero before.
+	firstEventAt time.Time
 	// splitter splits a stream into events, over all attempts.
 	splitter *events.Splitter
 	// clientCtx ends when the client disconnects.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -43,6 +43,9 @@
 	PromptTokens int
 	MaxTokens    int
 	AnswerTokens int
+	// PromptParts lists the IDs of the parts of the prompt that other requests may share, in
+	// order.
+	PromptParts []string
 	// ResumeAfter is the ID of the last event that the client has; empty for a stream
 	// from its start.
 	ResumeAfter string
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -119,6 +119,7 @@
 			}
 			if len(complete) > 0 {
 				if result.FirstByte == 0 {
+					x.firstEventAt = clock.Now()
 					result.FirstByte = clock.Since(started)
 					x.grant.Started()
 				}
@@ -146,6 +147,11 @@
 	}
 }
 
+// startedWriting reports whether the replica of the latest attempt had begun to write an answer.
+func (x *exchange) startedWriting() bool {
+	return !x.firstEventAt.IsZero()
+}
+
 var errClientWrite = errors.New("can't write to the client")
 
 // relayEvents queues complete events for delivery to the client. It reports whether the
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -102,7 +102,8 @@
 	case batch.Interrupted:
 		x.proxy.options.Logger.Info("attempt broke off", zap.String("RequestID", string(x.request.ID)),
 			zap.Int("Attempt", x.attempts), zap.String("Replica", string(grant.Replica.ID)),
-			zap.Uint64("Fingerprint", uint64(x.fingerprint)), zap.String("Fault", x.lastFailure))
+			zap.Uint64("Fingerprint", uint64(x.fingerprint)), zap.String("Fault", x.lastFailure),
+			zap.Strings("PromptParts", x.request.PromptParts), zap.Bool("Started", x.startedWriting()))
 		x.proxy.options.CrashTracker.AttemptBroke(blame.Attempt{
 			RequestID: x.request.ID, Fingerprint: x.fingerprint, Replica: grant.Replica,
 		})
@@ -210,6 +211,7 @@
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	x.evacuated.Store(false)
+	x.firstEventAt = time.Time{}
 	if x.route.RetryRule != track.RetryOnlyIfNotRun && x.attempts+1 < x.route.MaxAttempts {
 		grant.OnEvacuate(func() {
 			if x.budget.Remaining() > 1 {
