--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -248,6 +248,38 @@
 	assert.DeepEqual(t, reasons, []string{"CrashesReplicas", "CrashesReplicas", "CrashesReplicas"})
 }
 
+// Guards against requests that crash one replica after the other since they all have one part in their prompts.
+// None of them comes twice.
+func TestPartOfAPromptThatCrashesReplicasIsBarred(t *testing.T) {
+	h := newHarness()
+	h.crashingPart = "bad"
+	post := func(n int, parts ...string) *httptest.ResponseRecorder {
+		path := fmt.Sprint("/notes/", n)
+		got, err := h.send(&proxy.Request{
+			ID: track.RequestID(path), Host: host, Method: http.MethodPost, Target: path, Path: path, Body: []byte(path),
+			APIKey: "key", TimeLeft: 8 * time.Second, PromptParts: parts,
+		})
+		assert.NilError(t, err)
+		return got
+	}
+	for n := range 20 {
+		assert.Equal(t, post(n, "kind", fmt.Sprint("yard-", n%3)).Code, http.StatusOK)
+	}
+	h.calls, h.runs, h.crashes = nil, 0, 0
+	for n := range 30 {
+		post(100+n, "kind", "bad")
+		h.clock.Advance(4 * time.Second)
+		h.replaceCrashed()
+	}
+	assert.Assert(t, h.crashes <= 5, "%d crashes", h.crashes)
+	got := post(200, "kind", "bad", "yard-1")
+	assert.Equal(t, got.Code, http.StatusServiceUnavailable)
+	assert.Equal(t, got.Header().Get("Reason"), "PartCrashesReplicas")
+	for n := range 30 {
+		assert.Equal(t, post(300+n, "kind", fmt.Sprint("yard-", n%4)).Code, http.StatusOK, "sound requests share the other parts")
+	}
+}
+
 // When a group has lost a rank, all its replicas answer that they did not run the request.
 func TestRequestToBrokenRankGroup(t *testing.T) {
 	for _, c := range []struct {
--- a/proxy/world_test.go
+++ b/proxy/world_test.go
@@ -95,6 +95,12 @@
 	hung chan struct{}
 
 	mu sync.Mutex
+	// crashingPart is a part of a prompt that crashes each replica that runs a request with it, and crashes
+	// counts these.
+	crashingPart string
+	crashes      int
+	// prompts holds the parts of the prompt of each request, by ID.
+	prompts map[track.RequestID][]string
 	// down holds the addresses that refuse connections.
 	down map[string]bool
 	// script lists the behaviours of the attempts, in order.
@@ -136,7 +142,7 @@
 func newHarnessWithLogger(logger *zap.Logger, script ...behaviour) *harness {
 	h := &harness{
 		clock: clockwork.NewFakeClock(), hung: make(chan struct{}, 1), script: script, pools: map[string]*batch.Pool{},
-		down: map[string]bool{},
+		down: map[string]bool{}, prompts: map[track.RequestID][]string{},
 	}
 	h.table = hosts.New(track.RouteConfig{
 		Version: 1, Routes: routes, Accounts: []track.RouteAccount{{Name: "mills", Keys: []string{"key"}}},
@@ -173,13 +179,14 @@
 
 // replaceCrashed starts a new replica at each address that is down. The crashed ones are still listed.
 func (h *harness) replaceCrashed() {
-	for _, r := range slices.Clone(h.replicas) {
+	listed := slices.Clone(h.replicas)
+	for _, r := range slices.Backward(listed) {
 		if h.down[r.Address] {
+			delete(h.down, r.Address)
 			r.ID += "-new"
 			h.replicas = append(h.replicas, r)
 		}
 	}
-	clear(h.down)
 	h.blameTracker.SetReplicas(h.replicas)
 	for _, p := range h.pools {
 		p.Update(h.replicas)
@@ -210,6 +217,7 @@
 }
 
 func (h *harness) send(r *proxy.Request) (*httptest.ResponseRecorder, error) {
+	h.prompts[r.ID] = r.PromptParts
 	recorder := httptest.NewRecorder()
 	err := h.proxy.Serve(context.Background(), recorder, r)
 	return recorder, err
@@ -227,6 +235,10 @@
 	if len(h.calls) < len(h.script) {
 		b = h.script[len(h.calls)]
 	}
+	if h.crashingPart != "" && slices.Contains(h.prompts[call.RequestID], h.crashingPart) {
+		b = crashesUnnoticed
+		h.crashes++
+	}
 	h.calls = append(h.calls, call)
 	if b.ran() {
 		h.runs++
