--- a/boot/load_test.go
+++ b/boot/load_test.go
@@ -90,20 +90,7 @@
 		crashMarker      = "POISON"
 	)
 	runSimulation(t, 2, func(ctx context.Context, sim *simulation) {
-		engines := make([]*engine.Engine, 6)
-		for i := range engines {
-			engines[i] = engine.New(sim.clock, engine.Settings{
-				Model: "dispatch-llm", StepTime: 10 * time.Millisecond, PoisonMarker: crashMarker,
-				RestartAfter: 300 * time.Millisecond,
-			})
-			id := fmt.Sprintf("agent-%d", i+1)
-			if i < len(sim.engines) {
-				sim.transport.Serve(id, engines[i])
-				continue
-			}
-			sim.addAgent(ctx, fmt.Sprintf("agent-%d", i+10), "dispatch-llm", engines[i])
-		}
-		sim.advance(5 * time.Second)
+		engines := sim.addCrashingEngines(ctx, crashMarker)
 		prompt := func(text string) string {
 			return fmt.Sprintf(`{"model":"dispatch-llm","messages":[{"role":"user","content":%q}]}`, text)
 		}
@@ -126,10 +113,7 @@
 			assert.Equal(t, again.Header.Get("Filberttrack-Outcome"), "NotRun")
 			assert.Assert(t, again.Header.Get("Retry-After") != "")
 		}
-		crashes := int64(0)
-		for _, e := range engines {
-			crashes += e.Counts().Crashes
-		}
+		crashes := totalCrashes(engines)
 		t.Logf("%d crashes, %d harmless requests served", crashes, harmlessRequests)
 		assert.Equal(t, crashes, int64(maxCrashes))
 		sim.advance(time.Second)
@@ -144,6 +128,67 @@
 	})
 }
 
+// Guards against different requests that crash one engine after the other, since all have one message in their
+// conversations. Requests that share the other messages must be served.
+func TestConversationsWithOneCrashingMessage(t *testing.T) {
+	const (
+		maxCrashes  = 5
+		crashMarker = "POISON"
+	)
+	runSimulation(t, 2, func(ctx context.Context, sim *simulation) {
+		engines := sim.addCrashingEngines(ctx, crashMarker)
+		conversation := func(message string, n int) string {
+			return fmt.Sprintf(`{"model":"dispatch-llm","messages":[{"role":"system","content":"You help drivers."},`+
+				`{"role":"user","content":%q},{"role":"user","content":"question %d"}]}`, message, n)
+		}
+		for n := range 6 {
+			answer := sim.call(n%2, "POST", "/v1/chat/completions", conversation("The yard is open.", n))
+			assert.Equal(t, answer.StatusCode, http.StatusOK)
+		}
+		for n := range 20 {
+			answer := sim.call(n%2, "POST", "/v1/chat/completions", conversation(crashMarker, 100+n))
+			assert.Assert(t, answer.StatusCode >= http.StatusInternalServerError)
+			sim.advance(4 * time.Second)
+		}
+		crashes := totalCrashes(engines)
+		assert.Assert(t, crashes <= maxCrashes, "%d crashes", crashes)
+		last := sim.call(0, "POST", "/v1/chat/completions", conversation(crashMarker, 200))
+		assert.Equal(t, last.Header.Get("Filberttrack-Outcome"), "NotRun")
+		assert.Assert(t, last.Header.Get("Retry-After") != "")
+		for n := range 6 {
+			answer := sim.call(n%2, "POST", "/v1/chat/completions", conversation("The yard is closed.", 300+n))
+			assert.Equal(t, answer.StatusCode, http.StatusOK, "conversations share the other messages")
+		}
+	})
+}
+
+// addCrashingEngines replaces the engines by six that crash when they start a prompt with the marker.
+func (sim *simulation) addCrashingEngines(ctx context.Context, marker string) []*engine.Engine {
+	engines := make([]*engine.Engine, 6)
+	for i := range engines {
+		engines[i] = engine.New(sim.clock, engine.Settings{
+			Model: "dispatch-llm", StepTime: 10 * time.Millisecond, PoisonMarker: marker,
+			RestartAfter: 300 * time.Millisecond,
+		})
+		if i < len(sim.engines) {
+			sim.transport.Serve(fmt.Sprintf("agent-%d", i+1), engines[i])
+			continue
+		}
+		sim.addAgent(ctx, fmt.Sprintf("agent-%d", i+10), "dispatch-llm", engines[i])
+	}
+	sim.advance(5 * time.Second)
+	return engines
+}
+
+// totalCrashes returns the number of crashes of all engines.
+func totalCrashes(engines []*engine.Engine) int64 {
+	crashes := int64(0)
+	for _, e := range engines {
+		crashes += e.Counts().Crashes
+	}
+	return crashes
+}
+
 // quarantined returns the fingerprints of crashing requests that an entry lists to
 // operators.
 func (sim *simulation) quarantined(entry int) []crash.ListedFingerprint {
