fix(entry,boot): messages that crash backend servers are barred in filberttrack, too

Callers of filberttrack would have seen one backend server after the other go down under different conversations with one message in common.

Cause: the quarantine knows whole requests only. Each conversation crashed an engine, became a suspect, and crashed a second one in isolation.

Change: all messages of a conversation but the last one are its parts, which package parts watches as it does for trackd. Entries share charges under the topic Parts. Ends of runs on one backend server within two seconds count as one crash, since agents don't number the starts of their backend servers.

--- a/boot/entrycore.go
+++ b/boot/entrycore.go
@@ -25,6 +25,7 @@
 	"filberttrack.example/track/entry/relay"
 	"filberttrack.example/track/frames"
 	"filberttrack.example/track/limit"
+	"filberttrack.example/track/parts"
 	"filberttrack.example/track/retry"
 	"filberttrack.example/track/router"
 )
@@ -44,6 +45,8 @@
 	limiter       *limit.Limiter
 	admission     *admit.Controllers
 	crashTracker  *crash.Tracker
+	partsTracker  *parts.Tracker
+	partsSharer   *parts.Sharer
 	membership    *beat.Exchange
 	unready       atomic.Bool
 	claims        *claims.Executor
@@ -61,7 +64,7 @@
 		metrics:       deps.Metrics,
 		initialConfig: s.Config(),
 	}
-	notices := beat.NewNotices(track.TopicUsage, track.TopicQuarantine)
+	notices := beat.NewNotices(track.TopicUsage, track.TopicQuarantine, track.TopicParts)
 	c.setUpPolicies(notices)
 	store, configTopic := newConfigStore(
 		c.instance, c.started, deps, deps.Platform.Log, s.Platform.Retention,
@@ -71,6 +74,7 @@
 	topics := append(notices.Handlers(), configTopic)
 	c.membership = newMembership(c.instance, c.started, deps, c.metrics, c.heartbeatState, c.router.Update, topics...)
 	notices.SendImmediately(track.TopicQuarantine, c.membership)
+	notices.SendImmediately(track.TopicParts, c.membership)
 	deps.AgentDialer = leaveDetectingDialer{deps.AgentDialer, c.membership}
 	frameDrops := frames.NewDropCounters(c.metrics)
 	claimSettings := claims.Defaults()
@@ -98,6 +102,7 @@
 		Capacity:       c.router,
 		Retries:        retry.New(deps.Clock, c.newRand("retry")),
 		Crashes:        c.crashTracker,
+		Parts:          c.partsTracker,
 		FrameDrops:     frameDrops,
 	})
 	c.admin = admin.New(admin.Options{Status: c.Status, Metrics: c.metrics, Profiling: s.Logging.Profiling})
--- a/boot/policies.go
+++ b/boot/policies.go
@@ -11,6 +11,7 @@
 	"filberttrack.example/track/crash"
 	"filberttrack.example/track/duty"
 	"filberttrack.example/track/limit"
+	"filberttrack.example/track/parts"
 	"filberttrack.example/track/router"
 )
 
@@ -23,6 +24,8 @@
 	c.router = router.New(deps.Clock, c.newRand("route"), c.instance.Zone, router.AllReachable{})
 	c.limiter = limit.New(deps.Clock, c.instance.ID, gossip, deps.Logger, c.metrics)
 	c.admission = admit.NewControllers(deps.Clock, c.newRand("admit"), c.router, c.metrics)
+	c.partsTracker = parts.New(deps.Clock, deps.Logger, c.metrics)
+	c.partsSharer = parts.NewSharer(c.partsTracker, c.instance.ID, gossip, deps.Logger)
 	c.crashTracker = crash.New(deps.Clock, crash.DefaultPolicy(), c.instance.ID, gossip, deps.Logger, c.metrics)
 }
 
@@ -38,5 +41,6 @@
 	return duty.Every(ctx, c.deps.Clock, limit.PublishInterval, func() {
 		c.limiter.Publish()
 		c.crashTracker.Publish()
+		c.partsSharer.Publish()
 	})
 }
--- a/call.go
+++ b/call.go
@@ -54,6 +54,9 @@
 	// Prefixes holds the hash of each prefix of the prompt that is a whole number of
 	// blocks, the shortest first. Each hash includes the one before.
 	Prefixes []uint64
+	// Parts holds a hash of each part of the prompt but the last one, in order. Other prompts
+	// may share these parts.
+	Parts []uint64
 	// Fingerprint is a hash of the request's content without its ID, so that equal
 	// requests have equal fingerprints.
 	Fingerprint uint64
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,6 +24,7 @@
 	"filberttrack.example/track/entry/relay"
 	"filberttrack.example/track/frames"
 	"filberttrack.example/track/limit"
+	"filberttrack.example/track/parts"
 	"filberttrack.example/track/retry"
 )
 
@@ -55,6 +56,8 @@
 	Retries *retry.Retrier
 	// Crashes quarantines requests that crash backend servers.
 	Crashes *crash.Tracker
+	// Parts bars requests with parts that crash backend servers.
+	Parts *parts.Tracker
 	// LogDecisions turns on a log line for each routing decision.
 	LogDecisions bool
 }
--- a/entry/flow/flow.go
+++ b/entry/flow/flow.go
@@ -43,6 +43,9 @@
 	// ResponseSent is set by a step that has the whole response and sends it, so
 	// that later steps don't run the call again.
 	ResponseSent bool
+	// PartTrial is set if the call was admitted to show whether a part of its prompt crashes
+	// backend servers.
+	PartTrial bool
 
 	endHooks []func()
 }
--- a/entry/parse/chat.go
+++ b/entry/parse/chat.go
@@ -21,6 +21,9 @@
 // maxPrefixBlocks is the most blocks of one prompt that are hashed.
 const maxPrefixBlocks = 64
 
+// maxParts is the most messages of one prompt that are told apart.
+const maxParts = 64
+
 // bytesPerToken is used to estimate the number of tokens in a text.
 const bytesPerToken = 4
 
@@ -83,6 +86,7 @@
 	call.MaxTokens = request.maxTokens()
 	call.Fingerprint = xxhash.Sum64(body)
 	setPrompt(call, request.Messages)
+	call.Parts = partsOf(model.Name, request.Messages)
 	call.Header = http.Header{"Content-Type": {"application/json"}}
 	err = setProfile(x, s.directory, model.Profile, s.limits)
 	if err != nil {
@@ -158,6 +162,17 @@
 	call.Prefixes = prefix.BlockHashes(text, maxPrefixBlocks)
 }
 
+// partsOf returns a hash of each message but the last one. Other conversations with the model may
+// share these.
+func partsOf(model string, messages []chatMessage) []uint64 {
+	shared := messages[:min(len(messages)-1, maxParts)]
+	hashes := make([]uint64, 0, len(shared))
+	for _, m := range shared {
+		hashes = append(hashes, xxhash.Sum64String(model+"\x00"+m.Role+"\x00"+m.text()))
+	}
+	return hashes
+}
+
 // text returns the content of the message, or its raw JSON if it isn't a
 // string.
 func (m chatMessage) text() string {
--- a/entry/plan.go
+++ b/entry/plan.go
@@ -21,7 +21,7 @@
 	return []flow.Step{
 		ident.New(o.Directory),
 		parse.NewChat(o.Directory, o.RequestLimits),
-		screen.New(o.Crashes, o.Logger),
+		screen.New(o.Crashes, o.Parts, o.Logger),
 		quota.New(o.Limiter, o.Logger),
 		queue.New(o.Admission, o.Capacity, o.Logger),
 		sendStep(o),
@@ -33,7 +33,7 @@
 	return []flow.Step{
 		ident.New(o.Directory),
 		parse.NewPlain(o.Directory, o.RequestLimits),
-		screen.New(o.Crashes, o.Logger),
+		screen.New(o.Crashes, o.Parts, o.Logger),
 		quota.New(o.Limiter, o.Logger),
 		queue.New(o.Admission, o.Capacity, o.Logger),
 		claimStep(o),
@@ -77,6 +77,7 @@
 		Drops:            o.FrameDrops,
 		Retries:          o.Retries,
 		Crashes:          o.Crashes,
+		Parts:            o.Parts,
 		Capacity:         o.Capacity,
 		ExpectedDuration: func(target string) time.Duration { return o.Admission.ForTarget(target).ExpectedDuration() },
 		LogDecisions:     o.LogDecisions,
--- a/entry/screen/screen.go
+++ b/entry/screen/screen.go
@@ -13,17 +13,19 @@
 	"filberttrack.example/track"
 	"filberttrack.example/track/crash"
 	"filberttrack.example/track/entry/flow"
+	"filberttrack.example/track/parts"
 )
 
-// Step refuses requests whose fingerprint is quarantined.
+// Step refuses requests whose fingerprint is quarantined or that contain a barred part.
 type Step struct {
 	tracker *crash.Tracker
+	parts   *parts.Tracker
 	logger  *zap.Logger
 }
 
 // New returns a Step.
-func New(tracker *crash.Tracker, logger *zap.Logger) *Step {
-	return &Step{tracker: tracker, logger: logger}
+func New(tracker *crash.Tracker, partsTracker *parts.Tracker, logger *zap.Logger) *Step {
+	return &Step{tracker: tracker, parts: partsTracker, logger: logger}
 }
 
 // String implements flow.Step.
@@ -33,7 +35,7 @@
 func (s *Step) Run(_ context.Context, x *flow.Exchange) error {
 	decision := s.tracker.Check(x.Call.Fingerprint)
 	if decision.Standing != crash.Quarantined {
-		return nil
+		return s.checkParts(x)
 	}
 	s.logger.Info("request refused",
 		zap.String("RequestID", string(x.Call.ID)),
@@ -43,6 +45,41 @@
 	return QuarantineRefusal(x.Call.Fingerprint, decision.RetryAfter, track.NotRun)
 }
 
+// checkParts refuses a request with a barred part, unless it is the trial of that part.
+func (s *Step) checkParts(x *flow.Exchange) error {
+	decision := s.parts.Check(PartsOf(&x.Call))
+	x.PartTrial = decision.Trial
+	if decision.RetryAfter == 0 {
+		return nil
+	}
+	s.logger.Info("request refused",
+		zap.String("RequestID", string(x.Call.ID)),
+		zap.String("Reason", "PartQuarantined"),
+		zap.Duration("Left", decision.RetryAfter))
+	return PartRefusal(decision.RetryAfter, track.NotRun)
+}
+
+// PartsOf returns the parts of a call's prompt that other prompts may share.
+func PartsOf(call *track.Call) []parts.Part {
+	list := make([]parts.Part, 0, len(call.Parts))
+	for _, hash := range call.Parts {
+		list = append(list, parts.Part(hash))
+	}
+	return list
+}
+
+// PartRefusal returns the refusal of a request with a part that must not run until retryAfter
+// has passed.
+func PartRefusal(retryAfter time.Duration, outcome track.Outcome) *flow.RefusalError {
+	return &flow.RefusalError{
+		Status:     http.StatusServiceUnavailable,
+		Code:       "message_quarantined",
+		Message:    "requests with one of the messages of this conversation crashed backend servers",
+		Outcome:    outcome,
+		RetryAfter: retryAfter,
+	}
+}
+
 // QuarantineRefusal returns the refusal of a request whose fingerprint must not
 // run until retryAfter has passed.
 func QuarantineRefusal(fingerprint uint64, retryAfter time.Duration, outcome track.Outcome) *flow.RefusalError {
--- a/entry/send/attempt.go
+++ b/entry/send/attempt.go
@@ -13,6 +13,7 @@
 	"filberttrack.example/track/entry/flow"
 	"filberttrack.example/track/entry/screen"
 	"filberttrack.example/track/frames"
+	"filberttrack.example/track/parts"
 	"filberttrack.example/track/retry"
 )
 
@@ -33,6 +34,9 @@
 // one that runs no other suspect, for which it may have to wait.
 func (e *execution) prepareAttempt(ctx context.Context) (*attempt, *flow.RefusalError) {
 	call := &e.exchange.Call
+	if left := e.partsBarredFor(); left > 0 {
+		return nil, screen.PartRefusal(left, e.newRefusal(0, "", "").Outcome)
+	}
 	for {
 		decision := e.beginRun(ctx)
 		if decision.Refused {
@@ -54,6 +58,18 @@
 	}
 }
 
+// partsBarredFor returns the time after which a call with a barred part may be retried; 0 if no
+// part is barred or this call is its trial.
+func (e *execution) partsBarredFor() time.Duration {
+	tracker, list := e.step.options.Parts, screen.PartsOf(&e.exchange.Call)
+	if e.exchange.PartTrial {
+		return tracker.ConvictedFor(list)
+	}
+	decision := tracker.Check(list)
+	e.exchange.PartTrial = decision.Trial
+	return decision.RetryAfter
+}
+
 // newAttempt returns the attempt that is to run on the chosen replica.
 func (e *execution) newAttempt(choice track.RoutingDecision, isolated bool) *attempt {
 	o := e.step.options
@@ -188,6 +204,7 @@
 		Completed: succeeded,
 		Isolated:  a.choice.Isolated,
 	})
+	e.recordPartsResult(a, succeeded)
 	if a.provenNotRun() {
 		return
 	}
@@ -197,6 +214,30 @@
 	}
 }
 
+// soundAfter is the time after the first byte from which on a response shows that the parts of the
+// prompt don't crash the backend server.
+const soundAfter = 300 * time.Millisecond
+
+// recordPartsResult reports to the parts tracker whether the backend server has crashed before it
+// wrote a response.
+func (e *execution) recordPartsResult(a *attempt, succeeded bool) {
+	o := e.step.options
+	list := screen.PartsOf(&e.exchange.Call)
+	if len(list) == 0 {
+		return
+	}
+	now := o.Clock.Now()
+	sound := succeeded || a.firstByte > 0 && now.Sub(a.startedAt)-a.firstByte >= soundAfter
+	switch {
+	case sound:
+		o.Parts.RunWasSound(list)
+	case a.finalFrame != nil && a.finalFrame.Crashed:
+		o.Parts.RunCrashed(parts.Run{
+			Request: e.exchange.Call.Fingerprint, Parts: list, Trial: e.exchange.PartTrial, SentAt: a.startedAt, BrokeAt: now,
+		}, parts.Crash{Replica: track.ReplicaID(a.choice.Server.Agent)})
+	}
+}
+
 // routerResult returns the result of an attempt that is reported to the router.
 func (e *execution) routerResult(ctx context.Context, a *attempt) track.AttemptResult {
 	result := track.AttemptResult{
--- a/entry/send/send.go
+++ b/entry/send/send.go
@@ -17,6 +17,7 @@
 	"filberttrack.example/track/entry/flow"
 	"filberttrack.example/track/entry/relay"
 	"filberttrack.example/track/frames"
+	"filberttrack.example/track/parts"
 	"filberttrack.example/track/retry"
 )
 
@@ -34,6 +35,8 @@
 	Retries *retry.Retrier
 	// Crashes quarantines requests that crash backend servers.
 	Crashes *crash.Tracker
+	// Parts bars requests with parts that crash backend servers.
+	Parts *parts.Tracker
 	// ExpectedDuration returns the expected duration of an attempt at a target.
 	ExpectedDuration func(target string) time.Duration
 	// Capacity returns the number of replicas of a target.
--- a/gossip.go
+++ b/gossip.go
@@ -7,6 +7,9 @@
 	// TopicQuarantine carries the state of requests that are suspected of crashing
 	// backend servers.
 	TopicQuarantine Topic = "Quarantine"
+	// TopicParts carries the parts of prompts that are suspected of crashing backend
+	// servers.
+	TopicParts Topic = "Parts"
 )
 
 // Notice holds all that an entry shares with other entries on a topic. A later
--- a/parts/parts.go
+++ b/parts/parts.go
@@ -55,6 +55,9 @@
 	// peerSoundMemory is the time for which the highest number of sound runs that a peer has
 	// reported is kept. Peers in other zones send messages once a second.
 	peerSoundMemory = 5 * time.Second
+	// crashSpread is the time within which the ends of two runs on one replica are taken for the same
+	// crash if the starts of the replica aren't known. It includes the age of peers' messages.
+	crashSpread = 2 * time.Second
 	// maxCharges, maxCrashes and maxSoundParts bound the memory.
 	maxCharges    = 2048
 	maxCrashes    = 8
@@ -79,7 +82,7 @@
 // Crash identifies the death of a replica.
 type Crash struct {
 	Replica track.ReplicaID
-	// Born identifies the start of the replica that ended in the crash.
+	// Born identifies the start of the replica that ended in the crash; 0 if unknown.
 	Born int64
 }
 
@@ -173,6 +176,14 @@
 	sentAt, brokeAt time.Time
 }
 
+// same reports whether two runs were cut off by the same crash.
+func (s suspectedCrash) same(other suspectedCrash) bool {
+	if s.Born != 0 || other.Born != 0 {
+		return s.Crash == other.Crash
+	}
+	return s.Replica == other.Replica && s.brokeAt.Sub(other.brokeAt).Abs() < crashSpread
+}
+
 // New returns a Tracker without charges. It registers its metrics in the given set.
 func New(clock clockwork.Clock, logger *zap.Logger, set *metrics.Set) *Tracker {
 	t := &Tracker{
@@ -371,7 +382,7 @@
 
 // add adds a crash unless the charge has it already. Only the latest ones are kept.
 func (c *charge) add(s suspectedCrash) bool {
-	if slices.ContainsFunc(c.crashes, func(known suspectedCrash) bool { return known.Crash == s.Crash }) {
+	if slices.ContainsFunc(c.crashes, s.same) {
 		return false
 	}
 	c.crashes = append(c.crashes, s)
@@ -540,8 +551,8 @@
 }
 
 // unexplained returns the crashes without the explained ones.
-func (c *charge) unexplained(explained map[Crash]bool) []suspectedCrash {
-	return slices.DeleteFunc(slices.Clone(c.crashes), func(s suspectedCrash) bool { return explained[s.Crash] })
+func (c *charge) unexplained(explained []suspectedCrash) []suspectedCrash {
+	return slices.DeleteFunc(slices.Clone(c.crashes), func(s suspectedCrash) bool { return slices.ContainsFunc(explained, s.same) })
 }
 
 // mostSuspected returns the part that is suspected of the most crashes which no convicted part
@@ -566,15 +577,11 @@
 }
 
 // explainedCrashes returns the crashes that convicted parts are suspected of.
-func (t *Tracker) explainedCrashes() map[Crash]bool {
-	explained := make(map[Crash]bool)
+func (t *Tracker) explainedCrashes() []suspectedCrash {
+	var explained []suspectedCrash
 	for p := range t.charges {
-		c := t.activeCharge(p)
-		if c == nil || !c.convicted {
-			continue
-		}
-		for _, s := range c.crashes {
-			explained[s.Crash] = true
+		if c := t.activeCharge(p); c != nil && c.convicted {
+			explained = append(explained, c.crashes...)
 		}
 	}
 	return explained
