feat(crash): operators list and release barred parts of prompts

filberttrack quarantine list shows messages on probation and convicted ones beside the fingerprints of whole requests; release ends either.

--- a/boot/entrycore.go
+++ b/boot/entrycore.go
@@ -106,7 +106,7 @@
 		FrameDrops:     frameDrops,
 	})
 	c.admin = admin.New(admin.Options{Status: c.Status, Metrics: c.metrics, Profiling: s.Logging.Profiling})
-	c.crashTracker.Register(c.admin, deps.OperatorAuth)
+	crash.Register(c.admin, c.crashTracker, c.partsTracker, deps.OperatorAuth)
 	edits.New(edits.Options{
 		Store: c.config, Guard: deps.OperatorAuth, Clock: deps.Clock, Logger: deps.Logger,
 	}).Register(c.admin)
--- a/boot/load_test.go
+++ b/boot/load_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -159,6 +160,15 @@
 			answer := sim.call(n%2, "POST", "/v1/chat/completions", conversation("The yard is closed.", 300+n))
 			assert.Equal(t, answer.StatusCode, http.StatusOK, "conversations share the other messages")
 		}
+		sim.advance(time.Second)
+		for entry := range 2 {
+			listed := slices.DeleteFunc(sim.quarantined(entry), func(l crash.ListedFingerprint) bool { return l.Standing != "PartConvicted" })
+			assert.Equal(t, len(listed), 1, "operators see the message at both entries")
+			if entry == 1 {
+				assert.Equal(t, sim.release(1, listed[0].Fingerprint, "operators"), http.StatusOK)
+				assert.Equal(t, sim.release(1, listed[0].Fingerprint, "operators"), http.StatusNotFound)
+			}
+		}
 	})
 }
 
--- a/cmd/filberttrack/quarantine.go
+++ b/cmd/filberttrack/quarantine.go
@@ -21,7 +21,7 @@
 		Usage: "list requests that crash backend servers, and release them",
 		Commands: []*cli.Command{
 			{
-				Name: "list", Usage: "list suspects and quarantined requests by fingerprint", Flags: adminFlags(),
+				Name: "list", Usage: "list suspects and quarantined requests and parts of prompts by fingerprint", Flags: adminFlags(),
 				Action: func(ctx context.Context, c *cli.Command) error {
 					return showValue(ctx, c, crash.ListPath, printQuarantine)
 				},
--- a/crash/operators.go
+++ b/crash/operators.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"filberttrack.example/track/admin"
+	"filberttrack.example/track/parts"
 )
 
 // The paths on the operators' listener.
@@ -25,7 +26,8 @@
 type ListedFingerprint struct {
 	// Fingerprint is the fingerprint as 16 hexadecimal digits.
 	Fingerprint string
-	// Standing is "Suspect" or "Quarantined".
+	// Standing is "Suspect" or "Quarantined" and, for a part of prompts, "PartOnProbation" or
+	// "PartConvicted".
 	Standing string
 	// LeftSeconds is the time until the record expires, in seconds.
 	LeftSeconds float64
@@ -37,15 +39,22 @@
 	Fingerprint string
 }
 
-// Register adds the handlers for ListPath and ReleasePath to the operators' listener.
-// Guard wraps the handler of changes and admits authorized operators only; if it is nil,
-// all changes are refused.
-func (t *Tracker) Register(h *admin.Handler, guard func(http.Handler) http.Handler) {
+// Register adds the handlers for ListPath and ReleasePath to the operators' listener. They
+// cover the fingerprints and the parts of prompts. Guard wraps the handler of changes and
+// admits authorized operators only; if it is nil, all changes are refused.
+func Register(h *admin.Handler, t *Tracker, partsTracker *parts.Tracker, guard func(http.Handler) http.Handler) {
 	if guard == nil {
 		guard = refuseAll
 	}
-	h.Handle("GET "+ListPath, http.HandlerFunc(t.serveList))
-	h.Handle("POST "+ReleasePath, guard(http.HandlerFunc(t.serveRelease)))
+	o := operators{tracker: t, parts: partsTracker}
+	h.Handle("GET "+ListPath, http.HandlerFunc(o.serveList))
+	h.Handle("POST "+ReleasePath, guard(http.HandlerFunc(o.serveRelease)))
+}
+
+// operators serves the operators' requests.
+type operators struct {
+	tracker *Tracker
+	parts   *parts.Tracker
 }
 
 func refuseAll(http.Handler) http.Handler {
@@ -55,19 +64,28 @@
 	})
 }
 
-func (t *Tracker) serveList(w http.ResponseWriter, _ *http.Request) {
+func (o operators) serveList(w http.ResponseWriter, _ *http.Request) {
 	listed := []ListedFingerprint{}
-	for _, e := range t.List() {
+	for _, e := range o.tracker.List() {
 		listed = append(listed, ListedFingerprint{
 			Fingerprint: fmt.Sprintf("%016x", e.Fingerprint),
 			Standing:    e.Standing.String(),
 			LeftSeconds: e.Remaining.Seconds(),
 		})
 	}
+	for _, p := range o.parts.Barred() {
+		standing := "PartOnProbation"
+		if p.Convicted {
+			standing = "PartConvicted"
+		}
+		listed = append(listed, ListedFingerprint{
+			Fingerprint: fmt.Sprintf("%016x", uint64(p.Part)), Standing: standing, LeftSeconds: p.Remaining.Seconds(),
+		})
+	}
 	admin.WriteJSON(w, http.StatusOK, listed)
 }
 
-func (t *Tracker) serveRelease(w http.ResponseWriter, r *http.Request) {
+func (o operators) serveRelease(w http.ResponseWriter, r *http.Request) {
 	release, err := admin.ReadJSON[ReleaseRequest](http.MaxBytesReader(w, r.Body, maxReleaseBytes))
 	if err != nil {
 		admin.WriteError(w, http.StatusBadRequest, "invalid_json", err.Error())
@@ -78,11 +96,11 @@
 		admin.WriteError(w, http.StatusBadRequest, "invalid_fingerprint", err.Error())
 		return
 	}
-	if !t.Release(fingerprint) {
+	if !o.tracker.Release(fingerprint) && !o.parts.Release(parts.Part(fingerprint)) {
 		admin.WriteError(w, http.StatusNotFound, "not_quarantined",
 			"the fingerprint is not quarantined on this entry")
 		return
 	}
-	t.logger.Info("quarantine released by operator", zap.String("fingerprint", release.Fingerprint))
+	o.tracker.logger.Info("quarantine released by operator", zap.String("fingerprint", release.Fingerprint))
 	admin.WriteJSON(w, http.StatusOK, release)
 }
