test(soak,mimic): requests and parts that crash replicas; answers with neither length nor chunks

CrashingRequest sends one request, CrashingPart different requests with one part in their prompts, each crashing the replicas that run them; replacements start under new IDs after 2 s while the list shows the crashed ones for 3.6 s. The address of a dead replica refuses connections now; it used to accept and close them. CrashingRequestsAreBarred allows three arrivals from 3 s after the third and the fifth crash on; SoundRequestsAreServedBesideCrashingOnes compares shares from 6 s after the last crash. Both are shown to fail. Replicas also answer without framing, whole, reset or cut inside an event.

--- a/soak/check.go
+++ b/soak/check.go
@@ -46,6 +46,9 @@
 	RevokedAt map[string]time.Time
 	// ArrivalsDuringRest holds the requests that reached replicas which had asked for rest.
 	ArrivalsDuringRest []mimic.Arrival
+	// Crashes holds the crashes of replicas, and CrashArrivals the arrivals of requests that crash
+	// them.
+	Crashes, CrashArrivals []mimic.CrashEvent
 	// Entries is the number of entries.
 	Entries int
 	// MixedMaps describes a pass in which ranks used different expert maps; empty if there was
@@ -82,6 +85,13 @@
 	// MaxDuringRest from each entry.
 	RestGrace     time.Duration
 	MaxDuringRest int
+	// MaxCrashesByRequest and MaxCrashesByPart are the crashes by one request and by one part of a
+	// prompt, and MaxAfterCrashes the requests with it that may still arrive from stableTime after
+	// that crash on.
+	MaxCrashesByRequest, MaxCrashesByPart, MaxAfterCrashes int
+	// MinSoundRatio is the smallest allowed ratio of the share of sound requests that are served
+	// beside crashing ones to that of other times, from twice stableTime after the last crash on.
+	MinSoundRatio float64
 	// DrainTime is the time after which a leaving replica gets no new request.
 	DrainTime time.Duration
 	// ApplyTime is the time after which a change of the configuration is in force.
@@ -100,6 +110,7 @@
 func DefaultBounds() Bounds {
 	return Bounds{
 		RestGrace: 500 * time.Millisecond, MaxDuringRest: 2,
+		MaxCrashesByRequest: 3, MaxCrashesByPart: 5, MaxAfterCrashes: 3, MinSoundRatio: 0.5,
 		DrainTime: 2 * time.Second, ApplyTime: 2 * time.Second,
 		RecoveryTime: 12 * time.Second, MinRecoveredShare: 0.95, MinServedRatio: 0.25,
 	}
@@ -122,6 +133,8 @@
 	{"NoPieceLostOrDoubled", noPieceLostOrDoubled},
 	{"LeavingReplicasGetNothing", leavingReplicasGetNothing},
 	{"RestingReplicasGetNothing", restingReplicasGetNothing},
+	{"CrashingRequestsAreBarred", crashingRequestsAreBarred},
+	{"SoundRequestsAreServedBesideCrashingOnes", soundRequestsAreServedBesideCrashingOnes},
 	{"RevokedKeysAreRefused", revokedKeysAreRefused},
 	{"OneMapInEachPass", oneMapInEachPass},
 	{"NobodyStarves", nobodyStarves},
@@ -263,6 +276,83 @@
 	return found
 }
 
+// crashingRequestsAreBarred checks that next to no requests arrive at replicas after they have
+// crashed some of them.
+func crashingRequestsAreBarred(h *History, b Bounds) []string {
+	crashes := make(map[string][]time.Time)
+	for _, c := range h.Crashes {
+		crashes[c.Cause] = append(crashes[c.Cause], c.At)
+	}
+	var found []string
+	for cause, times := range crashes {
+		limit := b.MaxCrashesByRequest
+		if strings.HasPrefix(cause, mimic.CrashingPartPrefix) {
+			limit = b.MaxCrashesByPart
+		}
+		if len(times) < limit {
+			continue
+		}
+		slices.SortFunc(times, time.Time.Compare)
+		barredFrom, late := times[limit-1].Add(stableTime), 0
+		for _, a := range h.CrashArrivals {
+			// Entries that were disturbed may not know of the crashes.
+			if a.Cause == cause && a.At.After(barredFrom) && h.noFaultsBefore(a.At, Freeze, Kill, Stop, LinkDelay, LinkSilent, LinkSlow) {
+				late++
+			}
+		}
+		if late > b.MaxAfterCrashes {
+			found = append(found, fmt.Sprintf("%d requests with %s arrived after crash %d; %d crashes", late, cause, limit, len(times)))
+		}
+	}
+	slices.Sort(found)
+	return found
+}
+
+// minSoundRequests is the number of requests from which on shares of them are compared.
+const minSoundRequests = 20
+
+// soundRequestsAreServedBesideCrashingOnes checks that streams are served while others with one part of
+// their prompts crash replicas.
+func soundRequestsAreServedBesideCrashingOnes(h *History, b Bounds) []string {
+	disturbances := slices.DeleteFunc(slices.Clone(faults), func(f Fault) bool {
+		return f == CrashingPart || f == DemandShifts || f == NewRoute || f == RevokeKey || f == Reload
+	})
+	var beside, calm servedShare
+	for _, o := range h.Requests {
+		switch {
+		case o.Kind != Stream || !h.keyInForce(o) || !h.noFaultsBefore(o.Sent, disturbances...):
+		case h.noFaultsBefore(o.Sent, CrashingPart):
+			calm.add(o)
+		case !h.crashedBefore(o):
+			beside.add(o)
+		}
+	}
+	if beside.sent < minSoundRequests || calm.sent < minSoundRequests || beside.share() >= b.MinSoundRatio*calm.share() {
+		return nil
+	}
+	return []string{fmt.Sprintf("%.0f of %.0f sound streams were served beside crashing ones, %.0f of %.0f at other times",
+		beside.served, beside.sent, calm.served, calm.sent)}
+}
+
+// crashedBefore reports whether a replica crashed while the request was under way or in twice stableTime before.
+func (h *History) crashedBefore(o RequestRecord) bool {
+	return slices.ContainsFunc(h.Crashes, func(c mimic.CrashEvent) bool {
+		return c.At.Before(o.Ended) && o.Sent.Before(c.At.Add(2*stableTime))
+	})
+}
+
+// servedShare counts requests and those that were served.
+type servedShare struct{ sent, served float64 }
+
+func (s *servedShare) add(o RequestRecord) {
+	s.sent++
+	if o.served() {
+		s.served++
+	}
+}
+
+func (s *servedShare) share() float64 { return s.served / s.sent }
+
 // revokedKeysAreRefused checks that requests with a revoked key don't run after ApplyTime, and
 // that no replica receives a client's key.
 func revokedKeysAreRefused(h *History, b Bounds) []string {
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -73,6 +74,32 @@
 				})
 			}
 		}, "RestingReplicasGetNothing"},
+		{"request that crashes replicas goes on", func(h *History) {
+			for i := range 4 {
+				at := start.Add(time.Duration(5+i) * time.Second)
+				h.Crashes = append(h.Crashes, mimic.CrashEvent{Cause: "crash-1", At: at})
+				h.CrashArrivals = append(h.CrashArrivals, mimic.CrashEvent{Cause: "crash-1", At: at.Add(6 * time.Second)})
+			}
+		}, "CrashingRequestsAreBarred"},
+		{"part that crashes replicas goes on", func(h *History) {
+			for i := range 5 {
+				at := start.Add(time.Duration(5+i) * time.Second)
+				h.Crashes = append(h.Crashes, mimic.CrashEvent{Cause: "bad1", At: at})
+				h.CrashArrivals = append(h.CrashArrivals, mimic.CrashEvent{Cause: "bad1", At: at.Add(8 * time.Second)})
+			}
+		}, "CrashingRequestsAreBarred"},
+		{"sound streams fail beside crashing ones", func(h *History) {
+			h.Faults = append(h.Faults, FaultPeriod{From: start.Add(30 * time.Second), To: start.Add(60 * time.Second), Fault: CrashingPart})
+			recovered := h.Requests[0]
+			recovered.Sent, recovered.Ended = start.Add(80*time.Second), start.Add(81*time.Second)
+			h.Requests = append(h.Requests, recovered)
+			for i := range 20 {
+				h.Requests = append(h.Requests, RequestRecord{
+					Request: mimic.Request{ID: fmt.Sprint("d-", i), Key: "k"}, Kind: Stream,
+					Sent: start.Add(45 * time.Second), Ended: start.Add(46 * time.Second), Response: mimic.Response{Status: 502, Complete: true},
+				})
+			}
+		}, "SoundRequestsAreServedBesideCrashingOnes"},
 		{"request with a revoked key ran", func(h *History) {
 			h.Requests[0].Request.Key = "gone"
 			h.RevokedAt["gone"] = start.Add(17 * time.Second)
@@ -108,6 +135,6 @@
 func TestEachFaultHasInjector(t *testing.T) {
 	for _, fault := range faults {
 		_, known := faultInjectors[fault]
-		assert.Assert(t, known || fault == ReplicaLeaves || fault == ReplicaDies || fault == ReplicaSaysLeaving, "%s", fault)
+		assert.Assert(t, known || slices.Contains(longFaults, fault), "%s", fault)
 	}
 }
--- a/soak/disturb.go
+++ b/soak/disturb.go
@@ -8,13 +8,21 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"filberttrack.example/track/platform/mimic"
 )
 
+// longFaults lists the faults that consist of several steps and are not in faultInjectors.
+var longFaults = []Fault{ReplicaLeaves, ReplicaDies, ReplicaSaysLeaving, CrashingRequest, CrashingPart}
+
 // injectFault injects a planned fault, waits for its duration and ends it.
 func (s *testbed) injectFault(ctx context.Context, e PlannedFault) error {
-	if e.Fault == ReplicaLeaves || e.Fault == ReplicaDies || e.Fault == ReplicaSaysLeaving {
+	switch e.Fault {
+	case ReplicaLeaves, ReplicaDies, ReplicaSaysLeaving:
 		return s.replaceReplica(ctx, s.endpoints[e.Target%len(s.endpoints)], e.Duration, e.Fault)
+	case CrashingRequest, CrashingPart:
+		return s.sendCrashing(ctx, e)
 	}
 	end := faultInjectors[e.Fault](s, e)
 	if end != nil {
@@ -159,7 +167,7 @@
 }
 
 // startReplicas creates the endpoints and starts a replica at each.
-func (s *testbed) startReplicas() error {
+func (s *testbed) startReplicas(ctx context.Context) error {
 	for _, service := range []string{serviceDesk, serviceModel} {
 		for rank := range s.setup.Replicas {
 			link, err := NewLink()
@@ -168,7 +176,7 @@
 			}
 			ep := &endpoint{service: service, index: rank, link: link}
 			s.endpoints = append(s.endpoints, ep)
-			if err := s.startReplica(ep); err != nil {
+			if err := s.startReplica(ctx, ep); err != nil {
 				return err
 			}
 		}
@@ -182,13 +190,71 @@
 	}
 }
 
+const (
+	// crashingTime is the time for which requests that crash replicas are sent, each
+	// crashingInterval one.
+	crashingTime     = 15 * time.Second
+	crashingInterval = 250 * time.Millisecond
+	// crashAwayTime is the time from the crash of a replica to the start of the next one at its
+	// address, and listedAfterCrash the time after the crash for which its entry stays listed.
+	crashAwayTime    = 2 * time.Second
+	listedAfterCrash = 3600 * time.Millisecond
+)
+
+// sendCrashing sends requests that crash replicas through all entries in turn.
+func (s *testbed) sendCrashing(ctx context.Context, e PlannedFault) error {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	var sending errgroup.Group
+	// Requests return no errors.
+	defer func() { _ = sending.Wait() }()
+	for n := range int(crashingTime / crashingInterval) {
+		request := mimic.Request{
+			ID: fmt.Sprintf("x-%d-%d", e.Target, n), Entry: s.entries[(e.Target+n)%len(s.entries)].callersAddress(),
+			Method: http.MethodGet, Path: fmt.Sprint("/safe/", mimic.CrashingRequestPrefix, e.Target), Key: firstKey, Timeout: clientTimeout,
+		}
+		if e.Fault == CrashingPart {
+			request.Method, request.Path = http.MethodPost, fmt.Sprint("/llm/", n, "/stream/", streamEvents)
+			request.Prompt = fmt.Sprintf("%s:40,%s%d:300,own-%d:100", streamKind, mimic.CrashingPartPrefix, e.Target, n)
+		}
+		sending.Go(func() error { mimic.Send(ctx, client, request); return nil })
+		if err := sleep(ctx, crashingInterval); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// crashReplica ends the replica at an endpoint at once. Another one starts at its address before its
+// entry in the list has lapsed.
+func (s *testbed) crashReplica(ctx context.Context, ep *endpoint, id string) {
+	ep.mu.Lock()
+	unavailable := ep.unavailable
+	ep.unavailable = true
+	ep.mu.Unlock()
+	if unavailable {
+		return
+	}
+	s.restarts.Go(func() error {
+		ep.link.SetHandler(nil)
+		if err := sleep(ctx, crashAwayTime); err != nil {
+			return err
+		}
+		err := s.startReplica(ctx, ep)
+		if sleep(ctx, listedAfterCrash-crashAwayTime) == nil {
+			s.putReplica(id, nil)
+		}
+		return err
+	})
+}
+
 // startReplica starts a new replica at an endpoint and lists it. The replica has a new ID but the
 // same address as the one before.
-func (s *testbed) startReplica(ep *endpoint) error {
+func (s *testbed) startReplica(ctx context.Context, ep *endpoint) error {
 	ep.mu.Lock()
 	ep.starts++
 	id := fmt.Sprintf("i-%s-%d", ep.link.Address(), ep.starts)
 	replica := mimic.NewReplica(id, workTime, s.ledger)
+	replica.OnCrash(func() { s.crashReplica(ctx, ep, id) })
 	ep.replica, ep.unavailable = replica, false
 	born := int64(ep.starts)
 	ep.mu.Unlock()
@@ -249,7 +315,7 @@
 		return err
 	}
 	s.putReplica(old.ID, nil)
-	return s.startReplica(ep)
+	return s.startReplica(ctx, ep)
 }
 
 func (e *endpoint) current() *mimic.Replica {
--- a/soak/link.go
+++ b/soak/link.go
@@ -23,31 +23,32 @@
 // Link is a TCP proxy in front of a replica. It listens at a fixed address, forwards connections
 // and can inject faults into them. It is safe for concurrent use.
 type Link struct {
-	listener net.Listener
+	address string
 
-	mu      sync.Mutex
-	fault   Fault
-	server  *http.Server
-	target  string
-	conns   map[net.Conn]struct{}
-	closed  bool
-	serving sync.WaitGroup
+	mu sync.Mutex
+	// listener is nil while there is no replica, so that the address refuses connections.
+	listener net.Listener
+	fault    Fault
+	server   *http.Server
+	target   string
+	conns    map[net.Conn]struct{}
+	closed   bool
+	serving  sync.WaitGroup
 }
 
-// NewLink returns a link without a replica, which closes all connections.
+// NewLink returns a link without a replica, whose address refuses connections.
 func NewLink() (*Link, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	l := &Link{listener: listener, conns: make(map[net.Conn]struct{})}
-	l.serving.Add(1)
-	go l.accept()
+	l := &Link{address: listener.Addr().String(), conns: make(map[net.Conn]struct{})}
+	_ = listener.Close()
 	return l, nil
 }
 
 // Address returns the address at which the link listens.
-func (l *Link) Address() string { return l.listener.Addr().String() }
+func (l *Link) Address() string { return l.address }
 
 // SetFault injects a fault into the link. An empty fault ends the one before.
 func (l *Link) SetFault(fault Fault) {
@@ -78,12 +79,16 @@
 	clear(l.conns)
 }
 
-// SetHandler replaces the replica behind the link. With a nil handler the link closes all
-// connections, as if the replica had died.
+// SetHandler replaces the replica behind the link. With a nil handler the link resets all
+// connections and refuses new ones, as if the replica had died.
 func (l *Link) SetHandler(handler http.Handler) {
 	l.mu.Lock()
 	old := l.server
 	l.server, l.target = nil, ""
+	if l.listener != nil {
+		_ = l.listener.Close()
+		l.listener = nil
+	}
 	l.resetConnections()
 	l.mu.Unlock()
 	if old != nil {
@@ -92,11 +97,16 @@
 	if handler == nil {
 		return
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	front, err := net.Listen("tcp", l.address)
 	if err != nil {
 		// Clients then see a dead replica, which the run has to tolerate.
 		return
 	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		_ = front.Close()
+		return
+	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
 	l.serving.Add(1)
 	go func() {
@@ -105,8 +115,10 @@
 		_ = server.Serve(listener)
 	}()
 	l.mu.Lock()
-	l.server, l.target = server, listener.Addr().String()
+	l.server, l.target, l.listener = server, listener.Addr().String(), front
 	l.mu.Unlock()
+	l.serving.Add(1)
+	go l.accept(front)
 }
 
 // Close closes the link and stops the replica behind it.
@@ -115,14 +127,13 @@
 	l.mu.Lock()
 	l.closed = true
 	l.mu.Unlock()
-	_ = l.listener.Close()
 	l.serving.Wait()
 }
 
-func (l *Link) accept() {
+func (l *Link) accept(listener net.Listener) {
 	defer l.serving.Done()
 	for {
-		conn, err := l.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -42,6 +42,10 @@
 	ReplicasRest Fault = "ReplicasRest"
 	// ReplicaRests does so for one replica.
 	ReplicaRests Fault = "ReplicaRests"
+	// CrashingRequest sends a request that crashes replicas again and again, and CrashingPart
+	// different requests with one part in their prompts that does.
+	CrashingRequest Fault = "CrashingRequest"
+	CrashingPart    Fault = "CrashingPart"
 )
 
 // faults lists all kinds of faults in the order from which PlanFaults draws them. DemandShifts is
@@ -50,7 +54,7 @@
 	Freeze, Kill, Stop, Reload, LogAway, LogSlow, ReplicaFaults, ReplicaLeaves, ReplicaDies,
 	LinkDelay, LinkReset, LinkSilent, LinkSlow, RevokeKey, NewRoute,
 	AgentFreezes, AgentKilled, OrdersLost, DemandShifts, DemandShifts, GroupBreaks,
-	LogRestored, ReplicaSaysLeaving, ReplicasRest, ReplicaRests,
+	LogRestored, ReplicaSaysLeaving, ReplicasRest, ReplicaRests, CrashingRequest, CrashingPart,
 }
 
 // PlannedFault is a fault to inject.
@@ -89,6 +93,7 @@
 	replicaFaults := []mimic.Fault{
 		mimic.ResetAfterRun, mimic.ServerError, mimic.Hang, mimic.TruncateResponse,
 		mimic.Reject, mimic.EndlessBody, mimic.DripBytes, mimic.SecondCopy,
+		mimic.Unframed, mimic.UnframedReset, mimic.UnframedCut,
 	}
 	var planned []PlannedFault
 	for at := between(minPause, maxPause); at < length; at += between(minPause, maxPause) {
--- a/soak/play.go
+++ b/soak/play.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -40,8 +41,11 @@
 	clientTimeout = 3 * time.Second
 	// workTime is the time that a replica needs for a call or an event.
 	workTime = 12 * time.Millisecond
-	// streamEvents is the number of events of a stream.
+	// streamEvents is the number of events of a stream, streamKind the first part of their prompts,
+	// and subjects the number of second parts.
 	streamEvents = 14
+	streamKind   = "kind"
+	subjects     = 30
 	// restartPause is the time between the end of a process and its restart.
 	restartPause = 300 * time.Millisecond
 )
@@ -67,6 +71,8 @@
 	group     *tier.Group
 
 	shape tier.Shape
+	// restarts holds the restarts of replicas that have crashed.
+	restarts errgroup.Group
 
 	mu       sync.Mutex
 	version  uint64
@@ -118,7 +124,7 @@
 		return nil, err
 	}
 	defer closeLog()
-	if err := s.startReplicas(); err != nil {
+	if err := s.startReplicas(ctx); err != nil {
 		return nil, err
 	}
 	defer s.closeLinks()
@@ -136,6 +142,9 @@
 	if waited := running.Wait(); err == nil && waited != nil && ctx.Err() == nil {
 		err = waited
 	}
+	if restarted := s.restarts.Wait(); err == nil && !errors.Is(restarted, context.Canceled) {
+		err = restarted
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -143,6 +152,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.history.Requests, s.history.Runs = s.requests, s.ledger.Executions()
+	s.history.Crashes, s.history.CrashArrivals = s.ledger.Crashes()
 	s.history.ArrivalsDuringRest, s.history.Entries = s.ledger.ArrivalsDuringRest(), len(s.entries)
 	return &s.history, nil
 }
@@ -212,6 +222,7 @@
 			o.Request.Method, o.Request.Path = http.MethodPost, "/book/"+strconv.Itoa(n)
 		case Stream:
 			o.Request.Method, o.Request.Path, o.Events = http.MethodPost, "/llm/stream/"+strconv.Itoa(streamEvents), streamEvents
+			o.Request.Prompt = fmt.Sprintf("%s:40,subject-%d:200,own:100", streamKind, rng.IntN(subjects))
 		}
 		o.Response = mimic.Send(ctx, client, o.Request)
 		o.Ended = time.Now()
