test(calls,proxy,agent): answers with neither length nor chunks, for both ways in

Both ways in served them already; no change of behaviour was needed. Whole ones are relayed as complete, reset ones and streams that end inside an event are not.

--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -103,6 +103,7 @@
 		{"whole", nil, 1, false},
 		{"resumed after a connection reset", []behaviour{resetsInBody}, 2, false},
 		{"resumed twice", []behaviour{resetsInBody, truncatesBody}, 2, false},
+		{"resumed after an end inside an event", []behaviour{endsInEvent}, 2, false},
 		{"resumed after a missing event", []behaviour{skipsEvent}, 2, false},
 		{"resumed after a repeated event", []behaviour{repeatsEvent}, 2, false},
 		{"started on another replica", []behaviour{resetsBeforeHead, atCapacity}, 3, false},
--- a/proxy/world_test.go
+++ b/proxy/world_test.go
@@ -53,6 +53,8 @@
 	hangsInBody
 	resetsInBody
 	truncatesBody
+	// endsInEvent sends a stream without length that ends with its connection inside an event.
+	endsInEvent
 	answers500
 	answers503AfterRunning
 	answersUnsealed
@@ -386,6 +388,10 @@
 	switch b {
 	case resetsInBody:
 		body, endErr = body[:len(body)-4], errors.New("connection reset")
+	case endsInEvent:
+		if call.Target[:3] == "/no" {
+			body = body[:len(body)-4]
+		}
 	case truncatesBody:
 		body, endErr = body[:len(body)-4], io.ErrUnexpectedEOF
 	case answersUnsealed:
