fix(soak): the link passes resets on

The link in front of the replica had turned the reset into a regular end, so the fault was the soak's own. The report shows the crashes.

--- a/soak/link.go
+++ b/soak/link.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -70,10 +72,7 @@
 // resetConnections resets all connections. The caller must hold the lock.
 func (l *Link) resetConnections() {
 	for conn := range l.conns {
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			// Closing then sends a reset. If this fails, the connection is closed gracefully.
-			_ = tcp.SetLinger(0)
-		}
+		setReset(conn)
 		_ = conn.Close()
 	}
 	clear(l.conns)
@@ -181,18 +180,26 @@
 		return
 	}
 	defer l.closeConnection(upstream)
-	ended := make(chan struct{}, 2)
+	ended := make(chan error, 2)
 	for _, direction := range [][2]net.Conn{{conn, upstream}, {upstream, conn}} {
-		go func() {
-			l.copyBytes(direction[1], direction[0])
-			ended <- struct{}{}
-		}()
+		go func() { ended <- l.copyBytes(direction[1], direction[0]) }()
 	}
 	// The end of one direction ends both, as callers send one request per connection.
-	<-ended
+	if err := <-ended; errors.Is(err, syscall.ECONNRESET) {
+		setReset(conn)
+		setReset(upstream)
+	}
 	_ = conn.Close()
 	_ = upstream.Close()
-	<-ended
+	// The other direction ends since its connections are closed.
+	_ = <-ended
+}
+
+// setReset makes the close of a connection reset it. If this fails, the connection is closed gracefully.
+func setReset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
 }
 
 // waitWhileSilent waits until the fault LinkSilent ends. Bytes on a silent link arrive late and the
@@ -203,8 +210,9 @@
 	}
 }
 
-// copyBytes copies bytes in one direction and applies the fault of the link.
-func (l *Link) copyBytes(to, from net.Conn) {
+// copyBytes copies bytes in one direction and applies the fault of the link. It returns the error with which
+// reading or writing ended.
+func (l *Link) copyBytes(to, from net.Conn) error {
 	buffer := make([]byte, 4<<10)
 	for {
 		limit := len(buffer)
@@ -222,11 +230,11 @@
 				l.waitWhileSilent()
 			}
 			if _, err := to.Write(buffer[:n]); err != nil {
-				return
+				return fmt.Errorf("write: %w", err)
 			}
 		}
 		if err != nil {
-			return
+			return fmt.Errorf("read: %w", err)
 		}
 	}
 }
--- a/soak/main.go
+++ b/soak/main.go
@@ -107,8 +107,8 @@
 			failed++
 		}
 	}
-	fmt.Printf("seed %d: %d requests, %d served, %d refused with 503, %d others, %d runs on replicas, %d expert map changes on ranks, %d faults %v, %d violations\n",
-		seed, len(h.Requests), served, refused, failed, len(h.Runs), h.MapChanges, len(plan), countFaults(plan), len(found))
+	fmt.Printf("seed %d: %d requests, %d served, %d refused with 503, %d others, %d runs on replicas, %d crashes by requests, %d expert map changes on ranks, %d faults %v, %d violations\n",
+		seed, len(h.Requests), served, refused, failed, len(h.Runs), len(h.Crashes), h.MapChanges, len(plan), countFaults(plan), len(found))
 	for i, v := range found {
 		if i == maxViolationsShown {
 			fmt.Printf("  and %d more\n", len(found)-i)
