--- a/soak/link.go
+++ b/soak/link.go
@@ -185,14 +185,14 @@
 		go func() { ended <- l.copyBytes(direction[1], direction[0]) }()
 	}
 	// The end of one direction ends both, as callers send one request per connection.
-	if err := <-ended; errors.Is(err, syscall.ECONNRESET) {
-		setReset(conn)
-		setReset(upstream)
+	for range 2 {
+		if err := <-ended; errors.Is(err, syscall.ECONNRESET) {
+			setReset(conn)
+			setReset(upstream)
+		}
+		_ = conn.Close()
+		_ = upstream.Close()
 	}
-	_ = conn.Close()
-	_ = upstream.Close()
-	// The other direction ends since its connections are closed.
-	_ = <-ended
 }
 
 // setReset makes the close of a connection reset it. If this fails, the connection is closed gracefully.
