--- a/soak/disturb.go
+++ b/soak/disturb.go
@@ -268,7 +268,7 @@
 
 // listReplica publishes a replica in the platform's list of servers.
 func (s *testbed) listReplica(ep *endpoint, id string, draining bool, born int64) error {
-	data, err := mimic.Server(ep.service, ep.link.Address(), draining, born)
+	data, err := mimic.Server(ep.service, ep.link.Address(), s.zone(ep.index), draining, born)
 	if err != nil {
 		return fmt.Errorf("list replica: %w", err)
 	}
--- a/soak/main.go
+++ b/soak/main.go
@@ -35,6 +35,7 @@
 			&cli.DurationFlag{Name: "for", Value: 20 * time.Second, Usage: "time during which a run injects faults"},
 			&cli.IntFlag{Name: "entries", Value: 4, Usage: "number of entries"},
 			&cli.IntFlag{Name: "replicas", Value: 6, Usage: "number of replicas of each of the two services"},
+			&cli.IntFlag{Name: "zones", Value: 2, Usage: "number of zones over which entries and replicas are spread"},
 			&cli.IntFlag{Name: "clients", Value: 40, Usage: "number of clients"},
 			&cli.StringFlag{Name: "logs", Usage: "directory to which the logs of runs with violations are copied"},
 			&cli.BoolFlag{Name: "plan", Usage: "only print the planned faults of the seeds"},
@@ -43,9 +44,17 @@
 	}
 }
 
-var errGuaranteeBroken = errors.New("a guarantee was broken")
+var (
+	errGuaranteeBroken = errors.New("a guarantee was broken")
+	errInvalidFlag     = errors.New("invalid flag")
+)
 
 func run(ctx context.Context, c *cli.Command) (err error) {
+	for _, name := range []string{"entries", "replicas", "zones", "clients"} {
+		if c.Int(name) < 1 {
+			return fmt.Errorf("%w: --%s must be at least 1", errInvalidFlag, name)
+		}
+	}
 	work, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		return fmt.Errorf("create directory: %w", err)
@@ -69,7 +78,7 @@
 		}
 		setup := Setup{
 			Binary: binary, WorkDir: filepath.Join(work, fmt.Sprint("seed-", seed)), Seed: seed,
-			Entries: c.Int("entries"), Replicas: c.Int("replicas"), Clients: c.Int("clients"),
+			Entries: c.Int("entries"), Replicas: c.Int("replicas"), Clients: c.Int("clients"), Zones: c.Int("zones"),
 			Length: c.Duration("for"), Bounds: DefaultBounds(),
 		}
 		history, err := RunTestbed(ctx, setup, plan)
--- a/soak/play.go
+++ b/soak/play.go
@@ -26,8 +26,10 @@
 	Binary, WorkDir            string
 	Seed                       uint64
 	Entries, Replicas, Clients int
-	Length                     time.Duration
-	Bounds                     Bounds
+	// Zones is the number of zones over which entries and replicas are spread in turn.
+	Zones  int
+	Length time.Duration
+	Bounds Bounds
 }
 
 const (
@@ -312,7 +314,10 @@
 }
 
 func (s *testbed) newProcess(role string, number int, settings mimic.ProcessSettings) (*process, error) {
-	settings.Name = fmt.Sprint(role, "-", number)
+	settings.Name, settings.Zone = fmt.Sprint(role, "-", number), s.zone(number)
+	for i := range s.setup.Zones {
+		settings.Zones = append(settings.Zones, s.zone(i))
+	}
 	host := firstEntryHost + number
 	if role == "agent" {
 		host = firstAgentHost + number
@@ -328,6 +333,9 @@
 	return p, nil
 }
 
+// zone returns the zone of the entry, or of the endpoints, with a number.
+func (s *testbed) zone(number int) string { return fmt.Sprint("zone-", number%s.setup.Zones) }
+
 // The last bytes of the IP addresses of the first entry and the first agent.
 const (
 	firstEntryHost = 10
