--- a/parts/parts.go
+++ b/parts/parts.go
@@ -22,6 +22,7 @@
 	"go.uber.org/zap"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/recent"
 )
 
 const (
@@ -150,10 +151,8 @@
 	// if trialsInTurn is set.
 	trials       map[Part]time.Time
 	trialsInTurn bool
-	// sound and previousSound count the sound runs in the current period of soundMemory and in
-	// the one before.
-	sound, previousSound map[Part]int
-	periodEnd            time.Time
+	// sound counts the sound runs.
+	sound *recent.Counts[Part]
 }
 
 // charge is the record of a part. See Charge for its fields.
@@ -189,8 +188,7 @@
 	t := &Tracker{
 		clock: clock, logger: logger,
 		charges: make(map[Part]*charge), probation: make(map[Part]time.Time), trials: make(map[Part]time.Time),
-		sound: make(map[Part]int), previousSound: make(map[Part]int),
-		periodEnd: clock.Now().Add(soundMemory),
+		sound: recent.New[Part](clock, soundMemory, maxSoundParts),
 	}
 	set.GetOrCreateGauge("filberttrack_parts_barred", func() float64 { return float64(len(t.Barred())) })
 	return t
@@ -287,12 +285,9 @@
 func (t *Tracker) RunWasSound(parts []Part) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.startPeriod()
 	cleared := false
 	for _, p := range parts {
-		if len(t.sound) < maxSoundParts || t.sound[p] > 0 {
-			t.sound[p]++
-		}
+		t.sound.Add(p)
 		cleared = t.clearCharge(p) || cleared
 	}
 	if cleared {
@@ -300,19 +295,6 @@
 	}
 }
 
-// startPeriod forgets the sound runs of the period before the previous one.
-func (t *Tracker) startPeriod() {
-	now := t.clock.Now()
-	if now.Before(t.periodEnd) {
-		return
-	}
-	t.previousSound, t.sound = t.sound, make(map[Part]int)
-	if now.Sub(t.periodEnd) >= soundMemory {
-		t.previousSound = make(map[Part]int)
-	}
-	t.periodEnd = now.Add(soundMemory)
-}
-
 // clearCharge clears a part of the crashes that it is suspected of. It reports whether there were
 // any.
 func (t *Tracker) clearCharge(p Part) bool {
@@ -346,7 +328,6 @@
 func (t *Tracker) RunCrashed(run Run, crash Crash) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.startPeriod()
 	now := t.clock.Now()
 	for depth, p := range run.Parts {
 		c := t.activeCharge(p)
@@ -403,7 +384,7 @@
 		if c == nil {
 			continue
 		}
-		shared := Charge{Part: p, Round: c.round, Depth: c.depth, Sound: t.ownSound(p), Convicted: c.convicted, Left: c.until.Sub(now)}
+		shared := Charge{Part: p, Round: c.round, Depth: c.depth, Sound: t.sound.Count(p), Convicted: c.convicted, Left: c.until.Sub(now)}
 		for _, s := range c.crashes {
 			shared.Crashes = append(shared.Crashes, SuspectedCrash{
 				Crash: s.Crash, Request: s.request, SentAgo: now.Sub(s.sentAt), BrokeAgo: now.Sub(s.brokeAt),
@@ -424,7 +405,6 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.startPeriod()
 	changed := false
 	for _, other := range charges[:min(len(charges), maxSharedCharges)] {
 		changed = t.mergeCharge(other) || changed
@@ -587,18 +567,13 @@
 	return explained
 }
 
-// ownSound returns the number of recent sound runs with the part in this process.
-func (t *Tracker) ownSound(p Part) int {
-	return t.sound[p] + t.previousSound[p]
-}
-
 // soundRuns returns the number of recent sound runs with the part, in this process or at the
 // peer that has seen the most.
 func (t *Tracker) soundRuns(p Part, c *charge) int {
 	if t.clock.Since(c.peerSoundAt) > peerSoundMemory {
-		return t.ownSound(p)
+		return t.sound.Count(p)
 	}
-	return max(t.ownSound(p), c.peerSound)
+	return max(t.sound.Count(p), c.peerSound)
 }
 
 // reachesLimit reports whether crashes of which the part is suspected suffice to bar it. Replicas
