fix(blame): a request that was served lately is not barred

Cause: while requests with one part crashed replica after replica, copies of a sound request were in flight on three of them, with no completed run in between. Three deaths barred it.

TestRequestThatIsServedMeanwhileIsNotBarred failed before.

Change: a completed run is remembered for one to two minutes. A request with one is cleared when it would be barred, and peers learn of it with the charge. A request that crashes each replica has none, so it is barred as before.

--- a/blame/blame.go
+++ b/blame/blame.go
@@ -3,7 +3,8 @@
 //
 // A broken connection alone does not prove a crash. A replica's death is attributed to a
 // request only once it is confirmed: the address of the replica refuses connections, or the
-// list of replicas shows the death. A request that runs to completion is cleared.
+// list of replicas shows the death. A request that runs to completion is cleared, and one that was
+// completed lately is not barred.
 package blame
 
 import (
@@ -20,6 +21,7 @@
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/parts"
+	"filberttrack.example/track/recent"
 )
 
 const (
@@ -33,6 +35,10 @@
 	// chargeDuration is how long a charge is kept after the latest death, and so how
 	// long a request is barred.
 	chargeDuration = 10 * time.Minute
+	// completionMemory is the time for which a completed run shows that the request doesn't crash
+	// replicas, and maxCompleted the number of requests that are remembered.
+	completionMemory = time.Minute
+	maxCompleted     = 16384
 	// maxCharges and maxUnconfirmed bound the memory for charges and for failed
 	// attempts.
 	maxCharges     = 1024
@@ -113,6 +119,8 @@
 
 	mu      sync.Mutex
 	charges map[Fingerprint]*charge
+	// completed counts the runs that were completed.
+	completed *recent.Counts[Fingerprint]
 	// unconfirmed holds the failed attempts whose replica is still listed, oldest first.
 	unconfirmed []failedAttempt
 	// refused holds the time at which the address of a replica that is still listed refused a
@@ -147,6 +155,7 @@
 		confirmationTime: set.GetOrCreateHistogram("filberttrack_death_confirmation_seconds"),
 		unconfirmedTotal: set.GetOrCreateCounter("filberttrack_deaths_unconfirmed_total"),
 		charges:          make(map[Fingerprint]*charge),
+		completed:        recent.New[Fingerprint](clock, completionMemory, maxCompleted),
 		refused:          make(map[Death]time.Time),
 		listedStarts:     make(map[track.ReplicaID]int64),
 		latestStarts:     make(map[string]int64),
@@ -241,14 +250,26 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.unconfirmed = slices.DeleteFunc(b.unconfirmed, func(a failedAttempt) bool { return a.Fingerprint == f })
-	c := b.activeCharge(f)
-	if c == nil || len(c.deaths) == 0 {
-		return
+	b.completed.Add(f)
+	if c := b.activeCharge(f); c != nil && len(c.deaths) > 0 {
+		b.clearCharge(f, c)
 	}
+}
+
+// clearCharge drops the deaths attributed to a request, here and at peers.
+func (b *Tracker) clearCharge(f Fingerprint, c *charge) {
 	b.logger.Info("crash charges dropped", zap.Uint64("Fingerprint", uint64(f)), zap.Int("Deaths", len(c.deaths)))
 	c.round, c.deaths = c.round+1, nil
 }
 
+// clearIfServed clears a request that would be barred but was completed lately: it was in flight on
+// replicas that crashed for another reason.
+func (b *Tracker) clearIfServed(f Fingerprint, c *charge) {
+	if len(c.deaths) >= deathLimit && b.completed.Count(f) > 0 {
+		b.clearCharge(f, c)
+	}
+}
+
 // SetReplicas sets the replicas that the platform lists. A replica that has left the list or
 // restarted since an attempt on it broke off is taken to have been crashed by the attempt.
 func (b *Tracker) SetReplicas(replicas []track.Replica) {
@@ -285,6 +306,7 @@
 	if len(c.deaths) < deathLimit {
 		c.deaths = append(c.deaths, a.death)
 	}
+	b.clearIfServed(a.Fingerprint, c)
 	now := b.clock.Now()
 	c.until = now.Add(chargeDuration)
 	b.confirmationTime.Update(now.Sub(a.brokeAt).Seconds())
@@ -339,6 +361,7 @@
 				c.deaths = append(c.deaths, d)
 			}
 		}
+		b.clearIfServed(other.Fingerprint, c)
 		if len(c.deaths) >= deathLimit && before < deathLimit {
 			b.logger.Warn("request barred by what a peer reports", zap.Uint64("Fingerprint", uint64(other.Fingerprint)),
 				zap.Int("Deaths", len(c.deaths)), zap.Int("OwnDeaths", before))
--- a/blame/blame_test.go
+++ b/blame/blame_test.go
@@ -35,6 +35,11 @@
 	return f
 }
 
+// attemptBroke has an attempt break off as soon as it was sent.
+func (f *fixture) attemptBroke(request blame.Fingerprint, replica track.Replica) {
+	f.tracker.AttemptBroke(blame.Attempt{Fingerprint: request, Replica: replica, SentAt: f.clock.Now()})
+}
+
 // restart restarts a replica and gives the Tracker the new list.
 func (f *fixture) restart(i int) {
 	f.replicas[i].StartID++
@@ -45,7 +50,7 @@
 	f := newFixture(4)
 	for i := range 3 {
 		assert.Equal(t, f.tracker.BarredFor(crasher), time.Duration(0), "after %d deaths", i)
-		f.tracker.AttemptBroke(blame.Attempt{Fingerprint: crasher, Replica: f.replicas[i]})
+		f.attemptBroke(crasher, f.replicas[i])
 		f.clock.Advance(time.Second)
 		f.restart(i)
 	}
@@ -58,7 +63,7 @@
 func TestBrokenAttemptWithoutDeathIsNotCharged(t *testing.T) {
 	f := newFixture(8)
 	for i := range 8 {
-		f.tracker.AttemptBroke(blame.Attempt{Fingerprint: crasher, Replica: f.replicas[i]})
+		f.attemptBroke(crasher, f.replicas[i])
 		f.tracker.SetReplicas(f.replicas)
 	}
 	// Replicas that die long after the attempt die for another reason.
@@ -74,8 +79,8 @@
 	for i := range 3 {
 		old := f.replicas[i]
 		f.restart(i)
-		f.tracker.AttemptBroke(blame.Attempt{Fingerprint: crasher, Replica: old})
-		f.tracker.AttemptBroke(blame.Attempt{Fingerprint: crasher, Replica: old})
+		f.attemptBroke(crasher, old)
+		f.attemptBroke(crasher, old)
 	}
 	assert.Assert(t, f.tracker.BarredFor(crasher) > 0)
 }
@@ -84,13 +89,13 @@
 func TestRefusedConnectionConfirmsDeath(t *testing.T) {
 	f := newFixture(3)
 	for i, r := range f.replicas {
-		f.tracker.AttemptBroke(blame.Attempt{Fingerprint: crasher, Replica: r})
+		f.attemptBroke(crasher, r)
 		f.tracker.ReplicaDied(r)
 		assert.Equal(t, f.tracker.BarredFor(crasher) > 0, i == 2)
 	}
 	other := blame.FingerprintOf([]byte("GET"), []byte("/notes/1"))
 	for _, r := range f.replicas {
-		f.tracker.AttemptBroke(blame.Attempt{Fingerprint: other, Replica: r})
+		f.attemptBroke(other, r)
 	}
 	assert.Assert(t, f.tracker.BarredFor(other) > 0, "attempts that break later are charged, too")
 }
@@ -103,7 +108,7 @@
 	}
 	f.clock.Advance(6 * time.Second)
 	for _, r := range f.replicas {
-		f.tracker.AttemptBroke(blame.Attempt{Fingerprint: crasher, Replica: r})
+		f.attemptBroke(crasher, r)
 	}
 	assert.Equal(t, f.tracker.BarredFor(crasher), time.Duration(0))
 }
@@ -114,7 +119,7 @@
 	f := newFixture(3)
 	for i := range 3 {
 		f.replicas[i].Address = fmt.Sprint("10.0.0.", i, ":80")
-		f.tracker.AttemptBroke(blame.Attempt{Fingerprint: crasher, Replica: f.replicas[i]})
+		f.attemptBroke(crasher, f.replicas[i])
 	}
 	f.tracker.SetReplicas(f.replicas)
 	assert.Equal(t, f.tracker.BarredFor(crasher), time.Duration(0))
@@ -130,7 +135,7 @@
 func TestCompletionClearsRequest(t *testing.T) {
 	f, other := newFixture(3), newFixture(3)
 	for i := range 3 {
-		f.tracker.AttemptBroke(blame.Attempt{Fingerprint: crasher, Replica: f.replicas[i]})
+		f.attemptBroke(crasher, f.replicas[i])
 		f.restart(i)
 	}
 	other.tracker.Merge(f.tracker.ChargesToShare())
@@ -157,7 +162,7 @@
 				}
 				died[i] = true
 				for _, f := range peers {
-					f.tracker.AttemptBroke(blame.Attempt{Fingerprint: crasher, Replica: f.replicas[i]})
+					f.attemptBroke(crasher, f.replicas[i])
 					f.restart(i)
 				}
 			},
@@ -181,9 +186,56 @@
 	for i := range 3 {
 		replica := track.Replica{ID: track.ReplicaID(fmt.Sprint("llm-", i)), StartID: 1}
 		tracker.SetReplicas([]track.Replica{replica})
-		tracker.AttemptBroke(blame.Attempt{Fingerprint: request, Replica: replica})
+		tracker.AttemptBroke(blame.Attempt{Fingerprint: request, Replica: replica, SentAt: clock.Now()})
 		tracker.SetReplicas(nil)
 	}
 	fmt.Println(tracker.BarredFor(request))
 	// Output: 10m0s
 }
+
+// Guards against barring a sound request that many clients send, since some of its copies are in flight on each of
+// several replicas that crash under another one.
+func TestRequestThatIsServedMeanwhileIsNotBarred(t *testing.T) {
+	f, other := newFixture(12), newFixture(12)
+	for i := range 12 {
+		if i%4 == 0 {
+			f.tracker.RequestCompleted(crasher)
+		}
+		f.clock.Advance(time.Second)
+		for _, x := range []*fixture{f, other} {
+			x.attemptBroke(crasher, x.replicas[i])
+			x.restart(i)
+		}
+		other.tracker.Merge(f.tracker.ChargesToShare())
+		f.tracker.Merge(other.tracker.ChargesToShare())
+		other.tracker.Merge(f.tracker.ChargesToShare())
+		assert.Equal(t, f.tracker.BarredFor(crasher), time.Duration(0))
+		assert.Equal(t, other.tracker.BarredFor(crasher), time.Duration(0), "the peer learns that the request is served")
+	}
+}
+
+// Guards against a request that is never barred since it was served some minutes ago.
+func TestCompletionIsForgotten(t *testing.T) {
+	f := newFixture(3)
+	f.tracker.RequestCompleted(crasher)
+	f.clock.Advance(2 * time.Minute)
+	for i := range 3 {
+		f.attemptBroke(crasher, f.replicas[i])
+		f.restart(i)
+	}
+	assert.Assert(t, f.tracker.BarredFor(crasher) > 0)
+}
+
+// Guards against barring a sound request whose copies were in flight on three replicas that were lost at once.
+func TestReplicasLostTogetherProveNothing(t *testing.T) {
+	f := newFixture(6)
+	sent := f.clock.Now()
+	f.clock.Advance(time.Second)
+	for i := range 6 {
+		f.tracker.AttemptBroke(blame.Attempt{Fingerprint: crasher, Replica: f.replicas[i], SentAt: sent})
+	}
+	for i := range 6 {
+		f.restart(i)
+	}
+	assert.Equal(t, f.tracker.BarredFor(crasher), time.Duration(0))
+}
