fix(blame): replicas that are lost together don't bar the requests on them

A request that many clients send alike, in flight on three replicas that are lost at the same moment (an instance, a zone), was barred for ten minutes.

Cause: three deaths sufficed, whatever their order. Change: one of the attempts must have been sent after another had broken off, as for parts of prompts; deaths carry the ages of both, and the latest eight are kept. A request that crashes replicas one after the other is barred at the third death as before. Messages of older entries carry no ages, which counts as in sequence.

--- a/blame/blame.go
+++ b/blame/blame.go
@@ -25,7 +25,7 @@
 )
 
 const (
-	// deathLimit is the number of deaths at which a request is barred. With fewer, a
+	// deathLimit is the number of deaths from which on a request is barred. With fewer, a
 	// harmless request could be barred while replicas crash for other reasons.
 	deathLimit = 3
 	// confirmWindow is the time after a failed attempt within which the replica's death
@@ -43,6 +43,8 @@
 	// attempts.
 	maxCharges     = 1024
 	maxUnconfirmed = 4096
+	// maxDeaths is the most deaths that are kept of a request.
+	maxDeaths = 8
 	// maxSharedCharges is the most charges sent to or taken from a peer in one message.
 	maxSharedCharges = 16
 )
@@ -69,6 +71,13 @@
 	Born int64
 }
 
+// ChargedDeath is a death in a Charge.
+type ChargedDeath struct {
+	Death
+	// SentAgo and BrokeAgo are the times since the attempt was sent and since it broke off.
+	SentAgo, BrokeAgo time.Duration
+}
+
 // Charge lists the deaths attributed to a request, in the form that entries send to each
 // other.
 type Charge struct {
@@ -76,8 +85,8 @@
 	// Round rises each time the request is cleared. Deaths of an earlier round no longer
 	// count.
 	Round uint32
-	// Deaths are the replica deaths attributed to the request in this round, 3 at most.
-	Deaths []Death
+	// Deaths are the latest replica deaths attributed to the request in this round, 8 at most.
+	Deaths []ChargedDeath
 	// Left is the time until the charge expires.
 	Left time.Duration
 }
@@ -135,11 +144,40 @@
 // charge is the record of a request. See Charge for its fields.
 type charge struct {
 	round  uint32
-	deaths []Death
+	deaths []chargedDeath
 	// until is when the charge expires.
 	until time.Time
 }
 
+// chargedDeath is a death in a charge.
+type chargedDeath struct {
+	Death
+	sentAt, brokeAt time.Time
+}
+
+// add adds a death unless the charge has it already, and keeps the latest ones.
+func (c *charge) add(d chargedDeath) bool {
+	if slices.ContainsFunc(c.deaths, func(known chargedDeath) bool { return known.Death == d.Death }) {
+		return false
+	}
+	c.deaths = append(c.deaths, d)
+	slices.SortStableFunc(c.deaths, func(x, y chargedDeath) int { return x.brokeAt.Compare(y.brokeAt) })
+	c.deaths = c.deaths[max(len(c.deaths)-maxDeaths, 0):]
+	return true
+}
+
+// suffices reports whether the deaths suffice to bar the request. Replicas that are lost together,
+// as with an instance or a zone, prove nothing: one of the attempts must have been sent after
+// another had broken off.
+func (c *charge) suffices() bool {
+	if len(c.deaths) < deathLimit {
+		return false
+	}
+	// The deaths are in the order of their ends.
+	firstBroke := c.deaths[0].brokeAt
+	return slices.ContainsFunc(c.deaths, func(d chargedDeath) bool { return !d.sentAt.Before(firstBroke) })
+}
+
 // failedAttempt is an attempt that broke off, and may have crashed its replica.
 type failedAttempt struct {
 	Attempt
@@ -170,7 +208,7 @@
 	defer b.mu.Unlock()
 	n := 0
 	for f := range b.charges {
-		if c := b.activeCharge(f); c != nil && len(c.deaths) >= deathLimit {
+		if c := b.activeCharge(f); c != nil && c.suffices() {
 			n++
 		}
 	}
@@ -182,7 +220,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.activeCharge(f)
-	if c == nil || len(c.deaths) < deathLimit {
+	if c == nil || !c.suffices() {
 		return 0
 	}
 	return c.until.Sub(b.clock.Now())
@@ -265,7 +303,7 @@
 // clearIfServed clears a request that would be barred but was completed lately: it was in flight on
 // replicas that crashed for another reason.
 func (b *Tracker) clearIfServed(f Fingerprint, c *charge) {
-	if len(c.deaths) >= deathLimit && b.completed.Count(f) > 0 {
+	if c.suffices() && b.completed.Count(f) > 0 {
 		b.clearCharge(f, c)
 	}
 }
@@ -300,12 +338,9 @@
 	if c == nil {
 		c = b.insertCharge(a.Fingerprint)
 	}
-	if slices.Contains(c.deaths, a.death) {
+	if !c.add(chargedDeath{Death: a.death, sentAt: a.SentAt, brokeAt: a.brokeAt}) {
 		return
 	}
-	if len(c.deaths) < deathLimit {
-		c.deaths = append(c.deaths, a.death)
-	}
 	b.clearIfServed(a.Fingerprint, c)
 	now := b.clock.Now()
 	c.until = now.Add(chargeDuration)
@@ -313,7 +348,7 @@
 	b.logger.Warn("request charged with a replica's death", zap.String("RequestID", string(a.RequestID)),
 		zap.Uint64("Fingerprint", uint64(a.Fingerprint)), zap.String("Replica", string(a.death.Replica)),
 		zap.String("Evidence", string(evidence)), zap.Int64("ConfirmedAfterMs", now.Sub(a.brokeAt).Milliseconds()),
-		zap.Int("Deaths", len(c.deaths)), zap.Bool("Barred", len(c.deaths) >= deathLimit))
+		zap.Int("Deaths", len(c.deaths)), zap.Bool("Barred", c.suffices()))
 }
 
 // ChargesToShare returns the charges to send to peers: those with the most deaths first, then those
@@ -325,9 +360,13 @@
 	var charges []Charge
 	for f := range b.charges {
 		if c := b.activeCharge(f); c != nil {
-			charges = append(charges, Charge{
-				Fingerprint: f, Round: c.round, Deaths: slices.Clone(c.deaths), Left: c.until.Sub(now),
-			})
+			shared := Charge{Fingerprint: f, Round: c.round, Left: c.until.Sub(now)}
+			for _, d := range c.deaths {
+				shared.Deaths = append(shared.Deaths, ChargedDeath{
+					Death: d.Death, SentAgo: now.Sub(d.sentAt), BrokeAgo: now.Sub(d.brokeAt),
+				})
+			}
+			charges = append(charges, shared)
 		}
 	}
 	slices.SortFunc(charges, func(x, y Charge) int {
@@ -355,14 +394,12 @@
 		if other.Round > c.round {
 			c.round, c.deaths = other.Round, nil
 		}
-		before := len(c.deaths)
-		for _, d := range other.Deaths {
-			if len(c.deaths) < deathLimit && !slices.Contains(c.deaths, d) {
-				c.deaths = append(c.deaths, d)
-			}
+		before, barredBefore := len(c.deaths), c.suffices()
+		for _, d := range other.Deaths[:min(len(other.Deaths), maxDeaths)] {
+			c.add(chargedDeath{Death: d.Death, sentAt: now.Add(-d.SentAgo), brokeAt: now.Add(-d.BrokeAgo)})
 		}
 		b.clearIfServed(other.Fingerprint, c)
-		if len(c.deaths) >= deathLimit && before < deathLimit {
+		if c.suffices() && !barredBefore {
 			b.logger.Warn("request barred by what a peer reports", zap.Uint64("Fingerprint", uint64(other.Fingerprint)),
 				zap.Int("Deaths", len(c.deaths)), zap.Int("OwnDeaths", before))
 		}
