fix(soak): a replica that leaves by word only has left once it has said so

The users' page counts from the moment at which an entry passed on such an answer, so the case is allowed. The soak now takes the first such answer for the time, and is as strict from then on.

--- a/soak/disturb.go
+++ b/soak/disturb.go
@@ -299,13 +299,11 @@
 		if err := s.listReplica(ep, old.ID, true, born); err != nil {
 			return err
 		}
+		s.recordLeaving(old.ID)
 	case ReplicaSaysLeaving:
-		old.SetLeaving()
+		old.SetLeaving(func() { s.recordLeaving(old.ID) })
 	}
 	if fault != ReplicaDies {
-		s.mu.Lock()
-		s.history.LeftAt[old.ID] = time.Now()
-		s.mu.Unlock()
 		if err := sleep(ctx, s.setup.Bounds.DrainTime+time.Second); err != nil {
 			return err
 		}
@@ -318,6 +316,13 @@
 	return s.startReplica(ctx, ep)
 }
 
+// recordLeaving records that a replica has let it be known that it leaves.
+func (s *testbed) recordLeaving(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history.LeftAt[id] = time.Now()
+}
+
 func (e *endpoint) current() *mimic.Replica {
 	e.mu.Lock()
 	defer e.mu.Unlock()
