fix(parts): the first part of prompts is convicted by a trial only

TestFirstPartIsConvictedByTrialOnly failed before. The limit of five now leads to probation only, as the design says.

A charge that is new here ends when the peer's does; it used to begin anew, so that a restarted entry prolonged it for all.

--- a/parts/parts.go
+++ b/parts/parts.go
@@ -164,8 +164,10 @@
 	peerSound   int
 	peerSoundAt time.Time
 	convicted   bool
-	crashes     []suspectedCrash
-	until       time.Time
+	// own is set if this entry has convicted the part.
+	own     bool
+	crashes []suspectedCrash
+	until   time.Time
 }
 
 // suspectedCrash is a crash in a charge.
@@ -305,7 +307,7 @@
 	if _, onProbation := t.probation[p]; onProbation || c.convicted {
 		t.logger.Info("part of prompts released", zap.Uint64("Part", uint64(p)), zap.Int("Crashes", len(c.crashes)))
 	}
-	c.round, c.crashes, c.convicted = c.round+1, nil, false
+	c.round, c.crashes, c.convicted, c.own = c.round+1, nil, false, false
 	delete(t.trials, p)
 	return true
 }
@@ -384,13 +386,7 @@
 		if c == nil {
 			continue
 		}
-		shared := Charge{Part: p, Round: c.round, Depth: c.depth, Sound: t.sound.Count(p), Convicted: c.convicted, Left: c.until.Sub(now)}
-		for _, s := range c.crashes {
-			shared.Crashes = append(shared.Crashes, SuspectedCrash{
-				Crash: s.Crash, Request: s.request, SentAgo: now.Sub(s.sentAt), BrokeAgo: now.Sub(s.brokeAt),
-			})
-		}
-		charges = append(charges, shared)
+		charges = append(charges, t.export(p, c, now))
 	}
 	slices.SortFunc(charges, func(x, y Charge) int {
 		return cmp.Or(cmp.Compare(len(y.Crashes), len(x.Crashes)), cmp.Compare(y.Left, x.Left), cmp.Compare(x.Part, y.Part))
@@ -398,6 +394,44 @@
 	return charges[:min(len(charges), maxSharedCharges)]
 }
 
+// export returns the charge of a part in the form that entries send to each other.
+func (t *Tracker) export(p Part, c *charge, now time.Time) Charge {
+	exported := Charge{
+		Part: p, Round: c.round, Depth: c.depth, Sound: t.sound.Count(p), Convicted: c.convicted, Left: c.until.Sub(now),
+	}
+	for _, s := range c.crashes {
+		exported.Crashes = append(exported.Crashes, SuspectedCrash{
+			Crash: s.Crash, Request: s.request, SentAgo: now.Sub(s.sentAt), BrokeAgo: now.Sub(s.brokeAt),
+		})
+	}
+	return exported
+}
+
+// Aged returns the charge as it is after some time.
+func (c Charge) Aged(age time.Duration) Charge {
+	c.Left -= age
+	c.Crashes = slices.Clone(c.Crashes)
+	for i := range c.Crashes {
+		c.Crashes[i].SentAgo += age
+		c.Crashes[i].BrokeAgo += age
+	}
+	return c
+}
+
+// OwnConvicted returns the charges of the parts that this entry has convicted.
+func (t *Tracker) OwnConvicted() []Charge {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	var convicted []Charge
+	for p := range t.charges {
+		if c := t.activeCharge(p); c != nil && c.own {
+			convicted = append(convicted, t.export(p, c, now))
+		}
+	}
+	return convicted
+}
+
 // Merge merges the charges that a peer has sent. Only the first 16 are taken.
 func (t *Tracker) Merge(charges []Charge) {
 	if len(charges) == 0 {
@@ -417,17 +451,18 @@
 // mergeCharge merges a charge of a peer and reports whether the crashes have changed.
 func (t *Tracker) mergeCharge(other Charge) bool {
 	now := t.clock.Now()
+	left := min(max(other.Left, 0), chargeDuration)
 	c := t.activeCharge(other.Part)
 	if c == nil {
 		c = t.insertCharge(other.Part)
-		c.round = other.Round
+		c.round, c.until = other.Round, now.Add(left)
 	}
 	if other.Round < c.round {
 		return false
 	}
 	changed := other.Round > c.round
 	if changed {
-		c.round, c.crashes, c.convicted = other.Round, nil, false
+		c.round, c.crashes, c.convicted, c.own = other.Round, nil, false, false
 	}
 	if other.Convicted && !c.convicted {
 		c.convicted, changed = true, true
@@ -441,7 +476,7 @@
 			Crash: s.Crash, request: s.Request, sentAt: now.Add(-s.SentAgo), brokeAt: now.Add(-s.BrokeAgo),
 		}) || changed
 	}
-	if until := now.Add(min(max(other.Left, 0), chargeDuration)); until.After(c.until) {
+	if until := now.Add(left); until.After(c.until) {
 		c.until = until
 	}
 	return changed
@@ -466,13 +501,13 @@
 	suspects := t.suspects()
 	for j.mayConvict {
 		p, found := t.mostSuspected(suspects)
-		if !found || t.soundRuns(p, t.charges[p]) > 0 {
+		if !found || !t.needsNoTrial(p) {
 			break
 		}
 		t.convict(p)
 	}
 	for _, p := range suspects {
-		if c := t.charges[p]; !c.convicted && c.depth > 0 && len(c.crashes) >= convictionLimit && t.soundRuns(p, c) == 0 {
+		if len(t.charges[p].crashes) >= convictionLimit && t.needsNoTrial(p) {
 			t.convict(p)
 		}
 	}
@@ -490,6 +525,13 @@
 	}
 }
 
+// needsNoTrial reports whether a suspect may be convicted without a trial: it has not been sound
+// lately, and doesn't lead prompts.
+func (t *Tracker) needsNoTrial(p Part) bool {
+	c := t.charges[p]
+	return c.depth > 0 && t.soundRuns(p, c) == 0
+}
+
 // logCharge logs what is known of a part.
 func (t *Tracker) logCharge(message string, p Part) {
 	c := t.charges[p]
@@ -503,7 +545,7 @@
 	if c.convicted {
 		return
 	}
-	c.convicted = true
+	c.convicted, c.own = true, true
 	delete(t.trials, p)
 	t.logCharge("part of prompts convicted", p)
 }
--- a/parts/parts_test.go
+++ b/parts/parts_test.go
@@ -96,6 +96,20 @@
 	assert.Assert(t, !f.barred("kind"))
 }
 
+// Guards against convicting, without a trial, the first part of all requests of a kind.
+func TestFirstPartIsConvictedByTrialOnly(t *testing.T) {
+	f := newFixture()
+	for i := range 8 {
+		f.crash("kind", fmt.Sprint("session-", i))
+	}
+	assert.Equal(t, len(f.Barred()), 1)
+	assert.Assert(t, !f.Barred()[0].Convicted)
+	assert.Assert(t, f.Check(ids("kind", "session-9")).Trial)
+	assert.Assert(t, f.Check(ids("kind", "session-9")).RetryAfter > 0, "one trial at a time")
+	f.sound(1, "kind", "session-9")
+	assert.Equal(t, len(f.Barred()), 0)
+}
+
 // Guards against barring parts of sound requests that are in flight when an instance or a zone is lost.
 func TestReplicasThatCrashTogetherProveNothing(t *testing.T) {
 	f := newFixture()
