feat(edge): what crashes replicas is still known after the restart of all entries

After a power cut or a kill of all entries, the same request or part would have crashed three more replicas or groups, and the users' rules count on (more than three requests later than the stable window after the fifth crash).

Change: the entry that bars a request or convicts a part writes a record to the topic keyed.barred within 0.25 s, and deletes it when it is released or has expired. Entries read the topic once, when they start. Records that can't be read are skipped; expired ones deleted.

--- a/blame/blame.go
+++ b/blame/blame.go
@@ -145,6 +145,8 @@
 type charge struct {
 	round  uint32
 	deaths []chargedDeath
+	// own is set if a death that this entry has seen barred the request.
+	own bool
 	// until is when the charge expires.
 	until time.Time
 }
@@ -297,7 +299,7 @@
 // clearCharge drops the deaths attributed to a request, here and at peers.
 func (b *Tracker) clearCharge(f Fingerprint, c *charge) {
 	b.logger.Info("crash charges dropped", zap.Uint64("Fingerprint", uint64(f)), zap.Int("Deaths", len(c.deaths)))
-	c.round, c.deaths = c.round+1, nil
+	c.round, c.deaths, c.own = c.round+1, nil, false
 }
 
 // clearIfServed clears a request that would be barred but was completed lately: it was in flight on
@@ -342,6 +344,7 @@
 		return
 	}
 	b.clearIfServed(a.Fingerprint, c)
+	c.own = c.own || c.suffices()
 	now := b.clock.Now()
 	c.until = now.Add(chargeDuration)
 	b.confirmationTime.Update(now.Sub(a.brokeAt).Seconds())
@@ -360,13 +363,7 @@
 	var charges []Charge
 	for f := range b.charges {
 		if c := b.activeCharge(f); c != nil {
-			shared := Charge{Fingerprint: f, Round: c.round, Left: c.until.Sub(now)}
-			for _, d := range c.deaths {
-				shared.Deaths = append(shared.Deaths, ChargedDeath{
-					Death: d.Death, SentAgo: now.Sub(d.sentAt), BrokeAgo: now.Sub(d.brokeAt),
-				})
-			}
-			charges = append(charges, shared)
+			charges = append(charges, c.export(f, now))
 		}
 	}
 	slices.SortFunc(charges, func(x, y Charge) int {
@@ -376,6 +373,43 @@
 	return charges[:min(len(charges), maxSharedCharges)]
 }
 
+// export returns the charge of a request in the form that entries send to each other.
+func (c *charge) export(f Fingerprint, now time.Time) Charge {
+	exported := Charge{Fingerprint: f, Round: c.round, Left: c.until.Sub(now)}
+	for _, d := range c.deaths {
+		exported.Deaths = append(exported.Deaths, ChargedDeath{
+			Death: d.Death, SentAgo: now.Sub(d.sentAt), BrokeAgo: now.Sub(d.brokeAt),
+		})
+	}
+	return exported
+}
+
+// Aged returns the charge as it is after some time.
+func (c Charge) Aged(age time.Duration) Charge {
+	c.Left -= age
+	c.Deaths = slices.Clone(c.Deaths)
+	for i := range c.Deaths {
+		c.Deaths[i].SentAgo += age
+		c.Deaths[i].BrokeAgo += age
+	}
+	return c
+}
+
+// OwnBarred returns the charges of the requests that are barred by a death that this entry has
+// seen.
+func (b *Tracker) OwnBarred() []Charge {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	var barred []Charge
+	for f := range b.charges {
+		if c := b.activeCharge(f); c != nil && c.own {
+			barred = append(barred, c.export(f, now))
+		}
+	}
+	return barred
+}
+
 // Merge merges the charges that a peer has sent. Only the first 16 are taken.
 func (b *Tracker) Merge(charges []Charge) {
 	b.mu.Lock()
@@ -386,13 +420,13 @@
 		c := b.activeCharge(other.Fingerprint)
 		if c == nil {
 			c = b.insertCharge(other.Fingerprint)
-			c.round = other.Round
+			c.round, c.until = other.Round, now.Add(left)
 		}
 		if other.Round < c.round {
 			continue
 		}
 		if other.Round > c.round {
-			c.round, c.deaths = other.Round, nil
+			c.round, c.deaths, c.own = other.Round, nil, false
 		}
 		before, barredBefore := len(c.deaths), c.suffices()
 		for _, d := range other.Deaths[:min(len(other.Deaths), maxDeaths)] {
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -121,6 +121,7 @@
 	proxy           *proxy.Proxy
 	blameTracker    *blame.Tracker
 	partsTracker    *parts.Tracker
+	barredKeeper    *barredKeeper
 	configFollower  *keyed.Follower
 	replicaFollower *keyed.Follower
 	// relay reads from the leader of the zone or, if there is none, from the log.
@@ -184,6 +185,7 @@
 	})
 	e.partsTracker = parts.New(o.Clock, o.Logger, o.Metrics)
 	e.blameTracker = blame.New(o.Clock, o.Logger, o.Metrics, e.partsTracker)
+	e.barredKeeper = newBarredKeeper(o.Log, o.Clock, e.blameTracker, e.partsTracker, o.Logger)
 	e.proxy = proxy.New(proxy.Options{
 		RoutingTable: e.configHolder.Table, Services: e, Caller: o.Caller, WriteRefusal: o.WriteRefusal,
 		Prober: o.Prober, CrashTracker: e.blameTracker, PartsTracker: e.partsTracker,
@@ -203,6 +205,7 @@
 		tasks.Start(ctx, "ask peers for configuration", e.configFollower.RunPeerSync),
 		tasks.Start(ctx, "follow replicas", e.replicaFollower.Run),
 		tasks.Start(ctx, "ask peers for replicas", e.replicaFollower.RunPeerSync),
+		tasks.Start(ctx, "keep barred requests", e.barredKeeper.Run),
 		tasks.Start(ctx, "tick", func(ctx context.Context) error {
 			return duty.Every(ctx, o.Clock, tickInterval, e.tick)
 		}),
