fix(parts): probation ends with its charge

Found when reading the change again: a part on probation whose charge expired with nothing happening stayed on probation for good, since a sound run then clears nothing. Callers would have been refused but for one request with it at a time. TestProbationEndsWithItsCharge failed before.

--- a/parts/parts.go
+++ b/parts/parts.go
@@ -214,7 +214,7 @@
 		if left := t.convictedFor(p); left > 0 {
 			return Decision{RetryAfter: left}
 		}
-		if _, ok := t.probation[p]; ok && !slices.Contains(onProbation, p) {
+		if t.isOnProbation(p) && !slices.Contains(onProbation, p) {
 			onProbation = append(onProbation, p)
 		}
 	}
@@ -227,6 +227,18 @@
 	return Decision{RetryAfter: trialRetryAfter}
 }
 
+// isOnProbation reports whether a part is on probation, which ends with its charge.
+func (t *Tracker) isOnProbation(p Part) bool {
+	if _, ok := t.probation[p]; !ok {
+		return false
+	}
+	if t.activeCharge(p) == nil {
+		delete(t.probation, p)
+		return false
+	}
+	return true
+}
+
 // ConvictedFor returns how long one of the parts remains convicted; 0 if none is.
 func (t *Tracker) ConvictedFor(parts []Part) time.Duration {
 	t.mu.Lock()
@@ -270,7 +282,7 @@
 		if c == nil {
 			continue
 		}
-		if _, onProbation := t.probation[p]; onProbation || c.convicted {
+		if t.isOnProbation(p) || c.convicted {
 			barred = append(barred, BarredPart{
 				Part: p, Crashes: len(c.crashes), Convicted: c.convicted, Remaining: c.until.Sub(t.clock.Now()),
 			})
@@ -304,7 +316,7 @@
 	if c == nil || len(c.crashes) == 0 {
 		return false
 	}
-	if _, onProbation := t.probation[p]; onProbation || c.convicted {
+	if t.isOnProbation(p) || c.convicted {
 		t.logger.Info("part of prompts released", zap.Uint64("Part", uint64(p)), zap.Int("Crashes", len(c.crashes)))
 	}
 	c.round, c.crashes, c.convicted, c.own = c.round+1, nil, false, false
@@ -317,7 +329,7 @@
 func (t *Tracker) Release(p Part) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if _, onProbation := t.probation[p]; !onProbation && t.convictedFor(p) == 0 {
+	if !t.isOnProbation(p) && t.convictedFor(p) == 0 {
 		return false
 	}
 	released := t.clearCharge(p)
--- a/parts/parts_test.go
+++ b/parts/parts_test.go
@@ -110,6 +110,19 @@
 	assert.Equal(t, len(f.Barred()), 0)
 }
 
+// Guards against a part that stays on probation for good, since nothing happened to it until its charge expired.
+func TestProbationEndsWithItsCharge(t *testing.T) {
+	f := newFixture()
+	f.sound(4, "yard")
+	for i := range 3 {
+		f.crash("kind", "yard", fmt.Sprint("session-", i))
+	}
+	assert.Assert(t, f.Check(ids("yard")).Trial)
+	assert.Assert(t, f.Check(ids("yard")).RetryAfter > 0)
+	f.clock.Advance(10 * time.Minute)
+	assert.Equal(t, f.Check(ids("yard")), parts.Decision{})
+}
+
 // Guards against barring parts of sound requests that are in flight when an instance or a zone is lost.
 func TestReplicasThatCrashTogetherProveNothing(t *testing.T) {
 	f := newFixture()
