perf(blame,parts): peers get news and what is barred, not all charges of ten minutes

Each message of an entry, ten a second to each peer of its zone, carried the 16 gravest charges of the last ten minutes, by now with up to eight crashes each: about 10 KB. A charge is sent for 15 s after it has changed; what is barred is sent for as long as it is, for entries that start. TestOnlyNewsAndBarredRequestsAreShared and TestOnlyNewsAndBarredPartsAreShared failed before; the property test of the order of messages found that a clearance that is news to a representative must be passed on.

--- a/blame/blame.go
+++ b/blame/blame.go
@@ -45,6 +45,10 @@
 	maxUnconfirmed = 4096
 	// maxDeaths is the most deaths that are kept of a request.
 	maxDeaths = 8
+	// shareTime is the time for which a charge is sent to peers after it has changed, so that they get
+	// it although messages are lost. Charges of barred requests are sent for as long as they last,
+	// for entries that start.
+	shareTime = 15 * time.Second
 	// maxSharedCharges is the most charges sent to or taken from a peer in one message.
 	maxSharedCharges = 16
 )
@@ -147,6 +151,8 @@
 	deaths []chargedDeath
 	// own is set if a death that this entry has seen barred the request.
 	own bool
+	// changedAt is when the round or the deaths changed last.
+	changedAt time.Time
 	// until is when the charge expires.
 	until time.Time
 }
@@ -299,7 +305,7 @@
 // clearCharge drops the deaths attributed to a request, here and at peers.
 func (b *Tracker) clearCharge(f Fingerprint, c *charge) {
 	b.logger.Info("crash charges dropped", zap.Uint64("Fingerprint", uint64(f)), zap.Int("Deaths", len(c.deaths)))
-	c.round, c.deaths, c.own = c.round+1, nil, false
+	c.round, c.deaths, c.own, c.changedAt = c.round+1, nil, false, b.clock.Now()
 }
 
 // clearIfServed clears a request that would be barred but was completed lately: it was in flight on
@@ -343,10 +349,10 @@
 	if !c.add(chargedDeath{Death: a.death, sentAt: a.SentAt, brokeAt: a.brokeAt}) {
 		return
 	}
+	now := b.clock.Now()
+	c.until, c.changedAt = now.Add(chargeDuration), now
 	b.clearIfServed(a.Fingerprint, c)
 	c.own = c.own || c.suffices()
-	now := b.clock.Now()
-	c.until = now.Add(chargeDuration)
 	b.confirmationTime.Update(now.Sub(a.brokeAt).Seconds())
 	b.logger.Warn("request charged with a replica's death", zap.String("RequestID", string(a.RequestID)),
 		zap.Uint64("Fingerprint", uint64(a.Fingerprint)), zap.String("Replica", string(a.death.Replica)),
@@ -354,15 +360,16 @@
 		zap.Int("Deaths", len(c.deaths)), zap.Bool("Barred", c.suffices()))
 }
 
-// ChargesToShare returns the charges to send to peers: those with the most deaths first, then those
-// that expire last. There are 16 at most.
+// ChargesToShare returns the charges to send to peers, which are those of barred requests and those that
+// have changed lately: those with the most deaths first, then those that expire last. There are 16 at
+// most.
 func (b *Tracker) ChargesToShare() []Charge {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
 	var charges []Charge
 	for f := range b.charges {
-		if c := b.activeCharge(f); c != nil {
+		if c := b.activeCharge(f); c != nil && (c.suffices() || now.Sub(c.changedAt) < shareTime) {
 			charges = append(charges, c.export(f, now))
 		}
 	}
@@ -420,17 +427,19 @@
 		c := b.activeCharge(other.Fingerprint)
 		if c == nil {
 			c = b.insertCharge(other.Fingerprint)
-			c.round, c.until = other.Round, now.Add(left)
+			c.round, c.until, c.changedAt = other.Round, now.Add(left), now
 		}
 		if other.Round < c.round {
 			continue
 		}
 		if other.Round > c.round {
-			c.round, c.deaths, c.own = other.Round, nil, false
+			c.round, c.deaths, c.own, c.changedAt = other.Round, nil, false, now
 		}
 		before, barredBefore := len(c.deaths), c.suffices()
 		for _, d := range other.Deaths[:min(len(other.Deaths), maxDeaths)] {
-			c.add(chargedDeath{Death: d.Death, sentAt: now.Add(-d.SentAgo), brokeAt: now.Add(-d.BrokeAgo)})
+			if c.add(chargedDeath{Death: d.Death, sentAt: now.Add(-d.SentAgo), brokeAt: now.Add(-d.BrokeAgo)}) {
+				c.changedAt = now
+			}
 		}
 		b.clearIfServed(other.Fingerprint, c)
 		if c.suffices() && !barredBefore {
--- a/blame/blame_test.go
+++ b/blame/blame_test.go
@@ -132,6 +132,26 @@
 	assert.Assert(t, f.tracker.BarredFor(crasher) > 0)
 }
 
+// Guards against messages that carry, for ten minutes after each crash, what all peers know.
+func TestOnlyNewsAndBarredRequestsAreShared(t *testing.T) {
+	f := newFixture(4)
+	f.attemptBroke(crasher, f.replicas[0])
+	f.restart(0)
+	assert.Equal(t, len(f.tracker.ChargesToShare()), 1)
+	f.clock.Advance(16 * time.Second)
+	assert.Equal(t, len(f.tracker.ChargesToShare()), 0)
+	for i := range 3 {
+		f.attemptBroke(crasher, f.replicas[1+i])
+		f.restart(1 + i)
+	}
+	f.clock.Advance(5 * time.Minute)
+	assert.Equal(t, len(f.tracker.ChargesToShare()), 1, "a barred request, for entries that start")
+	f.tracker.RequestCompleted(crasher)
+	assert.Equal(t, len(f.tracker.ChargesToShare()), 1, "peers must learn that it is cleared")
+	f.clock.Advance(16 * time.Second)
+	assert.Equal(t, len(f.tracker.ChargesToShare()), 0)
+}
+
 func TestCompletionClearsRequest(t *testing.T) {
 	f, other := newFixture(3), newFixture(3)
 	for i := range 3 {
--- a/parts/parts.go
+++ b/parts/parts.go
@@ -63,6 +63,10 @@
 	maxCharges    = 2048
 	maxCrashes    = 8
 	maxSoundParts = 16384
+	// shareTime is the time for which a charge is sent to peers after it has changed, so that they get
+	// it although messages are lost. What is barred is sent for as long as it is, for entries that
+	// start.
+	shareTime = 15 * time.Second
 	// maxSharedCharges is the most charges sent to or taken from a peer in one message.
 	maxSharedCharges = 16
 )
@@ -167,7 +171,9 @@
 	// own is set if this entry has convicted the part.
 	own     bool
 	crashes []suspectedCrash
-	until   time.Time
+	// changedAt is when the round or the crashes changed last.
+	changedAt time.Time
+	until     time.Time
 }
 
 // suspectedCrash is a crash in a charge.
@@ -320,6 +326,7 @@
 		t.logger.Info("part of prompts released", zap.Uint64("Part", uint64(p)), zap.Int("Crashes", len(c.crashes)))
 	}
 	c.round, c.crashes, c.convicted, c.own = c.round+1, nil, false, false
+	c.changedAt = t.clock.Now()
 	delete(t.trials, p)
 	return true
 }
@@ -350,7 +357,7 @@
 		}
 		c.depth = max(c.depth, depth)
 		c.add(suspectedCrash{Crash: crash, request: run.Request, sentAt: run.SentAt, brokeAt: run.BrokeAt})
-		c.until = now.Add(chargeDuration)
+		c.until, c.changedAt = now.Add(chargeDuration), now
 	}
 	t.judgeTrial(run)
 	t.updateBarred(ownEvidence)
@@ -386,8 +393,8 @@
 	return true
 }
 
-// Share returns the charges to send to peers: those with the most crashes first, then the
-// latest. There are 16 at most.
+// Share returns the charges to send to peers, which are those of barred parts and those that have
+// changed lately: those with the most crashes first, then the latest. There are 16 at most.
 func (t *Tracker) Share() []Charge {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -395,10 +402,9 @@
 	var charges []Charge
 	for p := range t.charges {
 		c := t.activeCharge(p)
-		if c == nil {
-			continue
+		if c != nil && (c.convicted || t.isOnProbation(p) || now.Sub(c.changedAt) < shareTime) {
+			charges = append(charges, t.export(p, c, now))
 		}
-		charges = append(charges, t.export(p, c, now))
 	}
 	slices.SortFunc(charges, func(x, y Charge) int {
 		return cmp.Or(cmp.Compare(len(y.Crashes), len(x.Crashes)), cmp.Compare(y.Left, x.Left), cmp.Compare(x.Part, y.Part))
@@ -467,7 +473,7 @@
 	c := t.activeCharge(other.Part)
 	if c == nil {
 		c = t.insertCharge(other.Part)
-		c.round, c.until = other.Round, now.Add(left)
+		c.round, c.until, c.changedAt = other.Round, now.Add(left), now
 	}
 	if other.Round < c.round {
 		return false
@@ -491,6 +497,9 @@
 	if until := now.Add(left); until.After(c.until) {
 		c.until = until
 	}
+	if changed {
+		c.changedAt = now
+	}
 	return changed
 }
 
--- a/parts/parts_test.go
+++ b/parts/parts_test.go
@@ -144,6 +144,20 @@
 	assert.Assert(t, !f.barred("kind", "yard"))
 }
 
+// Guards against messages that carry, for ten minutes after each crash, what all peers know.
+func TestOnlyNewsAndBarredPartsAreShared(t *testing.T) {
+	f := newFixture()
+	f.crash("kind", "yard")
+	assert.Equal(t, len(f.Share()), 2)
+	f.clock.Advance(15 * time.Second)
+	assert.Equal(t, len(f.Share()), 0)
+	for range 3 {
+		f.crash("kind", "bad")
+	}
+	f.clock.Advance(time.Minute)
+	assert.Equal(t, len(f.Share()), 1, "a convicted part, for entries that start")
+}
+
 func TestSoundRunClearsParts(t *testing.T) {
 	f := newFixture()
 	f.crash("kind", "yard")
