--- a/story/story.go
+++ b/story/story.go
@@ -67,7 +67,10 @@
 			continue
 		}
 		var fields map[string]any
-		if json.Unmarshal(scanner.Bytes()[start:], &fields) != nil {
+		decoder := json.NewDecoder(bytes.NewReader(scanner.Bytes()[start:]))
+		// A float64 can't hold all fingerprints.
+		decoder.UseNumber()
+		if decoder.Decode(&fields) != nil || decoder.More() {
 			continue
 		}
 		if line, ok := newLine(fields); ok {
@@ -107,8 +110,10 @@
 		if l.Fields["RequestID"] != requestID {
 			continue
 		}
-		took, _ := l.Fields["TookMs"].(float64)
-		lineStart := l.Time.Add(-time.Duration(took) * time.Millisecond)
+		// Lines about other things than a whole request have no duration.
+		took, _ := l.Fields["TookMs"].(json.Number)
+		millis, _ := took.Int64()
+		lineStart := l.Time.Add(-time.Duration(millis) * time.Millisecond)
 		if start.IsZero() || lineStart.Before(start) {
 			start = lineStart
 		}
--- a/story/story_test.go
+++ b/story/story_test.go
@@ -55,3 +55,11 @@
 	_, err := story.Read(strings.NewReader(strings.Repeat("x", 2<<20)))
 	assert.Assert(t, track.IsKind(err, story.Unreadable))
 }
+
+// Guards against fingerprints that are rounded, so that they match nothing in other logs or in the list for operators.
+func TestLargeNumbersAreExact(t *testing.T) {
+	lines, err := story.Read(strings.NewReader(
+		`{"Time":"2026-12-04T15:30:01Z","Message":"attempt broke off","RequestID":"r-1","Fingerprint":8325481451104350396,"TookMs":12}`))
+	assert.NilError(t, err)
+	assert.Equal(t, fmt.Sprint(lines[0].Fields["Fingerprint"]), "8325481451104350396")
+}
