test(proxy): a stream that drips is left at one time, however its timer's goroutine runs

Cause: the fake clock calls the function of a timer in a goroutine of its own. The body sent one more drip if that goroutine had not run yet, so that the time was 1.7 s or 1.8 s by chance; the test demanded the later one.

Evidence: 11 of 4,000 cases (2,000 runs with GOMAXPROCS=2) failed before, each with 1.7 s. The body now waits for the timer that is due at 1.7 s, and the test demands exactly that: 4,000 runs pass. The bound is stricter than before; the program is unchanged.

--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -396,7 +396,7 @@
 		assert.Equal(t, strings.ReplaceAll(got.Body.String(), ": still here\n\n", ""), eventsAfter("", serves))
 		assert.Equal(t, len(h.calls), 2)
 		assert.Equal(t, h.calls[1].ResumeAfter, "1")
-		assert.Equal(t, h.clock.Since(start), maxDrips*100*time.Millisecond+100*time.Millisecond)
+		assert.Equal(t, h.clock.Since(start), maxDrips*dripInterval)
 	}
 }
 
--- a/proxy/world_test.go
+++ b/proxy/world_test.go
@@ -325,8 +325,8 @@
 	return nil
 }
 
-// drippingBody is a stream that sends a part of its events and then, every 100 ms, a few bytes that
-// are no event.
+// drippingBody is a stream that sends a part of its events and then, every dripInterval, a few bytes
+// that are no event.
 type drippingBody struct {
 	io.Reader
 	ctx   context.Context
@@ -339,21 +339,23 @@
 	if n, err := b.Reader.Read(p); err == nil {
 		return n, nil
 	}
-	b.clock.Advance(100 * time.Millisecond)
-	// The timer calls the cancel function in its own goroutine.
-	if b.drips++; b.drips > maxDrips {
-		<-b.ctx.Done()
+	b.clock.Advance(dripInterval)
+	if b.drips++; b.drips < maxDrips {
+		return copy(p, b.drip), nil
 	}
-	if b.ctx.Err() != nil {
-		return 0, context.Cause(b.ctx)
-	}
-	return copy(p, b.drip), nil
+	// The timer that is due now calls the cancel function in its own goroutine.
+	<-b.ctx.Done()
+	return 0, context.Cause(b.ctx)
 }
 
 func (b *drippingBody) Close() error { return nil }
 
-// maxDrips is the number of drips within the 1.7 s after which a stream without events is left.
-const maxDrips = 17
+const (
+	// dripInterval is the time between two drips.
+	dripInterval = 100 * time.Millisecond
+	// maxDrips is the number of drips within the 1.7 s after which a stream without events is left.
+	maxDrips = 17
+)
 
 // endless is a body without end.
 type endless struct{}
