fix(edge,latest): an entry that starts on a restored log takes over its peers' configuration

Cause: an entry that starts while the log is an older copy of itself takes the version of the copy. Entries told each other how far they had read the log; after the restore all have read equally far in the same era, so nobody noticed that one has an older version than the others. The class: progress through a source is taken for knowledge of its content.

Evidence: TestEntryThatStartsOnARestoredLogTakesTheConfigurationOfPeers failed before (the entry keeps version 3, its peer has 5).

Change: each entry's messages name the version of the configuration that it has in force. A version never replaces a newer one, whichever way it comes, so this can't bring an older one back. The entry of another zone that represents it sends the same message, so that an entry that is alone in its zone catches up, too.

--- a/edge/configpeer_test.go
+++ b/edge/configpeer_test.go
@@ -76,33 +76,75 @@
 // Guards against an entry that handles requests as an older configuration says, because the log had
 // come back from an older copy when the entry started.
 func TestEntryThatStartsOnARestoredLogTakesTheConfigurationOfPeers(t *testing.T) {
-	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
-	defer cancel()
-	log := restoredLog{era: 2, version: "3"}
+	for _, zone := range []track.AvailabilityZone{"rivera", "artigas"} {
+		t.Run("peer in "+string(zone), func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			log := restoredLog{era: 2, version: "3"}
 
-	peer := newEntryOn(t, "front-1", log, make(chan uint64, 1))
-	applyConfig(peer.configHolder, "config")([]track.KeyedRecord{{Key: "config", Value: []byte("5")}})
-	peer.configFollower.Mirror().Replace(track.KeyedPage{
-		Era: 2, End: 1, Records: []track.KeyedRecord{{Key: "config", Value: []byte("3")}},
-	})
-	mux := http.NewServeMux()
-	peer.ServePeers(mux)
-	server := httptest.NewServer(mux)
-	defer server.Close()
+			peer := newEntryOn(t, "front-1", log, make(chan uint64, 1))
+			applyConfig(peer.configHolder, "config")([]track.KeyedRecord{{Key: "config", Value: []byte("5")}})
+			peer.configFollower.Mirror().Replace(track.KeyedPage{
+				Era: 2, End: 1, Records: []track.KeyedRecord{{Key: "config", Value: []byte("3")}},
+			})
+			mux := http.NewServeMux()
+			peer.ServePeers(mux)
+			server := httptest.NewServer(mux)
+			defer server.Close()
 
-	decoded := make(chan uint64, 10)
-	started := newEntryOn(t, "front-2", log, decoded)
-	startEntry(t, started)
-	assert.Equal(t, <-decoded, uint64(3))
+			decoded := make(chan uint64, 10)
+			started := newEntryOn(t, "front-2", log, decoded)
+			startEntry(t, started)
+			assert.Equal(t, <-decoded, uint64(3))
 
-	note := peer.composeNote(false)
-	note.From, note.Started, note.Seq, note.API = "front-1", 1, 1, strings.TrimPrefix(server.URL, "http://")
-	started.receiveNew(note)
-	select {
-	case version := <-decoded:
-		assert.Equal(t, version, uint64(5))
-	case <-ctx.Done():
-		t.Fatal("the entry keeps the configuration of the older copy")
+			note := peer.composeNote(zone != "rivera")
+			note.From, note.Zone, note.Started, note.Seq = "front-1", zone, 1, 1
+			note.API = strings.TrimPrefix(server.URL, "http://")
+			started.receiveNew(note)
+			for {
+				select {
+				case version := <-decoded:
+					assert.Equal(t, version, uint64(5))
+					return
+				case <-ctx.Done():
+					t.Fatal("the entry keeps the configuration of the older copy")
+				default:
+					started.options.Clock.(*clockwork.FakeClock).Advance(10 * time.Millisecond)
+				}
+			}
+		})
 	}
 }
 
+// An entry whose peer has the same configuration, or that reads the newer one from the log meanwhile,
+// doesn't read it from the peer.
+func TestConfigurationIsReadFromPeersOnlyIfItStaysNewer(t *testing.T) {
+	calls := make(chan struct{}, 10)
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls <- struct{}{} }))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	clock := clockwork.NewFakeClock()
+	e := newEntryOn(t, "front-2", restoredLog{}, make(chan uint64, 10))
+	defer e.options.MessageConn.Close()
+	apply := func(version string) {
+		applyConfig(e.configHolder, "config")([]track.KeyedRecord{{Key: "config", Value: []byte(version)}})
+	}
+	apply("3")
+	p := newConfigPeer(e.configHolder, e.members.client, clock, zap.NewNop())
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- p.Run(ctx) }()
+	p.Notify(address, 3)
+	p.Notify("", 9)
+	p.Notify(address, 4)
+	assert.NilError(t, clock.BlockUntilContext(ctx, 1))
+	apply("4")
+	clock.Advance(configPeerDelay)
+	p.Notify(address, 5)
+	assert.NilError(t, clock.BlockUntilContext(ctx, 1))
+	assert.Equal(t, len(calls), 0)
+	clock.Advance(configPeerDelay)
+	<-calls
+	cancel()
+	<-done
+}
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -123,6 +123,7 @@
 	partsTracker    *parts.Tracker
 	barredKeeper    *barredKeeper
 	configFollower  *keyed.Follower
+	configPeer      *configPeer
 	replicaFollower *keyed.Follower
 	// relay reads from the leader of the zone or, if there is none, from the log.
 	relay          *keyed.Relay
@@ -170,6 +171,7 @@
 		Topic: o.Topics.Config, LongPollTimeout: configReadWait, GatherTime: configGatherTime, Apply: applyConfig(e.configHolder, o.Topics.ConfigKey),
 		ApplyRestored: applyRestoredConfig(e.configHolder, o.Topics.ConfigKey, e.announcer),
 	})
+	e.configPeer = newConfigPeer(e.configHolder, e.members.client, o.Clock, o.Logger)
 	e.replicaFollower = followers.newFollower(e.relay, keyed.Options{
 		Topic: o.Topics.Replicas, PollInterval: o.replicasReadInterval(), Apply: e.fleet.Apply,
 		ApplyRestored: e.fleet.ApplyRestored,
@@ -203,6 +205,7 @@
 	return append(startCommonTasks(ctx, tasks, e.memberFollower, e.gossipNode, e.announcer),
 		tasks.Start(ctx, "follow configuration", e.configFollower.Run),
 		tasks.Start(ctx, "ask peers for configuration", e.configFollower.RunPeerSync),
+		tasks.Start(ctx, "read newer configuration of peers", e.configPeer.Run),
 		tasks.Start(ctx, "follow replicas", e.replicaFollower.Run),
 		tasks.Start(ctx, "ask peers for replicas", e.replicaFollower.RunPeerSync),
 		tasks.Start(ctx, "keep barred requests", e.barredKeeper.Run),
@@ -221,6 +224,7 @@
 // log, and agents the description of their engines.
 func (e *Entry) ServePeers(mux *http.ServeMux) {
 	talk.Handle(mux, pathEngine, e.engineSpec)
+	talk.Handle(mux, pathConfig, e.currentConfig)
 	keyed.HandleMirrors(mux, map[string]*keyed.Mirror{
 		e.options.Topics.Config:   e.configFollower.Mirror(),
 		e.options.Topics.Replicas: e.replicaFollower.Mirror(),
@@ -375,6 +379,7 @@
 		Zones:      e.zoneNotes(otherZone),
 	}
 	note.Era, note.Offsets = e.offsets()
+	note.ConfigVersion, _ = e.configHolder.Current()
 	if otherZone {
 		return note
 	}
@@ -418,6 +423,7 @@
 	e.partsTracker.Merge(note.Parts)
 	e.markLeaving(note.Departures)
 	e.configFollower.NotifyPeerPosition(track.LogPosition{Era: note.Era, Offset: note.Offsets[e.options.Topics.Config]})
+	e.configPeer.Notify(note.API, note.ConfigVersion)
 	if since, _ := e.replicaFollower.Outage(); !since.IsZero() {
 		e.replicaFollower.NotifyPeerPosition(track.LogPosition{Era: note.Era, Offset: note.Offsets[e.options.Topics.Replicas]})
 	}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -59,6 +59,9 @@
 	Offsets map[string]uint64 `json:"Ends"`
 	// Era is the era of the log that the offsets belong to.
 	Era uint64 `json:",omitempty"`
+	// ConfigVersion is the version of the configuration that the sender has in force; 0 if none,
+	// and for agents.
+	ConfigVersion uint64 `json:",omitempty"`
 	// LogAge is the time since the sender last got the list of replicas from the log
 	// itself; negative if it never did.
 	LogAge time.Duration
