fix(edge): what is barred is written again to a log that came back from an older copy

After a restore and a restart of all entries, requests and parts that crash replicas would have begun anew.

Cause: an entry writes each record of what it has barred once. A log that comes back from an older copy lacks the latest ones, and nothing made the entry write them again.

Evidence: TestBarredRequestsAreWrittenAgainToARestoredLog failed before (the record stays missing).

--- a/edge/barred.go
+++ b/edge/barred.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -44,6 +45,8 @@
 	logger   *zap.Logger
 	// written holds the keys of the records that this entry has written.
 	written map[string]bool
+	// again is set when the log may have lost these records.
+	again atomic.Bool
 }
 
 func newBarredKeeper(
@@ -54,6 +57,11 @@
 	}
 }
 
+// Again makes the keeper write its records once more, since the log may have lost them.
+func (k *barredKeeper) Again() {
+	k.again.Store(true)
+}
+
 // Run reads the topic and then keeps it up to date until the context ends. It returns the
 // context's cause.
 func (k *barredKeeper) Run(ctx context.Context) error {
@@ -129,6 +137,9 @@
 	for _, c := range k.parts.OwnConvicted() {
 		barred[fmt.Sprintf("part:%016x", uint64(c.Part))] = barredRecord{Part: &c}
 	}
+	if k.again.Swap(false) {
+		clear(k.written)
+	}
 	for key, record := range barred {
 		if k.written[key] {
 			continue
--- a/edge/barred_test.go
+++ b/edge/barred_test.go
@@ -124,6 +124,28 @@
 	assert.Equal(t, len(log.records), 0, "what has expired is deleted")
 }
 
+// Guards against barred requests that nobody knows after the restart of all entries, because the log
+// had come back from a copy that lacks their records.
+func TestBarredRequestsAreWrittenAgainToARestoredLog(t *testing.T) {
+	clock, log := clockwork.NewFakeClock(), &keyedTopics{records: map[string][]byte{}}
+	e := newBarredEntry(clock, log)
+	e.crash(clock, 3, true)
+	assert.NilError(t, e.keeper.update(t.Context()))
+	assert.Equal(t, len(log.records), 1)
+
+	log.records = map[string][]byte{}
+	e.keeper.Again()
+	e.keeper.Again()
+	log.away = true
+	assert.Assert(t, e.keeper.update(t.Context()) != nil)
+	log.away = false
+	for range 3 {
+		assert.NilError(t, e.keeper.update(t.Context()))
+	}
+	assert.Equal(t, len(log.records), 1)
+	assert.Equal(t, log.puts, 2, "each record is written once to each copy of the log")
+}
+
 func TestUnreadableBarredRecordIsIgnored(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	log := &keyedTopics{records: map[string][]byte{"a": []byte("{"), "b": []byte("{}"), "c": []byte(`{"Part":{"Left":-1}}`)}}
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -162,6 +162,9 @@
 		Decode: o.DecodeReplica, LogOutage: e.logOutage,
 		OnChange: e.onReplicas, Clock: o.Clock, Logger: o.Logger,
 	})
+	e.partsTracker = parts.New(o.Clock, o.Logger, o.Metrics)
+	e.blameTracker = blame.New(o.Clock, o.Logger, o.Metrics, e.partsTracker)
+	e.barredKeeper = newBarredKeeper(o.Log, o.Clock, e.blameTracker, e.partsTracker, o.Logger)
 	e.relay = keyed.NewRelay(o.Log, e.zoneLeader, o.Clock)
 	followers := followerFactory{
 		clock: o.Clock, logger: o.Logger,
@@ -169,7 +172,7 @@
 	}
 	e.configFollower = followers.newFollower(o.Log, keyed.Options{
 		Topic: o.Topics.Config, LongPollTimeout: configReadWait, GatherTime: configGatherTime, Apply: applyConfig(e.configHolder, o.Topics.ConfigKey),
-		ApplyRestored: applyRestoredConfig(e.configHolder, o.Topics.ConfigKey, e.announcer),
+		ApplyRestored: applyRestoredConfig(e.configHolder, o.Topics.ConfigKey, e.announcer, e.barredKeeper),
 	})
 	e.configPeer = newConfigPeer(e.configHolder, e.members.client, o.Clock, o.Logger)
 	e.replicaFollower = followers.newFollower(e.relay, keyed.Options{
@@ -185,9 +188,6 @@
 		Peers: e.targets,
 		Clock: o.Clock, Logger: o.Logger,
 	})
-	e.partsTracker = parts.New(o.Clock, o.Logger, o.Metrics)
-	e.blameTracker = blame.New(o.Clock, o.Logger, o.Metrics, e.partsTracker)
-	e.barredKeeper = newBarredKeeper(o.Log, o.Clock, e.blameTracker, e.partsTracker, o.Logger)
 	e.proxy = proxy.New(proxy.Options{
 		RoutingTable: e.configHolder.Table, Services: e, Caller: o.Caller, WriteRefusal: o.WriteRefusal,
 		Prober: o.Prober, CrashTracker: e.blameTracker, PartsTracker: e.partsTracker,
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -40,15 +40,22 @@
 	}
 }
 
+// rewriter writes the records of this process again that the log may have lost.
+type rewriter interface {
+	Again()
+}
+
 // applyRestoredConfig returns a function for the configuration records of a log that came back
-// from an older copy. The holder ignores an older configuration. The process also writes its
-// member record again.
+// from an older copy. The holder ignores an older configuration. The rewriters write again what the
+// copy may lack.
 func applyRestoredConfig(
-	holder *latest.ConfigHolder, key string, announcer *announcer,
+	holder *latest.ConfigHolder, key string, rewriters ...rewriter,
 ) func([]track.KeyedRecord) {
 	apply := applyConfig(holder, key)
 	return func(records []track.KeyedRecord) {
-		announcer.Again()
+		for _, r := range rewriters {
+			r.Again()
+		}
 		apply(records)
 	}
 }
