--- a/parts/parts_test.go
+++ b/parts/parts_test.go
@@ -251,10 +251,13 @@
 // nobody is served, so that only few runs show which parts are sound. When the group is open again, all waiting
 // requests start at once.
 type storm struct {
+	stormSize
 	entries []*fixture
 	random  *rand.Rand
 	// badShare is the share of the requests that contain the crashing part; 0 if ranks crash by themselves.
+	// The part is harmless as long as harmless is set.
 	badShare float64
+	harmless bool
 	request  uint64
 	// fifthCrash is when the group crashed for the fifth time, and sentLate counts the bad requests that were
 	// sent more than stableWindow later.
@@ -277,12 +280,14 @@
 	bad   bool
 }
 
-const (
-	stormRanks    = 12
-	stormRequests = 40
-	// stableWindow is the time after the fifth crash from which on at most three requests may be sent.
-	stableWindow = 3 * time.Second
-)
+// stormSize is the number of entries, of ranks in the group and of requests that wait for it.
+type stormSize struct{ entryCount, rankCount, requestCount int }
+
+// stormSizes are those of the smallest and of the largest deployment.
+var stormSizes = []stormSize{{entryCount: 6, rankCount: 12, requestCount: 40}, {entryCount: 98, rankCount: 64, requestCount: 400}}
+
+// stableWindow is the time after the fifth crash from which on at most three requests may be sent.
+const stableWindow = 3 * time.Second
 
 // stormSeeds are the seeds of each kind of storm. With 56 and no calm rounds before, several entries once tried the
 // bad part at a time.
@@ -291,10 +296,10 @@
 // stormCalms are the numbers of calm rounds before a storm. With none, nothing is known to be sound.
 var stormCalms = []int{0, 1, 3, 8}
 
-// newStorm returns a storm at six entries, after the group has served calmly for a number of rounds.
-func newStorm(seed uint64, calm int) *storm {
-	s := &storm{random: rand.New(rand.NewPCG(seed, 0)), sound: map[string]int{}, refused: map[string]int{}}
-	for range 6 {
+// newStorm returns a storm after the group has served calmly for a number of rounds.
+func newStorm(size stormSize, seed uint64, calm int) *storm {
+	s := &storm{stormSize: size, random: rand.New(rand.NewPCG(seed, 0)), sound: map[string]int{}, refused: map[string]int{}}
+	for range size.entryCount {
 		s.entries = append(s.entries, newFixture())
 	}
 	for range calm {
@@ -306,16 +311,17 @@
 // newRun returns a random request, and false if its entry refuses it.
 func (s *storm) newRun() (stormRun, bool) {
 	s.request++
-	bad := s.random.Float64() < s.badShare
+	withBadPart := s.random.Float64() < s.badShare
+	bad := withBadPart && !s.harmless
 	r := stormRun{
-		entry: s.entries[s.random.IntN(len(s.entries))], rank: s.random.IntN(stormRanks), bad: bad,
+		entry: s.entries[s.random.IntN(len(s.entries))], rank: s.random.IntN(s.rankCount), bad: bad,
 		// A few subjects are asked for often.
 		names: []string{
 			fmt.Sprint("kind-", s.random.IntN(3)), fmt.Sprint("yard-", int(20*s.random.ExpFloat64())),
 			fmt.Sprint("mill-", s.random.IntN(8)),
 		},
 	}
-	if bad {
+	if withBadPart {
 		r.names[1] = "bad"
 	}
 	decision := r.entry.Check(ids(r.names...))
@@ -333,7 +339,7 @@
 // one with a bad request.
 func (s *storm) serve(crashed int) {
 	var runs []stormRun
-	for range stormRequests {
+	for range s.requestCount {
 		r, admitted := s.newRun()
 		if !admitted {
 			continue
@@ -374,18 +380,27 @@
 	}
 }
 
-// gossip has all entries exchange their charges.
+// gossip has all entries exchange their charges, each with maxStormPeers others.
 func (s *storm) gossip() {
 	for range 2 {
 		for _, from := range s.entries {
-			charges := from.Share()
-			for _, to := range s.entries {
+			charges, peers := from.Share(), s.entries
+			if len(peers) > maxStormPeers {
+				peers = nil
+				for range maxStormPeers {
+					peers = append(peers, s.entries[s.random.IntN(len(s.entries))])
+				}
+			}
+			for _, to := range peers {
 				to.Merge(charges)
 			}
 		}
 	}
 }
 
+// maxStormPeers is the largest number of entries to which an entry sends each of its messages.
+const maxStormPeers = 10
+
 // assertServed fails if less than half of the sound requests with a first part were served.
 func (s *storm) assertServed(t *testing.T) {
 	t.Helper()
@@ -394,38 +409,49 @@
 	}
 }
 
-// Guards against a part that takes a whole group of ranks down again and again, while sound requests must be served.
-func TestPartThatCrashesAGroupInLockStep(t *testing.T) {
-	for _, calm := range stormCalms {
-		for _, share := range []float64{0.03, 0.1, 0.3} {
-			for _, seed := range stormSeeds {
-				s := newStorm(seed, calm)
-				s.badShare = share
-				for range 30 {
-					s.serve(-1)
-				}
-				assert.Assert(t, s.sentLate <= 3, "calm %d, share %g, seed %d: %d crashes, %d requests sent after the fifth",
-					calm, share, seed, s.crashes, s.sentLate)
-				s.assertServed(t)
+// stormRounds is the number of rounds of a storm. A round takes 3.9 s.
+const stormRounds = 30
+
+// forEachStorm runs a storm of each size with each number of calm rounds and each seed. Of large storms it runs a few.
+func forEachStorm(run func(name string, s *storm)) {
+	for _, size := range stormSizes {
+		seeds, calms := stormSeeds, stormCalms
+		if size.entryCount > 50 {
+			seeds, calms = seeds[:1], calms[:2]
+		}
+		for _, calm := range calms {
+			for _, seed := range seeds {
+				run(fmt.Sprintf("%+v, calm %d, seed %d", size, calm, seed), newStorm(size, seed, calm))
 			}
 		}
 	}
 }
 
-// Guards against barring sound requests while ranks crash for other reasons, one after the other.
-func TestRanksThatCrashByThemselves(t *testing.T) {
-	for _, calm := range stormCalms {
-		for _, seed := range stormSeeds {
-			s := newStorm(seed, calm)
-			for range 6 {
-				s.serve(s.random.IntN(stormRanks))
+// Guards against a part that takes a whole group of ranks down again and again, while sound requests must be served.
+func TestPartThatCrashesAGroupInLockStep(t *testing.T) {
+	for _, share := range []float64{0.03, 0.1, 0.3} {
+		forEachStorm(func(name string, s *storm) {
+			s.badShare = share
+			for range stormRounds {
 				s.serve(-1)
 			}
+			assert.Assert(t, s.sentLate <= 3, "%s, share %g: %d crashes, %d requests sent after the fifth", name, share, s.crashes, s.sentLate)
 			s.assertServed(t)
-		}
+		})
 	}
 }
 
+// Guards against barring sound requests while ranks crash for other reasons, one after the other.
+func TestRanksThatCrashByThemselves(t *testing.T) {
+	forEachStorm(func(_ string, s *storm) {
+		for range 6 {
+			s.serve(s.random.IntN(s.rankCount))
+			s.serve(-1)
+		}
+		s.assertServed(t)
+	})
+}
+
 func Example() {
 	clock := clockwork.NewFakeClock()
 	tracker := parts.New(clock, zap.NewNop(), metrics.NewSet())
