fix(parts): one entry at a time tries a part of prompts that may crash replicas

When one crash cuts off runs with a part at several entries, each of them put the part on probation by its own evidence and tried it at once: up to six crashes for one trial. Those that knew of it from peers all tried it together after 30 s.

Cause: entries that see the same crash have equal evidence, and nothing chose one of them.

Change: of the runs that a crash cuts off, all entries come to hold the one with the lowest request fingerprint. The entry to which the run of the latest crash belongs tries the part 0.5 s later, when the others have learned of it; 6 s later the one of the crash before, and so on; those without a run come last.

Evidence: TestEntriesTryAPartInTurn failed before (two entries tried at once).

--- a/parts/parts.go
+++ b/parts/parts.go
@@ -44,9 +44,12 @@
 	// after which the client of a request with a part on probation should retry.
 	trialTimeout    = 3 * time.Second
 	trialRetryAfter = 2 * time.Second
-	// peerTrialDelay is the delay after which an entry tries parts that a peer has put on
-	// probation, which the peer has done by then unless it has ended.
-	peerTrialDelay = 30 * time.Second
+	// trialDelay is the time after a crash in which entries learn of each other's requests that it cut
+	// off. The one with the lowest fingerprint belongs to the entry that tries the part.
+	trialDelay = 500 * time.Millisecond
+	// successorDelay is the time that this entry has until the one tries the part to which the crash
+	// before belongs, and so on.
+	successorDelay = 6 * time.Second
 	// chargeDuration is how long a charge is kept after its latest crash, and so how long a part
 	// is barred.
 	chargeDuration = 10 * time.Minute
@@ -149,7 +152,7 @@
 
 	mu      sync.Mutex
 	charges map[Part]*charge
-	// probation holds when each part on probation may be tried.
+	// probation holds since when each part on probation is.
 	probation map[Part]time.Time
 	// trials holds when each trial under way has shown nothing. They take place one after the other
 	// if trialsInTurn is set.
@@ -176,11 +179,14 @@
 	until     time.Time
 }
 
-// suspectedCrash is a crash in a charge.
+// suspectedCrash is a crash in a charge. Of the runs that it cut off, it holds the one with the
+// lowest request.
 type suspectedCrash struct {
 	Crash
 	request         uint64
 	sentAt, brokeAt time.Time
+	// own is set if the run was this entry's.
+	own bool
 }
 
 // same reports whether two runs were cut off by the same crash.
@@ -270,7 +276,7 @@
 	now := t.clock.Now()
 	maps.DeleteFunc(t.trials, func(_ Part, end time.Time) bool { return !now.Before(end) })
 	_, underWay := t.trials[p]
-	if underWay || t.trialsInTurn && len(t.trials) > 0 || now.Before(t.probation[p]) {
+	if underWay || t.trialsInTurn && len(t.trials) > 0 || now.Before(t.trialFrom(p)) {
 		return false
 	}
 	t.trials[p] = now.Add(trialTimeout)
@@ -278,6 +284,21 @@
 	return true
 }
 
+// trialFrom returns when this entry may try a part on probation. Requests with a part that crashes
+// replicas come at all entries, so they try it in turn: the one to which the latest crash belongs
+// first, those without a crash last.
+func (t *Tracker) trialFrom(p Part) time.Time {
+	since, crashes := t.probation[p], t.charges[p].crashes
+	turn := 0
+	for i := len(crashes) - 1; i >= 0 && !crashes[i].own; i-- {
+		turn++
+	}
+	if n := len(crashes); n > 0 && crashes[n-1].brokeAt.After(since) {
+		since = crashes[n-1].brokeAt
+	}
+	return since.Add(trialDelay + time.Duration(turn)*successorDelay)
+}
+
 // Barred returns the convicted parts and those on probation, those with the most crashes first.
 func (t *Tracker) Barred() []BarredPart {
 	t.mu.Lock()
@@ -356,7 +377,7 @@
 			c = t.insertCharge(p)
 		}
 		c.depth = max(c.depth, depth)
-		c.add(suspectedCrash{Crash: crash, request: run.Request, sentAt: run.SentAt, brokeAt: run.BrokeAt})
+		c.add(suspectedCrash{Crash: crash, request: run.Request, sentAt: run.SentAt, brokeAt: run.BrokeAt, own: true})
 		c.until, c.changedAt = now.Add(chargeDuration), now
 	}
 	t.judgeTrial(run)
@@ -382,12 +403,18 @@
 	}
 }
 
-// add adds a crash unless the charge has it already. Only the latest ones are kept.
+// add adds a crash unless the charge has it already with a request as low. Only the latest ones are
+// kept.
 func (c *charge) add(s suspectedCrash) bool {
-	if slices.ContainsFunc(c.crashes, s.same) {
+	known := slices.IndexFunc(c.crashes, s.same)
+	switch {
+	case known < 0:
+		c.crashes = append(c.crashes, s)
+	case s.request < c.crashes[known].request:
+		c.crashes[known] = s
+	default:
 		return false
 	}
-	c.crashes = append(c.crashes, s)
 	slices.SortStableFunc(c.crashes, func(a, b suspectedCrash) int { return a.brokeAt.Compare(b.brokeAt) })
 	c.crashes = c.crashes[max(len(c.crashes)-maxCrashes, 0):]
 	return true
@@ -503,24 +530,19 @@
 	return changed
 }
 
-// judgement says what may follow from new evidence.
-type judgement struct {
-	// mayConvict is set if a part may be convicted without a trial. What a peer reports does not
-	// suffice, since it may not have reported all charges.
-	mayConvict bool
-	// trialDelay is the delay after which new parts on probation are tried.
-	trialDelay time.Duration
-}
+// evidence says where a change of the charges comes from.
+type evidence bool
 
-var (
-	ownEvidence  = judgement{mayConvict: true}
-	peerEvidence = judgement{trialDelay: peerTrialDelay}
+const (
+	ownEvidence evidence = true
+	// peerEvidence convicts no part without a trial, since a peer may not have reported all charges.
+	peerEvidence evidence = false
 )
 
 // updateBarred decides anew which parts are convicted and which are on probation.
-func (t *Tracker) updateBarred(j judgement) {
+func (t *Tracker) updateBarred(e evidence) {
 	suspects := t.suspects()
-	for j.mayConvict {
+	for e == ownEvidence {
 		p, found := t.mostSuspected(suspects)
 		if !found || !t.needsNoTrial(p) {
 			break
@@ -537,10 +559,9 @@
 	if len(t.probation) == 0 {
 		t.trialsInTurn = false
 	}
-	from := t.clock.Now().Add(j.trialDelay)
 	for _, p := range suspects {
 		if _, known := t.probation[p]; !known {
-			t.probation[p] = from
+			t.probation[p] = t.clock.Now()
 			t.logCharge("part of prompts on probation", p)
 		}
 	}
--- a/parts/parts_test.go
+++ b/parts/parts_test.go
@@ -123,6 +123,48 @@
 	assert.Equal(t, f.Check(ids("yard")), parts.Decision{})
 }
 
+// Guards against several entries that try a part at the same time, which crashes a replica each.
+func TestEntriesTryAPartInTurn(t *testing.T) {
+	entries := []*fixture{newFixture(), newFixture(), newFixture()}
+	advance := func(d time.Duration) {
+		for _, f := range entries {
+			f.clock.Advance(d)
+		}
+	}
+	for _, f := range entries {
+		f.sound(4, "bad")
+	}
+	// Each crash cuts off a run of each of the first two entries.
+	for n := range 3 {
+		sent := entries[0].clock.Now()
+		advance(time.Second)
+		for i, f := range entries[:2] {
+			run := parts.Run{Request: uint64(10*n + i), Parts: ids("kind", "bad"), SentAt: sent, BrokeAt: f.clock.Now()}
+			f.RunCrashed(run, parts.Crash{Replica: "llm-0", Born: int64(n + 1)})
+		}
+		for _, from := range entries {
+			for _, to := range entries {
+				to.Merge(from.Share())
+			}
+		}
+	}
+	tries := func() []bool {
+		var tried []bool
+		for _, f := range entries {
+			tried = append(tried, f.Check(ids("bad")).Trial)
+		}
+		return tried
+	}
+	assert.DeepEqual(t, tries(), []bool{false, false, false})
+	advance(500 * time.Millisecond)
+	assert.DeepEqual(t, tries(), []bool{true, false, false})
+	advance(time.Second)
+	assert.DeepEqual(t, tries(), []bool{false, false, false})
+	// The entries whose requests have crashed nothing come last.
+	advance(18 * time.Second)
+	assert.DeepEqual(t, tries(), []bool{true, true, true})
+}
+
 // Guards against barring parts of sound requests that are in flight when an instance or a zone is lost.
 func TestReplicasThatCrashTogetherProveNothing(t *testing.T) {
 	f := newFixture()
