feat(barred,boot): filberttrack's quarantine outlasts the restart of all entries

Change: package barred. Ends travel as time left and age by the clock of the writer.

Evidence: TestQuarantineOutlastsAllEntries and two more; with the restoring taken out, all three fail.

--- a/boot/entrycore.go
+++ b/boot/entrycore.go
@@ -12,6 +12,7 @@
 	"filberttrack.example/track"
 	"filberttrack.example/track/admin"
 	"filberttrack.example/track/admit"
+	"filberttrack.example/track/barred"
 	"filberttrack.example/track/beat"
 	"filberttrack.example/track/claims"
 	"filberttrack.example/track/conf"
@@ -47,6 +48,7 @@
 	crashTracker  *crash.Tracker
 	partsTracker  *parts.Tracker
 	partsSharer   *parts.Sharer
+	barredKeeper  *barred.Keeper
 	membership    *beat.Exchange
 	unready       atomic.Bool
 	claims        *claims.Executor
@@ -125,7 +127,8 @@
 	tasks = append(tasks, c.claims.Start(ctx)...)
 	tasks = append(tasks,
 		duty.Start(ctx, "refresh admission", c.admission.Run),
-		duty.Start(ctx, "share usage and quarantine", c.publishUsageAndQuarantine))
+		duty.Start(ctx, "share usage and quarantine", c.publishUsageAndQuarantine),
+		duty.Start(ctx, "keep quarantine", c.barredKeeper.Run))
 	seeded := make(chan struct{})
 	tasks = append(tasks, duty.Start(ctx, "seed configuration", func(ctx context.Context) error {
 		defer close(seeded)
--- a/boot/policies.go
+++ b/boot/policies.go
@@ -8,6 +8,7 @@
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/admit"
+	"filberttrack.example/track/barred"
 	"filberttrack.example/track/crash"
 	"filberttrack.example/track/duty"
 	"filberttrack.example/track/limit"
@@ -27,6 +28,10 @@
 	c.partsTracker = parts.New(deps.Clock, deps.Logger, c.metrics)
 	c.partsSharer = parts.NewSharer(c.partsTracker, c.instance.ID, gossip, deps.Logger)
 	c.crashTracker = crash.New(deps.Clock, crash.DefaultPolicy(), c.instance.ID, gossip, deps.Logger, c.metrics)
+	c.barredKeeper = barred.New(barred.Options{
+		Self: c.instance.ID, Log: deps.Platform.Log, Requests: c.crashTracker, Parts: c.partsTracker,
+		Clock: deps.Clock, Logger: deps.Logger,
+	})
 }
 
 // newRand returns a source of random numbers whose seed differs from instance to
--- a/parts/parts.go
+++ b/parts/parts.go
@@ -472,14 +472,24 @@
 	return c
 }
 
+// Convicted returns the charges of all convicted parts.
+func (t *Tracker) Convicted() []Charge {
+	return t.convictedCharges(func(*charge) bool { return true })
+}
+
 // OwnConvicted returns the charges of the parts that this entry has convicted.
 func (t *Tracker) OwnConvicted() []Charge {
+	return t.convictedCharges(func(c *charge) bool { return c.own })
+}
+
+// convictedCharges returns the charges of those convicted parts that match.
+func (t *Tracker) convictedCharges(matches func(*charge) bool) []Charge {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	var convicted []Charge
 	for p := range t.charges {
-		if c := t.activeCharge(p); c != nil && c.own {
+		if c := t.activeCharge(p); c != nil && c.convicted && matches(c) {
 			convicted = append(convicted, t.export(p, c, now))
 		}
 	}
--- a/platlog.go
+++ b/platlog.go
@@ -11,6 +11,8 @@
 	StreamConfig = "config"
 	// StreamClaims holds claims of idempotency keys.
 	StreamClaims = "claims"
+	// StreamBarred holds what entries bar because it crashes backend servers.
+	StreamBarred = "barred"
 )
 
 // Record is one record of the platform's log.
