test(soak): clients ask for added routes; the operator is late after a restore of the log

Change: the operator writes 1.6 to 8.2 s after the restore; clients use added routes once they should be in force, and turn to another entry after 20 requests on average; a kill excuses for 3 s. New check ValidRequestsAreNotDenied, without tolerance.

--- a/soak/check.go
+++ b/soak/check.go
@@ -23,7 +23,9 @@
 
 // RequestRecord holds a request and its response as the client saw them.
 type RequestRecord struct {
-	Request  mimic.Request
+	Request mimic.Request
+	// Route is the name of the route that the request is sent on.
+	Route    string
 	Kind     RequestKind
 	Events   int
 	Sent     time.Time
@@ -42,8 +44,9 @@
 	Runs     []mimic.Execution
 	// LeftAt holds, by replica ID, the time at which the replica was listed as leaving.
 	LeftAt map[string]time.Time
-	// RevokedAt holds, by key, the time at which the key was revoked.
-	RevokedAt map[string]time.Time
+	// RevokedAt holds, by key, the time at which the key was revoked, and AddedAt, by route, the time
+	// at which the route was added to the first configuration's.
+	RevokedAt, AddedAt map[string]time.Time
 	// ArrivalsDuringRest holds the requests that reached replicas which had asked for rest.
 	ArrivalsDuringRest []mimic.Arrival
 	// Crashes holds the crashes of replicas, and CrashArrivals the arrivals of requests that crash
@@ -136,6 +139,7 @@
 	{"CrashingRequestsAreBarred", crashingRequestsAreBarred},
 	{"SoundRequestsAreServedBesideCrashingOnes", soundRequestsAreServedBesideCrashingOnes},
 	{"RevokedKeysAreRefused", revokedKeysAreRefused},
+	{"ValidRequestsAreNotDenied", validRequestsAreNotDenied},
 	{"OneMapInEachPass", oneMapInEachPass},
 	{"NobodyStarves", nobodyStarves},
 	{"ServedAgain", servedAgain},
@@ -360,9 +364,7 @@
 	runs := h.runsByRequest()
 	for _, o := range h.Requests {
 		revokedAt, revoked := h.RevokedAt[o.Request.Key]
-		delayed := !h.noFaultsBefore(o.Sent, Freeze, LogAway, LogSlow) ||
-			!h.noFaultsBefore(o.Sent, LogRestored) && !h.noFaultsBefore(o.Sent, Kill, Stop)
-		if revoked && !delayed && o.Sent.After(revokedAt.Add(b.ApplyTime)) && len(runs[o.Request.ID]) > 0 {
+		if revoked && !h.configDelayed(o.Sent) && o.Sent.After(revokedAt.Add(b.ApplyTime)) && len(runs[o.Request.ID]) > 0 {
 			found = append(found, fmt.Sprintf("request %s was sent %s after its key was revoked and ran", o.Request.ID, o.Sent.Sub(revokedAt)))
 		}
 	}
@@ -374,6 +376,32 @@
 	return found
 }
 
+// configDelayed reports whether a fault excuses that a change isn't in force yet.
+func (h *History) configDelayed(at time.Time) bool {
+	return !h.noFaultsBefore(at, Freeze, LogAway, LogSlow) ||
+		!h.noFaultsBefore(at, LogRestored) && !h.noFaultsBefore(at, Kill, Stop)
+}
+
+// deniedStatuses holds the statuses of requests whose key or route is unknown.
+var deniedStatuses = []int{http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound}
+
+// validRequestsAreNotDenied checks that no entry denies what all configurations allow, nor a request
+// on a route that was added ApplyTime before.
+func validRequestsAreNotDenied(h *History, b Bounds) []string {
+	var found []string
+	for _, o := range h.Requests {
+		if !slices.Contains(deniedStatuses, o.Response.Status) || !h.keyInForce(o) {
+			continue
+		}
+		addedAt, added := h.AddedAt[o.Route]
+		if added && (h.configDelayed(o.Sent) || o.Sent.Before(addedAt.Add(b.ApplyTime))) {
+			continue
+		}
+		found = append(found, fmt.Sprintf("request %s on route %q got status %d", o.Request.ID, o.Route, o.Response.Status))
+	}
+	return found
+}
+
 // oneMapInEachPass checks that all ranks used the same expert map in each pass.
 func oneMapInEachPass(h *History, _ Bounds) []string {
 	if h.MixedMaps == "" {
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -15,7 +15,7 @@
 
 // passingHistory returns a history without violations, with safe and unsafe requests and streams.
 func passingHistory() *History {
-	h := &History{LeftAt: map[string]time.Time{}, RevokedAt: map[string]time.Time{}, Faults: []FaultPeriod{{From: start, To: start.Add(time.Second), Fault: Kill}}}
+	h := &History{LeftAt: map[string]time.Time{}, RevokedAt: map[string]time.Time{}, AddedAt: map[string]time.Time{}, Faults: []FaultPeriod{{From: start, To: start.Add(time.Second), Fault: Kill}}}
 	for i := range 40 {
 		id := func(kind string) string { return fmt.Sprintf("%s-%d", kind, i) }
 		stream := mimic.Event(id("c"), 1) + mimic.Event(id("c"), 2)
@@ -104,6 +104,13 @@
 			h.Requests[0].Request.Key = "gone"
 			h.RevokedAt["gone"] = start.Add(17 * time.Second)
 		}, "RevokedKeysAreRefused"},
+		{"request denied that all configurations allow", func(h *History) {
+			h.Requests[0].Route, h.Requests[0].Response = "safe", mimic.Response{Status: 401, Complete: true}
+		}, "ValidRequestsAreNotDenied"},
+		{"added route unknown", func(h *History) {
+			h.Requests[0].Route, h.Requests[0].Response = "more-3", mimic.Response{Status: 404, Complete: true}
+			h.AddedAt["more-3"] = start.Add(17 * time.Second)
+		}, "ValidRequestsAreNotDenied"},
 		{"key passed on to a replica", func(h *History) { h.Runs[0].Key = "Token k" }, "RevokedKeysAreRefused"},
 		{"two expert maps in a pass", func(h *History) { h.MixedMaps = "pass 7: rank 0 uses map 1, rank 2 map 2" }, "OneMapInEachPass"},
 		{"no stream served", func(h *History) {
--- a/soak/disturb.go
+++ b/soak/disturb.go
@@ -25,6 +25,10 @@
 		return s.sendCrashing(ctx, e)
 	}
 	end := faultInjectors[e.Fault](s, e)
+	if e.Fault == Kill {
+		// The process starts again at once.
+		return nil
+	}
 	if end != nil {
 		defer end()
 	}
@@ -79,7 +83,9 @@
 	},
 	LogRestored: func(s *testbed, e PlannedFault) func() {
 		s.log.SetUnavailable(true)
-		return func() { s.restoreLog(1 + e.Target%maxLostRecords) }
+		return func() {
+			s.restoreLog(1+e.Target%maxLostRecords, rewriteDelay+time.Duration(e.Interval)*operatorDelayStep)
+		}
 	},
 	ReplicaRests: func(s *testbed, e PlannedFault) func() {
 		s.endpoints[e.Target%len(s.endpoints)].current().Rest(e.Duration)
@@ -99,20 +105,30 @@
 const (
 	// maxLostRecords is the largest number of records of a topic that a restored log lacks.
 	maxLostRecords = 12
-	// rewriteDelay is the time after which the operator and the replicas write again what a
-	// restored log lacks.
-	rewriteDelay = 400 * time.Millisecond
+	// rewriteDelay is the time after which the replicas write again what a restored log lacks, and the
+	// shortest time until the operator does. That is operatorDelayStep longer for each interval of the
+	// planned fault.
+	rewriteDelay      = 400 * time.Millisecond
+	operatorDelayStep = 600 * time.Millisecond
 )
 
 // restoreLog brings the log back from a copy that lacks the latest records of each topic. The
-// operator and the replicas then write theirs again.
-func (s *testbed) restoreLog(lost int) {
+// replicas and the operator then write theirs again, the operator after the given time.
+func (s *testbed) restoreLog(lost int, operatorDelay time.Duration) {
 	s.log.Restore(lost)
 	s.log.SetUnavailable(false)
 	time.Sleep(rewriteDelay)
+	s.rewriteReplicas()
+	time.Sleep(operatorDelay - rewriteDelay)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.putConfig()
+}
+
+// rewriteReplicas appends the latest record of each replica to the log once more.
+func (s *testbed) rewriteReplicas() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for id, data := range s.listed {
 		s.log.Put(topicReplicas, id, data)
 	}
@@ -164,6 +180,7 @@
 	name := fmt.Sprint("more-", len(s.routes))
 	s.routes = append(s.routes, mimic.Route{Name: name, Prefix: "/" + name + "/", Service: serviceDesk, Kind: "safe"})
 	s.publishConfig()
+	s.history.AddedAt[name] = time.Now()
 }
 
 // startReplicas creates the endpoints and starts a replica at each.
--- a/soak/play.go
+++ b/soak/play.go
@@ -60,6 +60,8 @@
 	serviceDesk   = "desk"
 	serviceModel  = "model"
 	firstKey      = "key-0"
+	// firstSafeRoute is the route for idempotent requests in the first configuration.
+	firstSafeRoute = "safe"
 )
 
 // testbed holds the processes, replicas and observations of one run.
@@ -121,6 +123,7 @@
 	s.shape = tier.Shape{Ranks: setup.Replicas, Sets: 2, Experts: 8 * setup.Replicas, Places: 11, Spare: 4}
 	s.group = tier.New(setup.Seed, s.shape)
 	s.history.LeftAt, s.history.RevokedAt = make(map[string]time.Time), make(map[string]time.Time)
+	s.history.AddedAt = make(map[string]time.Time)
 	closeLog, logAddress, err := startServer(s.log)
 	if err != nil {
 		return nil, err
@@ -214,15 +217,21 @@
 	defer client.CloseIdleConnections()
 	entry := number % len(s.entries)
 	for n := 0; sleep(ctx, time.Duration(rng.Int64N(2*int64(meanClientPause)))) == nil; n++ {
+		if rng.IntN(requestsPerEntry) == 0 {
+			entry = rng.IntN(len(s.entries))
+		}
 		o := RequestRecord{Kind: []RequestKind{Safe, Unsafe, Stream}[rng.IntN(3)], Sent: time.Now()}
+		o.Route = s.safeRoute(rng)
 		o.Request = mimic.Request{
 			ID: fmt.Sprintf("r-%d-%d", number, n), Entry: s.entries[entry].callersAddress(), Method: http.MethodGet,
-			Path: "/safe/" + strconv.Itoa(n), Key: s.clientKey(number), Timeout: clientTimeout,
+			Path: "/" + o.Route + "/" + strconv.Itoa(n), Key: s.clientKey(number), Timeout: clientTimeout,
 		}
 		switch o.Kind {
 		case Unsafe:
+			o.Route = "book"
 			o.Request.Method, o.Request.Path = http.MethodPost, "/book/"+strconv.Itoa(n)
 		case Stream:
+			o.Route = "llm"
 			o.Request.Method, o.Request.Path, o.Events = http.MethodPost, "/llm/stream/"+strconv.Itoa(streamEvents), streamEvents
 			o.Request.Prompt = fmt.Sprintf("%s:40,subject-%d:200,own:100", streamKind, rng.IntN(subjects))
 		}
@@ -240,6 +249,24 @@
 	}
 }
 
+// safeRoute returns a route for idempotent requests: the first one, or one of those that should be in
+// force by now.
+func (s *testbed) safeRoute(rng *rand.Rand) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := []string{firstSafeRoute}
+	for _, r := range s.routes {
+		if addedAt, added := s.history.AddedAt[r.Name]; added && time.Since(addedAt) > s.setup.Bounds.ApplyTime {
+			names = append(names, r.Name)
+		}
+	}
+	return names[rng.IntN(len(names))]
+}
+
+// requestsPerEntry is the mean number of requests after which a client turns to another entry, so that
+// one that starts again gets requests, too.
+const requestsPerEntry = 20
+
 // clientKey returns the key of a client. Clients continue to use keys that are revoked during the
 // run.
 func (s *testbed) clientKey(number int) string {
@@ -255,7 +282,7 @@
 		s.keys[fmt.Sprint("key-", i)] = fmt.Sprint("account-", i)
 	}
 	s.routes = []mimic.Route{
-		{Name: "safe", Prefix: "/safe/", Service: serviceDesk, Kind: "safe"},
+		{Name: firstSafeRoute, Prefix: "/safe/", Service: serviceDesk, Kind: "safe"},
 		{Name: "book", Prefix: "/book/", Service: serviceDesk, Kind: "unsafe"},
 		{Name: "llm", Prefix: "/llm/", Service: serviceModel, Kind: "streaming"},
 	}
