fix(soak): each run has a loopback network of its own

Cause: the addresses were those of the seed modulo 200, so that entries and agents of one run got the requests of the other.

Change: a run reserves the first free network, from that of its seed on, by listening on an address of it.

--- a/soak/play.go
+++ b/soak/play.go
@@ -73,6 +73,7 @@
 	agents    []*process
 	endpoints []*endpoint
 	group     *tier.Group
+	network   *network
 
 	shape tier.Shape
 	// restarts holds the restarts of replicas that have crashed.
@@ -124,6 +125,12 @@
 	s.group = tier.New(setup.Seed, s.shape)
 	s.history.LeftAt, s.history.RevokedAt = make(map[string]time.Time), make(map[string]time.Time)
 	s.history.AddedAt = make(map[string]time.Time)
+	var err error
+	if s.network, err = reserveNetwork(setup.Seed); err != nil {
+		return nil, err
+	}
+	// A network that isn't freed now is freed when the process ends.
+	defer func() { _ = s.network.Close() }()
 	closeLog, logAddress, err := startServer(s.log)
 	if err != nil {
 		return nil, err
@@ -349,7 +356,7 @@
 	if role == "agent" {
 		host = firstAgentHost + number
 	}
-	settings.IP = fmt.Sprintf("127.0.%d.%d", 20+s.setup.Seed%200, host)
+	settings.IP = s.network.address(host)
 	p := &process{
 		binary: s.setup.Binary, role: role, ip: settings.IP,
 		settings: filepath.Join(s.setup.WorkDir, settings.Name+".toml"), logFile: filepath.Join(s.setup.WorkDir, settings.Name+".log"),
