test(batch): empty replicas that join are filled evenly (red)

The load of scale-out on the large site, without a network: 98 entries, 522 requests a second, 58 empty replicas join 192 that are two thirds full.

For each request two replicas of the zone and two of all are drawn, and with four draws 35% of the requests meet no empty one.

--- a/batch/pool_test.go
+++ b/batch/pool_test.go
@@ -380,6 +380,51 @@
 	assert.Assert(t, sent[id(7)] >= 1, "the idle replica gets requests")
 }
 
+// Many empty replicas join at once (scale-out), while those that are known are two thirds full: the large site's 98 entries and
+// 522 requests a second. Entries learn of each other's requests after 0.2 s, in which each of them gets one. The empty ones
+// take over what arrives, and no replica gets more than it has slots or reads many prompts at a time.
+func TestEmptyReplicasThatJoinAreFilledEvenly(t *testing.T) {
+	const (
+		entries, known, joined = 98, 192, 58
+		slots, usualLoad       = 6, 4
+		maxPrompts             = 5
+	)
+	zones := []track.AvailabilityZone{"rivera", "tacuarembo", "artigas", "cerro-largo", "salto"}
+	list := replicas(known + joined)
+	load := make(map[track.ReplicaID]track.InFlight, known)
+	for i := range list {
+		list[i].Slots, list[i].Zone = slots, zones[i%len(zones)]
+		if i < known {
+			load[id(i)] = track.InFlight{Running: usualLoad}
+		}
+	}
+	clock := clockwork.NewFakeClock()
+	for seed := range uint64(10) {
+		rng := rand.New(rand.NewPCG(seed, 23))
+		sent, toJoined := make(map[track.ReplicaID]int), 0
+		for entry := range entries {
+			p := batch.New(batch.Options{
+				Service: service, Zone: zones[entry%len(zones)], Clock: clock, Logger: zap.NewNop(),
+				Random: rng.Float64, Entries: func() int { return entries },
+			})
+			p.Configure(engine)
+			p.Update(list[:known])
+			p.SetOtherInFlight(load)
+			p.Update(list)
+			sent[mustAcquire(t, p, newAsk(clock, 0)).Replica.ID]++
+		}
+		for i := range list {
+			n := sent[id(i)]
+			assert.Assert(t, load[id(i)].Running+n <= slots, "seed %d: replica %d has %d requests", seed, i, load[id(i)].Running+n)
+			if i >= known {
+				assert.Assert(t, n <= maxPrompts, "seed %d: replica %d reads %d prompts", seed, i, n)
+				toJoined += n
+			}
+		}
+		assert.Assert(t, 2*toJoined >= entries, "seed %d: %d of %d requests went to replicas that joined", seed, toJoined, entries)
+	}
+}
+
 // One of two groups has a slow rank, and its passes take three times as long. Requests there are answered later and run
 // longer.
 func TestSlowGroupGetsFewerRequests(t *testing.T) {
