--- a/barred/barred.go
+++ b/barred/barred.go
@@ -45,7 +45,7 @@
 	Logger   *zap.Logger
 }
 
-// Keeper keeps what an entry bars in the log.
+// Keeper keeps what an entry bars in the log. It is used by one goroutine at a time.
 type Keeper struct {
 	options Options
 	// written holds what the latest snapshot of this entry bars.
@@ -122,10 +122,10 @@
 		s.Requests[i].Remaining -= age
 	}
 	k.options.Requests.Restore(s.Requests)
-	for i, c := range s.Parts {
-		s.Parts[i] = c.Aged(age)
+	for _, c := range s.Parts {
+		// One at a time, since only the first few of a message are merged.
+		k.options.Parts.Merge([]parts.Charge{c.Aged(age)})
 	}
-	k.options.Parts.Merge(s.Parts)
 	k.options.Logger.Info("barred requests restored", zap.String("From", string(s.From)), zap.Duration("Age", age),
 		zap.Int("Requests", len(s.Requests)), zap.Int("Parts", len(s.Parts)))
 }
--- a/barred/barred_test.go
+++ b/barred/barred_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -80,11 +81,16 @@
 		e.requests.Begin(culprit)
 		e.requests.Finish(culprit, crash.RunResult{Crashed: true, Isolated: isolated})
 	}
+	e.convict(clock, part)
+}
+
+// convict has a part crash backend servers until it is convicted.
+func (e *entry) convict(clock *clockwork.FakeClock, p parts.Part) {
 	for n := range uint64(3) {
 		sent := clock.Now()
 		clock.Advance(time.Second)
-		run := parts.Run{Request: n, Parts: []parts.Part{1, part}, SentAt: sent, BrokeAt: clock.Now()}
-		e.parts.RunCrashed(run, parts.Crash{Replica: "llm-1", Born: int64(n + 1)})
+		run := parts.Run{Request: n, Parts: []parts.Part{1, p}, SentAt: sent, BrokeAt: clock.Now()}
+		e.parts.RunCrashed(run, parts.Crash{Replica: track.ReplicaID(fmt.Sprint("llm-", p)), Born: int64(n + 1)})
 	}
 }
 
@@ -146,6 +152,22 @@
 	assert.Equal(t, convicted, time.Duration(0))
 }
 
+// Guards against a restart that keeps only as many parts as a message between entries holds.
+func TestAllPartsAreRestored(t *testing.T) {
+	const convicted = 20
+	clock := clockwork.NewFakeClock()
+	log := memlog.New(clock, memlog.Settings{})
+	old := newEntry("entry-1", clock, log)
+	for p := range parts.Part(convicted) {
+		old.convict(clock, p+10)
+	}
+	assert.Equal(t, len(old.parts.Convicted()), convicted)
+	assert.NilError(t, old.keeper.Update(t.Context()))
+	restarted := newEntry("entry-2", clock, log)
+	assert.NilError(t, restarted.keeper.Load(t.Context()))
+	assert.Equal(t, len(restarted.parts.Convicted()), convicted)
+}
+
 func TestUndecodableRecordIsSkipped(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	log := memlog.New(clock, memlog.Settings{PageLimit: 1})
