--- a/edge/entry.go
+++ b/edge/entry.go
@@ -113,18 +113,18 @@
 // Entry is an entry without its listeners: it finds replicas and peers, and proxies
 // requests.
 type Entry struct {
-	options         Options
-	members         *members
-	configHolder    *latest.ConfigHolder
-	fleet           *fleet.ReplicaList
-	gossipNode      *gossip.Node
-	proxy           *proxy.Proxy
-	blameTracker    *blame.Tracker
-	partsTracker    *parts.Tracker
-	barredKeeper    *barredKeeper
-	configFollower  *keyed.Follower
-	configPeer      *configPeer
-	replicaFollower *keyed.Follower
+	options          Options
+	members          *members
+	configHolder     *latest.ConfigHolder
+	fleet            *fleet.ReplicaList
+	gossipNode       *gossip.Node
+	proxy            *proxy.Proxy
+	blameTracker     *blame.Tracker
+	partsTracker     *parts.Tracker
+	barredKeeper     *barredKeeper
+	configFollower   *keyed.Follower
+	peerConfigReader *peerConfigReader
+	replicaFollower  *keyed.Follower
 	// relay reads from the leader of the zone or, if there is none, from the log.
 	relay          *keyed.Relay
 	logContact     *logContact
@@ -174,7 +174,7 @@
 		Topic: o.Topics.Config, LongPollTimeout: configReadWait, GatherTime: configGatherTime, Apply: applyConfig(e.configHolder, o.Topics.ConfigKey),
 		ApplyRestored: applyRestoredConfig(e.configHolder, o.Topics.ConfigKey, e.announcer, e.barredKeeper),
 	})
-	e.configPeer = newConfigPeer(e.configHolder, e.members.client, o.Clock, o.Logger)
+	e.peerConfigReader = newPeerConfigReader(e.configHolder, e.members.client, o.Clock, o.Logger)
 	e.replicaFollower = followers.newFollower(e.relay, keyed.Options{
 		Topic: o.Topics.Replicas, PollInterval: o.replicasReadInterval(), Apply: e.fleet.Apply,
 		ApplyRestored: e.fleet.ApplyRestored,
@@ -205,7 +205,7 @@
 	return append(startCommonTasks(ctx, tasks, e.memberFollower, e.gossipNode, e.announcer),
 		tasks.Start(ctx, "follow configuration", e.configFollower.Run),
 		tasks.Start(ctx, "ask peers for configuration", e.configFollower.RunPeerSync),
-		tasks.Start(ctx, "read newer configuration of peers", e.configPeer.Run),
+		tasks.Start(ctx, "read newer configuration of peers", e.peerConfigReader.Run),
 		tasks.Start(ctx, "follow replicas", e.replicaFollower.Run),
 		tasks.Start(ctx, "ask peers for replicas", e.replicaFollower.RunPeerSync),
 		tasks.Start(ctx, "keep barred requests", e.barredKeeper.Run),
@@ -423,7 +423,7 @@
 	e.partsTracker.Merge(note.Parts)
 	e.markLeaving(note.Departures)
 	e.configFollower.NotifyPeerPosition(track.LogPosition{Era: note.Era, Offset: note.Offsets[e.options.Topics.Config]})
-	e.configPeer.Notify(note.API, note.ConfigVersion)
+	e.peerConfigReader.Notify(note.API, note.ConfigVersion)
 	if since, _ := e.replicaFollower.Outage(); !since.IsZero() {
 		e.replicaFollower.NotifyPeerPosition(track.LogPosition{Era: note.Era, Offset: note.Offsets[e.options.Topics.Replicas]})
 	}
--- a/edge/peerconfig.go
+++ b/edge/peerconfig.go
@@ -17,11 +17,11 @@
 const (
 	// pathConfig is the call by which entries read each other's configuration.
 	pathConfig = "/service/config"
-	// configPeerDelay is the time that an entry has to read a configuration from the log, once a peer
+	// peerConfigDelay is the time that an entry has to read a configuration from the log, once a peer
 	// has reported its version, before it reads it from the peer.
-	configPeerDelay = 300 * time.Millisecond
-	// configPeerTimeout is the timeout of a read from a peer.
-	configPeerTimeout = 700 * time.Millisecond
+	peerConfigDelay = 300 * time.Millisecond
+	// peerConfigTimeout is the timeout of a read from a peer.
+	peerConfigTimeout = 700 * time.Millisecond
 )
 
 // configRequest asks for the configuration in force.
@@ -42,10 +42,10 @@
 	return configReply{Version: version, Data: data}, nil
 }
 
-// configPeer reads a newer configuration from a peer that has one. Positions in the log don't show
+// peerConfigReader reads a newer configuration from a peer that has one. Positions in the log don't show
 // who has: a log that came back from an older copy gives an entry that starts then an older
 // configuration than its peers have, at a position that they have read up to as well.
-type configPeer struct {
+type peerConfigReader struct {
 	holder *latest.ConfigHolder
 	client *talk.Client
 	clock  clockwork.Clock
@@ -59,12 +59,12 @@
 	version uint64
 }
 
-func newConfigPeer(holder *latest.ConfigHolder, client *talk.Client, clock clockwork.Clock, logger *zap.Logger) *configPeer {
-	return &configPeer{holder: holder, client: client, clock: clock, logger: logger, ahead: make(chan configOffer, 1)}
+func newPeerConfigReader(holder *latest.ConfigHolder, client *talk.Client, clock clockwork.Clock, logger *zap.Logger) *peerConfigReader {
+	return &peerConfigReader{holder: holder, client: client, clock: clock, logger: logger, ahead: make(chan configOffer, 1)}
 }
 
 // Notify reports the version of the configuration that the peer at an address has.
-func (p *configPeer) Notify(address string, version uint64) {
+func (p *peerConfigReader) Notify(address string, version uint64) {
 	if address == "" || !p.isNewer(version) {
 		return
 	}
@@ -74,14 +74,14 @@
 	}
 }
 
-func (p *configPeer) isNewer(version uint64) bool {
+func (p *peerConfigReader) isNewer(version uint64) bool {
 	own, _ := p.holder.Current()
 	return version > own
 }
 
-// Run reads what Notify reports, if it is still newer after configPeerDelay, until the context ends.
+// Run reads what Notify reports, if it is still newer after peerConfigDelay, until the context ends.
 // It returns the context's cause.
-func (p *configPeer) Run(ctx context.Context) error {
+func (p *peerConfigReader) Run(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
@@ -90,7 +90,7 @@
 			select {
 			case <-ctx.Done():
 				return context.Cause(ctx)
-			case <-p.clock.After(configPeerDelay):
+			case <-p.clock.After(peerConfigDelay):
 			}
 			if !p.isNewer(offer.version) {
 				continue
@@ -106,8 +106,8 @@
 var errUndecodableConfig = errors.New("the configuration can't be decoded")
 
 // read takes over the configuration of the peer at an address.
-func (p *configPeer) read(ctx context.Context, address string) error {
-	ctx, cancel := context.WithTimeout(ctx, configPeerTimeout)
+func (p *peerConfigReader) read(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, peerConfigTimeout)
 	defer cancel()
 	reply, err := talk.Call[configRequest, configReply](ctx, p.client, address, pathConfig, configRequest{})
 	if err != nil {
--- a/edge/peerconfig_test.go
+++ b/edge/peerconfig_test.go
@@ -130,7 +130,7 @@
 		applyConfig(e.configHolder, "config")([]track.KeyedRecord{{Key: "config", Value: []byte(version)}})
 	}
 	apply("3")
-	p := newConfigPeer(e.configHolder, e.members.client, clock, zap.NewNop())
+	p := newPeerConfigReader(e.configHolder, e.members.client, clock, zap.NewNop())
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- p.Run(ctx) }()
@@ -139,11 +139,11 @@
 	p.Notify(address, 4)
 	assert.NilError(t, clock.BlockUntilContext(ctx, 1))
 	apply("4")
-	clock.Advance(configPeerDelay)
+	clock.Advance(peerConfigDelay)
 	p.Notify(address, 5)
 	assert.NilError(t, clock.BlockUntilContext(ctx, 1))
 	assert.Equal(t, len(calls), 0)
-	clock.Advance(configPeerDelay)
+	clock.Advance(peerConfigDelay)
 	<-calls
 	cancel()
 	<-done
