--- a/soak/disturb.go
+++ b/soak/disturb.go
@@ -242,7 +242,7 @@
 }
 
 // crashReplica ends the replica at an endpoint at once. Another one starts at its address before its
-// entry in the list has lapsed.
+// entry in the list has lapsed. The group of a rank that crashes is broken until all ranks run again.
 func (s *testbed) crashReplica(ctx context.Context, ep *endpoint, id string) {
 	ep.mu.Lock()
 	unavailable := ep.unavailable
@@ -251,12 +251,19 @@
 	if unavailable {
 		return
 	}
+	if ep.service == serviceModel {
+		s.crashedRanks.Add(1)
+		s.group.Break()
+	}
 	s.restarts.Go(func() error {
 		ep.link.SetHandler(nil)
 		if err := sleep(ctx, crashAwayTime); err != nil {
 			return err
 		}
 		err := s.startReplica(ctx, ep)
+		if ep.service == serviceModel && s.crashedRanks.Add(-1) == 0 {
+			s.group.Restart()
+		}
 		if sleep(ctx, listedAfterCrash-crashAwayTime) == nil {
 			s.putReplica(id, nil)
 		}
--- a/soak/play.go
+++ b/soak/play.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -78,6 +79,8 @@
 	shape tier.Shape
 	// restarts holds the restarts of replicas that have crashed.
 	restarts errgroup.Group
+	// crashedRanks counts the ranks that have crashed and don't run again yet.
+	crashedRanks atomic.Int32
 
 	mu       sync.Mutex
 	version  uint64
