fix(keyed): the first record of a log that came back empty is taken

Cause: if a log comes back from a copy that is older than a topic's first record, the follower notes each key as deleted at the offset before the end of the topic. In an empty topic there is none; the deletion was noted at offset 0, and the first record written after the restore, which has that offset, was taken for old. Class: a sentinel that is a valid value.

TestFollowerOfLogRestoredEmpty failed before.

Change: the deletion is applied and passed on as before, but not kept in the mirror of an empty topic.

--- a/keyed/era_test.go
+++ b/keyed/era_test.go
@@ -118,3 +118,18 @@
 	cancel()
 	<-done
 }
+
+// Guards against a follower that never takes the first record of a log that came back empty, as it takes the deletion of
+// the same key for newer.
+func TestFollowerOfLogRestoredEmpty(t *testing.T) {
+	log := &restorableLog{era: 1}
+	log.put("k00", "a")
+	f := newTestFollower(t, keyed.Options{Log: log, PollInterval: time.Second})
+	log.restore(0)
+	f.endPause(time.Second)
+	log.put("k00", "b")
+	f.endPause(time.Second)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	assert.Equal(t, f.state["k00"], "b")
+}
--- a/keyed/mirror.go
+++ b/keyed/mirror.go
@@ -107,8 +107,11 @@
 		for key, r := range previous {
 			if !present[key] && len(r.Value) > 0 && (newEra || r.Offset < end) {
 				tombstone := track.KeyedRecord{Key: key, Offset: max(end, 1) - 1}
-				m.records[key] = tombstone
 				changes = append(changes, tombstone)
+				// The offset of a tombstone in an empty topic is that of the first record to come.
+				if end > 0 {
+					m.records[key] = tombstone
+				}
 			}
 		}
 	}
