fix(fleet): a draining report of a restored log is no older one

What callers saw: requests sent to a replica for up to 6 s after it had drained, at entries that read the list anew after the log had come back from an older copy.

Cause: after a restore an entry ignores a record unless its report number is higher than that of the one it has. A replica that doesn't number its reports (they all count as 0) writes that it drains, the entry meets that record in its first reading of the restored topic, and ignores it as old. Nothing follows it until the replica is gone.

The new case of TestRestoredLog failed before.

Change: a report of draining counts, whatever its number, if it is of the same start: a replica that drains never becomes ready again.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -116,7 +116,9 @@
 		return known != nil
 	}
 	if known != nil {
-		return !reportedLater(replica, known.replica)
+		// A replica that drains never becomes ready again without another start.
+		drains := replica.Draining && replica.StartID == known.replica.StartID
+		return !drains && !reportedLater(replica, known.replica)
 	}
 	left, ok := f.departed[replica.ID]
 	return ok && !reportedLater(replica, left.replica)
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -147,6 +147,12 @@
 			[]restored{{"a", "ready", 4}},
 			0, func(*fixture) {}, 0,
 		},
+		{
+			// Guards against requests to a draining replica that doesn't number its reports.
+			"the copy has a report of the same number as draining", func(f *fixture) { f.report("a", "ready", 0) },
+			[]restored{{"a", "draining", 0}},
+			0, func(*fixture) {}, 0,
+		},
 		{
 			"the copy has a newer report", func(f *fixture) { f.report("a", "ready", 5) },
 			[]restored{{"a", "draining", 6}},
