--- a/soak/disturb.go
+++ b/soak/disturb.go
@@ -83,7 +83,10 @@
 	},
 	LogRestored: func(s *testbed, e PlannedFault) func() {
 		s.log.SetUnavailable(true)
+		from := time.Now()
 		return func() {
+			// Until now no entry could know what the operator and the replicas have written meanwhile.
+			s.recordFault(FaultPeriod{From: from, To: time.Now(), Fault: LogAway})
 			s.restoreLog(1+e.Target%maxLostRecords, rewriteDelay+time.Duration(e.Interval)*operatorDelayStep)
 		}
 	},
@@ -112,6 +115,12 @@
 	operatorDelayStep = 600 * time.Millisecond
 )
 
+func (s *testbed) recordFault(f FaultPeriod) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history.Faults = append(s.history.Faults, f)
+}
+
 // restoreLog brings the log back from a copy that lacks the latest records of each topic. The
 // replicas and the operator then write theirs again, the operator after the given time.
 func (s *testbed) restoreLog(lost int, operatorDelay time.Duration) {
