feat(signs): limits that replicas name are logged and told to peers

Change: one record (package signs) for what a replica says of itself: that it leaves, rests, or names a limit; one way to tell peers of it, in place of departures alone. A limit is logged and shown in gauges; nothing acts on it yet.

--- a/batch/pool.go
+++ b/batch/pool.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/signs"
 )
 
 // Reason says why a request was refused.
@@ -138,7 +139,9 @@
 	Zone track.AvailabilityZone
 	// Entries returns the number of entries that share the replicas.
 	Entries func() int
-	Clock   clockwork.Clock
+	// Signs holds what replicas say of themselves.
+	Signs *signs.Book
+	Clock clockwork.Clock
 	// Random returns random numbers that are uniform in [0, 1).
 	Random func() float64
 	Logger *zap.Logger
@@ -169,9 +172,6 @@
 	// meanGrantTime is the moving mean of the time from a grant to its Done.
 	meanGrantTime time.Duration
 	durations     durationWindow
-	// departures holds the replicas that have said that they leave, by ID. It outlasts
-	// their entries in the list of replicas, which may come back after an outage of the log.
-	departures map[track.ReplicaID]departure
 	// nextReturn is when the next client that is refused while all replicas rest should retry.
 	nextReturn time.Time
 }
@@ -188,8 +188,7 @@
 	return &Pool{
 		options: options, createdAt: options.Clock.Now(),
 		replicas: make(map[track.ReplicaID]*replica), passTimes: make(map[string]time.Duration),
-		paces:      make(map[string]*groupPace),
-		departures: make(map[track.ReplicaID]departure),
+		paces: make(map[string]*groupPace),
 	}
 }
 
@@ -216,10 +215,7 @@
 			old = &replica{movable: make(map[*Grant]struct{})}
 			p.replicas[r.ID] = old
 		}
-		if old.StartID != r.StartID {
-			old.restUntil = time.Time{}
-		}
-		old.Replica, old.listed, old.leaving = r, true, p.hasLeft(r)
+		old.Replica, old.listed, old.signs = r, true, p.options.Signs.Of(r)
 	}
 	for id, r := range p.replicas {
 		if present[id] {
@@ -319,8 +315,8 @@
 			return "", 0
 		}
 		broken = broken || r.broken
-		if r.restUntil.After(now) && (restUntil.IsZero() || r.restUntil.Before(restUntil)) {
-			restUntil = r.restUntil
+		if until := r.signs.RestUntil; until.After(now) && (restUntil.IsZero() || until.Before(restUntil)) {
+			restUntil = until
 		}
 	}
 	switch {
--- a/batch/pool_test.go
+++ b/batch/pool_test.go
@@ -14,6 +14,7 @@
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/batch"
+	"filberttrack.example/track/signs"
 )
 
 const (
@@ -29,7 +30,7 @@
 func newPool(clock clockwork.Clock, n int, spec *track.EngineSpec) *batch.Pool {
 	p := batch.New(batch.Options{
 		Service: service, Zone: "rivera", Clock: clock, Logger: zap.NewNop(),
-		Random: func() float64 { return 0.5 }, Entries: func() int { return 1 },
+		Random: func() float64 { return 0.5 }, Signs: signs.New(clock, zap.NewNop()), Entries: func() int { return 1 },
 	})
 	p.Configure(spec)
 	p.Update(replicas(n))
@@ -364,7 +365,7 @@
 	for range entries {
 		p := batch.New(batch.Options{
 			Service: service, Zone: "rivera", Clock: clock, Logger: zap.NewNop(),
-			Random: rng.Float64, Entries: func() int { return entries },
+			Random: rng.Float64, Signs: signs.New(clock, zap.NewNop()), Entries: func() int { return entries },
 		})
 		p.Configure(engine)
 		p.Update(list)
@@ -405,7 +406,7 @@
 		for entry := range entries {
 			p := batch.New(batch.Options{
 				Service: service, Zone: zones[entry%len(zones)], Clock: clock, Logger: zap.NewNop(),
-				Random: rng.Float64, Entries: func() int { return entries },
+				Random: rng.Float64, Signs: signs.New(clock, zap.NewNop()), Entries: func() int { return entries },
 			})
 			p.Configure(engine)
 			p.Update(list[:known])
@@ -469,7 +470,7 @@
 	rng := rand.New(rand.NewPCG(5, 1))
 	p := batch.New(batch.Options{
 		Service: service, Zone: "rivera", Clock: clock, Logger: zap.NewNop(),
-		Random: rng.Float64, Entries: func() int { return 1 },
+		Random: rng.Float64, Signs: signs.New(clock, zap.NewNop()), Entries: func() int { return 1 },
 	})
 	p.Configure(engine)
 	p.Update(list)
--- a/batch/replica.go
+++ b/batch/replica.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/signs"
 )
 
 const (
@@ -94,10 +95,8 @@
 	broken bool
 	// backoffUntil is the time until which the replica gets no requests.
 	backoffUntil time.Time
-	// restUntil is the time until which the replica itself wants no requests.
-	restUntil time.Time
-	// leaving is set once the replica, or a peer, has said that it is about to leave.
-	leaving   bool
+	// signs is what the replica has said of itself.
+	signs     signs.Signs
 	failures  int
 	errorRate float64
 	latency   time.Duration
@@ -138,13 +137,13 @@
 
 // usable reports whether the replica may get requests, now or after its backoff.
 func (r *replica) usable() bool {
-	return r.listed && !r.leaving
+	return r.listed && !r.signs.Leaving
 }
 
 // remainingBackoff returns the time for which the replica gets no requests yet; 0 or less
 // if that time is over.
 func (r *replica) remainingBackoff(now time.Time) time.Duration {
-	return max(r.backoffUntil.Sub(now), r.restUntil.Sub(now))
+	return max(r.backoffUntil.Sub(now), r.signs.RestUntil.Sub(now))
 }
 
 // limit returns the number of requests that may be on a replica at once.
--- a/batch/rest_test.go
+++ b/batch/rest_test.go
@@ -18,7 +18,7 @@
 	p := newPool(clock, 2, engine)
 	g := mustAcquire(t, p, newAsk(clock, 0))
 	resting := g.Replica.ID
-	g.Rest(rest)
+	g.Observe(track.Signs{RestFor: rest})
 	g.Done(batch.Result{Verdict: batch.AtCapacity})
 	// What the replica's agent reports and shorter rests don't end the rest.
 	p.SetRank(g.Replica.Address, batch.RankState{Group: "g", Working: false})
@@ -51,7 +51,7 @@
 	served.Done(batch.Result{Verdict: batch.Served})
 	for range 2 {
 		g := mustAcquire(t, p, newAsk(clock, 0))
-		g.Rest(rest)
+		g.Observe(track.Signs{RestFor: rest})
 		g.Done(batch.Result{Verdict: batch.AtCapacity})
 	}
 	for i := range 20 {
@@ -69,7 +69,7 @@
 	clock := clockwork.NewFakeClock()
 	p := newPool(clock, 1, engine)
 	g := mustAcquire(t, p, newAsk(clock, 0))
-	g.Rest(rest)
+	g.Observe(track.Signs{RestFor: rest})
 	g.Done(batch.Result{Verdict: batch.AtCapacity})
 	restarted := replicas(1)
 	restarted[0].StartID = 1
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -28,6 +28,7 @@
 	"filberttrack.example/track/parts"
 	"filberttrack.example/track/proxy"
 	"filberttrack.example/track/retry"
+	"filberttrack.example/track/signs"
 	"filberttrack.example/track/talk"
 )
 
@@ -131,6 +132,8 @@
 	memberFollower *keyed.Follower
 	announcer      *announcer
 	leaving        atomic.Bool
+	// signs holds what replicas say of themselves.
+	signs *signs.Book
 
 	mu sync.Mutex
 	// pools holds the admission pool of each service.
@@ -152,6 +155,7 @@
 		members:    newMembers(o.Self, o.Seeds, o.Logger),
 		announcer:  newAnnouncer(o.Log, o.Clock, o.Self, o.Member, o.Logger),
 		logContact: newLogContact(o.Clock.Now()),
+		signs:      signs.New(o.Clock, o.Logger),
 		pools:      make(map[string]*batch.Pool),
 		zones:      make(map[track.AvailabilityZone]zoneSummary),
 		ranks:      make(map[string]rankReport),
@@ -297,7 +301,7 @@
 	if p == nil {
 		o := e.options
 		p = batch.New(batch.Options{
-			Service: service, Zone: o.Zone, Entries: e.members.entryCount,
+			Service: service, Zone: o.Zone, Entries: e.members.entryCount, Signs: e.signs,
 			Clock: o.Clock, Random: o.Random, Logger: o.Logger,
 		})
 		p.Update(e.replicas)
@@ -372,11 +376,11 @@
 	note := gossip.Message{
 		Role: track.RoleEntry, Zone: e.options.Zone, Leaving: e.leaving.Load(),
 		Address: e.options.Member.MessageAddress, API: e.options.Member.CallAddress,
-		LogAge:     -1,
-		Charges:    e.blameTracker.ChargesToShare(),
-		Parts:      e.partsTracker.Share(),
-		Departures: e.recentDepartures(),
-		Zones:      e.zoneNotes(otherZone),
+		LogAge:  -1,
+		Charges: e.blameTracker.ChargesToShare(),
+		Parts:   e.partsTracker.Share(),
+		Signs:   e.signs.Share(),
+		Zones:   e.zoneNotes(otherZone),
 	}
 	note.Era, note.Offsets = e.offsets()
 	note.ConfigVersion, _ = e.configHolder.Current()
@@ -421,7 +425,7 @@
 	}
 	e.blameTracker.Merge(note.Charges)
 	e.partsTracker.Merge(note.Parts)
-	e.markLeaving(note.Departures)
+	e.mergeSigns(note)
 	e.configFollower.NotifyPeerPosition(track.LogPosition{Era: note.Era, Offset: note.Offsets[e.options.Topics.Config]})
 	e.peerConfigReader.Notify(note.API, note.ConfigVersion)
 	if since, _ := e.replicaFollower.Outage(); !since.IsZero() {
@@ -439,22 +443,14 @@
 	return counts
 }
 
-// recentDepartures returns the replicas of which this entry has learned a short time ago that they
-// leave.
-func (e *Entry) recentDepartures() []track.Departure {
-	var departures []track.Departure
-	for _, p := range e.allPools() {
-		departures = append(departures, p.RecentDepartures()...)
+// mergeSigns records the signs of replicas that a peer reports.
+func (e *Entry) mergeSigns(note gossip.Message) {
+	if len(note.Signs) == 0 {
+		return
 	}
-	return departures
-}
-
-// markLeaving records the departures that a peer has reported.
-func (e *Entry) markLeaving(departures []track.Departure) {
+	e.signs.Merge(note.From, note.Signs)
 	for _, p := range e.allPools() {
-		for _, d := range departures {
-			p.MarkLeaving(d)
-		}
+		p.SignsChanged(note.Signs)
 	}
 }
 
--- a/edge/gauges.go
+++ b/edge/gauges.go
@@ -25,6 +25,14 @@
 		}
 		return age.Seconds()
 	})
+	set.GetOrCreateGauge("filberttrack_limited_replicas", func() float64 {
+		replicas, _ := e.signs.Limited()
+		return float64(replicas)
+	})
+	set.GetOrCreateGauge("filberttrack_replica_limits", func() float64 {
+		_, sum := e.signs.Limited()
+		return sum
+	})
 	set.GetOrCreateGauge("filberttrack_peers_heard", func() float64 { return float64(len(e.gossipNode.LiveMessages())) })
 }
 
--- a/emul/emul.go
+++ b/emul/emul.go
@@ -21,6 +21,7 @@
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/batch"
+	"filberttrack.example/track/signs"
 	"filberttrack.example/track/smooth"
 )
 
@@ -232,7 +233,7 @@
 		e := &entry{zone: zone(i % sim.day.Zones)}
 		e.pool = batch.New(batch.Options{
 			Service: service, Zone: e.zone, Clock: sim.clock, Random: sim.rng.Float64, Logger: zap.NewNop(),
-			Entries: func() int { return sim.day.Entries },
+			Entries: func() int { return sim.day.Entries }, Signs: signs.New(sim.clock, zap.NewNop()),
 		})
 		spec := sim.day.Engine
 		e.pool.Configure(&spec)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -75,8 +75,8 @@
 	Infrequent bool `json:"Seldom,omitempty"`
 	// Rank describes the rank beside the sender; agents only.
 	Rank *RankStatus
-	// Departures holds replicas that have told the sender that they leave.
-	Departures []track.Departure `json:",omitempty"`
+	// Signs holds what replicas have said of themselves.
+	Signs []track.SignReport `json:",omitempty"`
 	// Charges holds the requests that are charged with crashing replicas.
 	Charges []blame.Charge `json:",omitempty"`
 	// Parts holds the parts of prompts that are suspected of crashing replicas.
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -262,11 +262,8 @@
 		return x.handleCallError(ctx, err)
 	}
 	defer answer.Body.Close()
-	if answer.Leaving && !answer.WrongReplica {
-		grant.Leaving()
-	}
-	if answer.RestFor > 0 {
-		grant.Rest(answer.RestFor)
+	if !answer.WrongReplica {
+		grant.Observe(answer.Signs)
 	}
 	x.attempts++
 	switch {
--- a/proxy/world_test.go
+++ b/proxy/world_test.go
@@ -25,6 +25,7 @@
 	"filberttrack.example/track/parts"
 	"filberttrack.example/track/proxy"
 	"filberttrack.example/track/retry"
+	"filberttrack.example/track/signs"
 )
 
 const (
@@ -164,7 +165,7 @@
 	for _, service := range []string{"desk", "llm"} {
 		h.pools[service] = batch.New(batch.Options{
 			Service: service, Clock: h.clock, Logger: zap.NewNop(),
-			Random: func() float64 { return 0 }, Entries: func() int { return 1 },
+			Random: func() float64 { return 0 }, Signs: signs.New(h.clock, zap.NewNop()), Entries: func() int { return 1 },
 		})
 		h.pools[service].Update(replicas)
 	}
@@ -283,11 +284,11 @@
 		return a, nil
 	case rests:
 		a := answer(http.StatusServiceUnavailable, "", nil, notRun)
-		a.RestFor = restTime
+		a.Signs.RestFor = restTime
 		return a, nil
 	case leaves:
 		a := h.runAttempt(call, serves)
-		a.Leaving = true
+		a.Signs.Leaving = true
 		return a, nil
 	case answers500:
 		return answer(http.StatusInternalServerError, "sorry", nil, sealed), nil
--- a/replica.go
+++ b/replica.go
@@ -47,12 +47,8 @@
 	// FailedReplica is the ID of the replica that caused the failure of its rank group, if it
 	// is known.
 	FailedReplica string
-	// Leaving is set if the replica states that it is about to leave and wants no new
-	// requests.
-	Leaving bool
-	// RestFor is the time for which a replica that turned the request away wants no
-	// requests from this entry; 0 if it doesn't say.
-	RestFor time.Duration
+	// Signs is what the replica says of itself.
+	Signs Signs
 }
 
 // ReplicaCaller is the interface through which requests are sent to replicas.
@@ -71,11 +67,28 @@
 	Refuses(ctx context.Context, replica Replica) bool
 }
 
-// Departure says that a replica is about to leave.
-type Departure struct {
+// Signs is what a replica says of itself in an answer.
+type Signs struct {
+	// Leaving is set if it is about to leave and wants no new requests.
+	Leaving bool
+	// RestFor is the time for which a replica that turned the request away wants no
+	// requests from this entry; 0 if it doesn't say.
+	RestFor time.Duration
+	// Limit is the number of requests a second that it takes from all entries together; 0 if
+	// it takes any number.
+	Limit float64
+}
+
+// SignReport is what an entry tells its peers of the signs of a replica. A time of rest isn't
+// among them: the replica asks each entry for that itself.
+type SignReport struct {
 	Replica ReplicaID
-	// StartID identifies the start of the replica that leaves.
+	// StartID identifies the start of the replica that gave the signs.
 	StartID int64
+	Leaving bool    `json:",omitempty"`
+	Limit   float64 `json:",omitempty"`
+	// Age is the time since the replica named the limit, or answered without one.
+	Age time.Duration
 }
 
 // InFlight counts the requests in flight on a replica.
