--- /dev/null
+++ b/batch/limited_test.go
@@ -0,0 +1,131 @@
+package batch_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/batch"
+	"filberttrack.example/track/signs"
+)
+
+// named is the limit that the limited replicas of these tests name, in requests a second.
+const named = 2.0
+
+// maxArrivals returns the most requests that a limited replica may get within 4 s: one and a half times what its limit
+// allows, and 5.
+func maxArrivals(limit float64) int { return int(1.5*4*limit + 5) }
+
+// fleetOfEntries is a number of entries that share replicas, some of which name a limit.
+type fleetOfEntries struct {
+	clock   *clockwork.FakeClock
+	rng     *rand.Rand
+	pools   []*batch.Pool
+	limited map[track.ReplicaID]bool
+	// arrivals holds the times at which requests reached each replica.
+	arrivals map[track.ReplicaID][]time.Time
+	// ends holds the grants by the step in which they end.
+	ends           map[int][]*batch.Grant
+	step           int
+	served, denied int
+}
+
+func newFleetOfEntries(entries, replicaCount, limitedCount int, spec *track.EngineSpec) *fleetOfEntries {
+	f := &fleetOfEntries{
+		clock: clockwork.NewFakeClock(), rng: rand.New(rand.NewPCG(29, 1)), limited: make(map[track.ReplicaID]bool),
+		arrivals: make(map[track.ReplicaID][]time.Time), ends: make(map[int][]*batch.Grant),
+	}
+	for i := range limitedCount {
+		f.limited[id(i)] = true
+	}
+	for range entries {
+		p := batch.New(batch.Options{
+			Service: service, Zone: "rivera", Clock: f.clock, Logger: zap.NewNop(), Random: f.rng.Float64,
+			Entries: func() int { return entries }, Signs: signs.New(f.clock, zap.NewNop()),
+		})
+		p.Configure(spec)
+		p.Update(replicas(replicaCount))
+		f.pools = append(f.pools, p)
+	}
+	return f
+}
+
+const fleetStep = 50 * time.Millisecond
+
+// send sends a request through an entry. It is served for 1.2 s or refused at once.
+func (f *fleetOfEntries) send(entry int) {
+	now := f.clock.Now()
+	g, err := f.pools[entry].Acquire(nil, batch.AdmissionRequest{WaitUntil: now, OnTimeUntil: now.Add(time.Second), Deadline: now.Add(timeout)})
+	if err != nil {
+		f.denied++
+		return
+	}
+	f.served++
+	f.arrivals[g.Replica.ID] = append(f.arrivals[g.Replica.ID], now)
+	said := track.Signs{}
+	if f.limited[g.Replica.ID] {
+		said.Limit = named
+	}
+	g.Observe(said)
+	g.Started()
+	end := f.step + int(1200*time.Millisecond/fleetStep)
+	f.ends[end] = append(f.ends[end], g)
+}
+
+// run sends rate requests a second for a time. Entry i gets a part in proportion to weight(i).
+func (f *fleetOfEntries) run(d time.Duration, rate float64, weight func(int) float64) {
+	sum := 0.0
+	for i := range f.pools {
+		sum += weight(i)
+	}
+	for range int(d / fleetStep) {
+		for _, g := range f.ends[f.step] {
+			g.Done(batch.Result{Verdict: batch.Served, FirstByte: 100 * time.Millisecond})
+		}
+		for i := range f.pools {
+			expected := rate * fleetStep.Seconds() * weight(i) / sum
+			for ; f.rng.Float64() < expected; expected-- {
+				f.send(i)
+			}
+		}
+		f.clock.Advance(fleetStep)
+		f.step++
+	}
+}
+
+// most returns the most requests that reached a limited replica within 4 s, from the given time on.
+func (f *fleetOfEntries) most(from time.Time) int {
+	most := 0
+	for id := range f.limited {
+		for i, start := range f.arrivals[id] {
+			n := 0
+			for _, at := range f.arrivals[id][i:] {
+				if at.Sub(start) < 4*time.Second {
+					n++
+				}
+			}
+			if !start.Before(from) {
+				most = max(most, n)
+			}
+		}
+	}
+	return most
+}
+
+func even(int) float64 { return 1 }
+
+// Guards against entries that together send a replica more than the limit that it names.
+func TestEntriesTogetherKeepToTheLimitOfAReplica(t *testing.T) {
+	for _, spec := range []*track.EngineSpec{engine, nil} {
+		f := newFleetOfEntries(6, 8, 2, spec)
+		f.run(2*time.Second, 40, even)
+		from := f.clock.Now()
+		f.run(20*time.Second, 40, even)
+		assert.Assert(t, f.most(from) <= maxArrivals(named), "%d requests in 4 s", f.most(from))
+	}
+}
