fix(batch,edge): entries together keep to the limit that a replica names

Cause: what a replica says of itself was read sign by sign; the limit was read by nobody. Class: a statement of a peer that is ignored. Requests that no permit reaches in time are refused at once (Limited), and clients return in order. Why it works: at most the permits of 5 s and two more are used in 4 s, below one and a half times the limit and 5, whatever the entries' number, shares and clocks (property test of 1, 6 and 98 entries).

--- a/batch/limited_test.go
+++ b/batch/limited_test.go
@@ -1,6 +1,7 @@
 package batch_test
 
 import (
+	"context"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -60,7 +61,9 @@
 // send sends a request through an entry. It is served for 1.2 s or refused at once.
 func (f *fleetOfEntries) send(entry int) {
 	now := f.clock.Now()
-	g, err := f.pools[entry].Acquire(nil, batch.AdmissionRequest{WaitUntil: now, OnTimeUntil: now.Add(time.Second), Deadline: now.Add(timeout)})
+	g, err := f.pools[entry].Acquire(context.Background(), batch.AdmissionRequest{
+		WaitUntil: now, OnTimeUntil: now.Add(time.Second), Deadline: now.Add(timeout),
+	})
 	if err != nil {
 		f.denied++
 		return
@@ -129,3 +132,70 @@
 		assert.Assert(t, f.most(from) <= maxArrivals(named), "%d requests in 4 s", f.most(from))
 	}
 }
+
+// What limited replicas don't take goes to the others, and the limited ones get about what they take.
+func TestRestGoesToReplicasWithoutALimit(t *testing.T) {
+	f := newFleetOfEntries(6, 8, 2, nil)
+	f.run(3*time.Second, 30, even)
+	from := f.clock.Now()
+	f.run(20*time.Second, 30, even)
+	assert.Equal(t, f.denied, 0)
+	n := 0
+	for _, at := range f.arrivals[id(0)] {
+		if at.After(from) {
+			n++
+		}
+	}
+	assert.Assert(t, n >= 30, "%d requests in 20 s at a limit of 2 a second", n)
+}
+
+// All replicas of a service name limits while clients send more: requests that can't be served in time are refused at
+// once, and the clients return in order, at the rate of the permits.
+func TestAllReplicasNameLimits(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	p := newPool(clock, 2, engine)
+	for range 2 {
+		g := mustAcquire(t, p, newAsk(clock, 0))
+		g.Observe(track.Signs{Limit: named})
+		// A replica that declines a request has got it.
+		g.Done(batch.Result{Verdict: batch.AtCapacity})
+	}
+	clock.Advance(time.Second)
+	served := 0
+	var delays []time.Duration
+	for range 20 {
+		g, err := p.Acquire(t.Context(), batch.AdmissionRequest{
+			OnTimeUntil: clock.Now().Add(100 * time.Millisecond), WaitUntil: clock.Now().Add(100 * time.Millisecond), Deadline: clock.Now().Add(timeout),
+		})
+		if err == nil {
+			served++
+			g.Done(batch.Result{Verdict: batch.Served})
+			continue
+		}
+		refusal := asRefusal(t, err)
+		assert.Equal(t, refusal.Reason, batch.ReasonLimited)
+		delays = append(delays, refusal.RetryAfter)
+	}
+	assert.Assert(t, served >= 3 && served <= 5, "%d served of the permits of a second", served)
+	for i := range delays[1:] {
+		// Two replicas take four a second.
+		assert.Equal(t, delays[i+1]-delays[i], 250*time.Millisecond)
+	}
+}
+
+// A replica that names no limit any more is used as before.
+func TestLimitEndsWithTheFirstAnswerWithoutOne(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	p := newPool(clock, 1, nil)
+	g := mustAcquire(t, p, newAsk(clock, 0))
+	g.Observe(track.Signs{Limit: named})
+	g.Done(batch.Result{Verdict: batch.Served})
+	_, err := p.Acquire(t.Context(), batch.AdmissionRequest{WaitUntil: clock.Now()})
+	assert.Equal(t, asRefusal(t, err).Reason, batch.ReasonLimited)
+	clock.Advance(time.Second)
+	g = mustAcquire(t, p, newAsk(clock, 0))
+	g.Observe(track.Signs{})
+	for range slots {
+		mustAcquire(t, p, newAsk(clock, 0))
+	}
+}
--- a/batch/pool.go
+++ b/batch/pool.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -15,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/permit"
 	"filberttrack.example/track/signs"
 )
 
@@ -29,6 +31,9 @@
 	ReasonResting Reason = "Resting"
 	// ReasonGroupBroken means that the rank groups of the service are broken.
 	ReasonGroupBroken Reason = "GroupBroken"
+	// ReasonLimited means that all replicas of the service name limits, and that these allow
+	// no request in time.
+	ReasonLimited Reason = "Limited"
 	// ReasonBusy means that no replica will have free capacity in time.
 	ReasonBusy Reason = "Busy"
 	// ReasonClientGone means that the client left while its request was queued.
@@ -172,8 +177,13 @@
 	// meanGrantTime is the moving mean of the time from a grant to its Done.
 	meanGrantTime time.Duration
 	durations     durationWindow
-	// nextReturn is when the next client that is refused while all replicas rest should retry.
+	// nextReturn is when the next client should retry that is refused while all replicas rest
+	// or name limits.
 	nextReturn time.Time
+	// share is this entry's part of the limits that replicas name.
+	share permit.Share
+	// demand is the rate of the requests that this entry would send.
+	demand demandRate
 }
 
 // waiter is a queued request.
@@ -185,8 +195,10 @@
 
 // New returns a pool without replicas.
 func New(options Options) *Pool {
+	now := options.Clock.Now()
 	return &Pool{
-		options: options, createdAt: options.Clock.Now(),
+		options: options, createdAt: now, demand: demandRate{since: now, updatedAt: now},
+		share:    permit.Share{Width: 1 / float64(max(options.Entries(), 1))},
 		replicas: make(map[track.ReplicaID]*replica), passTimes: make(map[string]time.Duration),
 		paces: make(map[string]*groupPace),
 	}
@@ -212,10 +224,11 @@
 		present[r.ID] = true
 		old := p.replicas[r.ID]
 		if old == nil {
-			old = &replica{movable: make(map[*Grant]struct{})}
+			old = &replica{movable: make(map[*Grant]struct{}), permits: permit.New(r.ID)}
 			p.replicas[r.ID] = old
 		}
-		old.Replica, old.listed, old.signs = r, true, p.options.Signs.Of(r)
+		old.Replica, old.listed = r, true
+		p.refreshSigns(r.ID)
 	}
 	for id, r := range p.replicas {
 		if present[id] {
@@ -253,6 +266,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.options.Clock.Now()
+	p.demand.add(now)
 	if request.MaxGap > 0 {
 		p.maxGap = request.MaxGap
 	}
@@ -277,7 +291,7 @@
 	if wait := p.expectedWait(w); !waitForGroup && now.Add(wait).After(request.WaitUntil) ||
 		!now.Before(request.WaitUntil) {
 		p.dequeue(w)
-		return nil, nil, &RefusalError{Reason: ReasonBusy, RetryAfter: p.retryAfter(wait)}
+		return nil, nil, p.busyRefusal(wait, now)
 	}
 	return w, nil, nil
 }
@@ -293,9 +307,20 @@
 	default:
 	}
 	p.dequeue(w)
+	if reason == ReasonBusy {
+		return nil, p.busyRefusal(p.expectedWait(w), p.options.Clock.Now())
+	}
 	return nil, &RefusalError{Reason: reason, RetryAfter: p.retryAfter(p.expectedWait(w))}
 }
 
+// busyRefusal returns the refusal of a request that would have to wait for too long.
+func (p *Pool) busyRefusal(wait time.Duration, now time.Time) *RefusalError {
+	if rate, all := p.limitedRate(now); all {
+		return &RefusalError{Reason: ReasonLimited, RetryAfter: p.nextReturnAfter(now.Add(wait), now, intervalAt(rate))}
+	}
+	return &RefusalError{Reason: ReasonBusy, RetryAfter: p.retryAfter(wait)}
+}
+
 func (p *Pool) dequeue(w *waiter) {
 	if i := slices.Index(p.queue, w); i >= 0 {
 		p.queue = slices.Delete(p.queue, i, i+1)
@@ -348,22 +373,22 @@
 
 // expectedWait predicts the wait of a request from its position in the queue.
 func (p *Pool) expectedWait(w *waiter) time.Duration {
-	capacity, own, all, position := 0, 0, 0, 1
 	now := p.options.Clock.Now()
+	position := 1
 	for _, other := range p.queue {
 		if other != w && compareWaiters(other, w, now) <= 0 {
 			position++
 		}
 	}
+	return time.Duration(float64(position) * float64(intervalAt(p.throughput(now))))
+}
+
+// throughput estimates the requests a second that this entry may send; 0 if that isn't known.
+func (p *Pool) throughput(now time.Time) float64 {
+	own, all := 0, 0
 	for _, r := range p.replicas {
 		own += r.ownInFlight.Running
 		all += r.load()
-		if r.available(now) {
-			capacity += p.limit(r)
-		}
-	}
-	if capacity == 0 || p.meanGrantTime == 0 {
-		return 0
 	}
 	// Of the capacity that becomes free, this entry gets about the share that it uses
 	// now.
@@ -371,8 +396,32 @@
 	if all > 0 {
 		share = max(float64(own)/float64(all), minCapacityShare)
 	}
-	interval := float64(p.meanGrantTime) / (float64(capacity) * share)
-	return time.Duration(interval * float64(position))
+	sum := 0.0
+	for _, r := range p.replicas {
+		if !r.available(now) {
+			continue
+		}
+		rate := math.Inf(1)
+		if p.meanGrantTime > 0 {
+			rate = float64(p.limit(r)) * share / p.meanGrantTime.Seconds()
+		}
+		if r.signs.Limit > 0 {
+			rate = min(rate, r.signs.Limit*p.share.Width)
+		}
+		sum += rate
+	}
+	if math.IsInf(sum, 1) {
+		return 0
+	}
+	return sum
+}
+
+// intervalAt returns the time between two requests at a rate a second; 0 for an unknown rate, which is 0.
+func intervalAt(rate float64) time.Duration {
+	if rate == 0 {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / rate)
 }
 
 // retryAfter returns the delay after which a refused client should retry, given its
@@ -402,6 +451,7 @@
 			continue
 		}
 		p.queue = slices.Delete(p.queue, i, i+1)
+		r.permits.Use()
 		r.ownInFlight.Running++
 		r.ownInFlight.Starting++
 		r.tokens += w.request.Tokens
@@ -438,7 +488,7 @@
 	avoidSlow := p.anyHealthyRank(now)
 	for _, r := range p.replicas {
 		if !r.available(now) || slices.Contains(request.Excluded, r.ID) ||
-			!p.hasCapacity(r) || avoidSlow && r.slow() {
+			!p.hasCapacity(r) || avoidSlow && r.slow() || !r.permits.Available(p.share, now) {
 			continue
 		}
 		p.candidates = append(p.candidates, r)
--- a/batch/replica.go
+++ b/batch/replica.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/permit"
 	"filberttrack.example/track/signs"
 )
 
@@ -95,8 +96,9 @@
 	broken bool
 	// backoffUntil is the time until which the replica gets no requests.
 	backoffUntil time.Time
-	// signs is what the replica has said of itself.
+	// signs is what the replica has said of itself, and permits are this entry's permits under the limit among them.
 	signs     signs.Signs
+	permits   *permit.Schedule
 	failures  int
 	errorRate float64
 	latency   time.Duration
--- a/batch/signs.go
+++ b/batch/signs.go
@@ -1,9 +1,11 @@
 package batch
 
 import (
+	"math"
 	"time"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/permit"
 )
 
 // Observe records what the replica says of itself in an answer.
@@ -27,18 +29,89 @@
 func (p *Pool) refreshSigns(id track.ReplicaID) {
 	if r := p.replicas[id]; r != nil {
 		r.signs = p.options.Signs.Of(r.Replica)
+		r.permits.SetLimit(r.signs.Limit, p.options.Clock.Now())
 	}
 }
 
+// SetShare sets this entry's part of the limits that replicas name.
+func (p *Pool) SetShare(share permit.Share) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.share = share
+}
+
+// limitedRate returns the requests a second that this entry may send under the limits that replicas name,
+// and whether all available replicas name one.
+func (p *Pool) limitedRate(now time.Time) (float64, bool) {
+	sum, found := 0.0, false
+	for _, r := range p.replicas {
+		if !r.available(now) {
+			continue
+		}
+		if r.signs.Limit == 0 {
+			return 0, false
+		}
+		sum += r.signs.Limit * p.share.Width
+		found = true
+	}
+	return sum, found
+}
+
+// Demand returns the rate of the requests that this entry would send to the service, in requests a
+// second. It counts those that are refused, too: an entry that refuses many needs a larger share.
+func (p *Pool) Demand() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.demand.at(p.options.Clock.Now())
+}
+
+// demandWindow is the time constant of the mean demand.
+const demandWindow = 3 * time.Second
+
+// demandRate is a mean rate in which newer requests weigh more.
+type demandRate struct {
+	since, updatedAt time.Time
+	// sum is the number of requests, each weighed down with its age.
+	sum float64
+}
+
+func (d *demandRate) add(now time.Time) {
+	d.decay(now)
+	d.sum++
+}
+
+func (d *demandRate) decay(now time.Time) {
+	d.sum *= math.Exp(-float64(now.Sub(d.updatedAt)) / float64(demandWindow))
+	d.updatedAt = now
+}
+
+// at returns the rate a second. Soon after the start, the mean is over the time since then.
+func (d *demandRate) at(now time.Time) float64 {
+	d.decay(now)
+	age := max(now.Sub(d.since), minDemandAge)
+	return d.sum / (demandWindow.Seconds() * (1 - math.Exp(-float64(age)/float64(demandWindow))))
+}
+
+// minDemandAge is the least time over which the demand is averaged.
+const minDemandAge = 500 * time.Millisecond
+
+// maxReturnDelay limits the time over which refused clients return, in case the replicas recover sooner.
+const maxReturnDelay = 30 * time.Second
+
 // restRetryAfter returns the delay after which a client should retry while all replicas
-// rest. Clients return in the order in which they were refused, and no faster than the
-// replicas can serve them.
+// rest.
 func (p *Pool) restRetryAfter(restUntil, now time.Time) time.Duration {
-	if p.nextReturn.Before(restUntil) {
-		p.nextReturn = restUntil
+	return p.nextReturnAfter(restUntil, now, p.meanGrantTime/time.Duration(max(p.capacityPerEntry(), 1)))
+}
+
+// nextReturnAfter returns the delay after which a client should retry that can't be served before the given
+// time. Clients return in the order in which they were refused, and no faster than the replicas can
+// serve them.
+func (p *Pool) nextReturnAfter(earliest, now time.Time, interval time.Duration) time.Duration {
+	if p.nextReturn.Before(earliest) || p.nextReturn.Sub(earliest) > maxReturnDelay {
+		p.nextReturn = earliest
 	}
 	wait := p.nextReturn.Sub(now)
-	share := max(p.capacityPerEntry(), 1)
-	p.nextReturn = p.nextReturn.Add(p.meanGrantTime / time.Duration(share))
+	p.nextReturn = p.nextReturn.Add(interval)
 	return max(wait, minRetryAfter)
 }
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -26,6 +26,7 @@
 	"filberttrack.example/track/keyed"
 	"filberttrack.example/track/latest"
 	"filberttrack.example/track/parts"
+	"filberttrack.example/track/permit"
 	"filberttrack.example/track/proxy"
 	"filberttrack.example/track/retry"
 	"filberttrack.example/track/signs"
@@ -133,7 +134,8 @@
 	announcer      *announcer
 	leaving        atomic.Bool
 	// signs holds what replicas say of themselves.
-	signs *signs.Book
+	signs     *signs.Book
+	startedAt time.Time
 
 	mu sync.Mutex
 	// pools holds the admission pool of each service.
@@ -156,6 +158,7 @@
 		announcer:  newAnnouncer(o.Log, o.Clock, o.Self, o.Member, o.Logger),
 		logContact: newLogContact(o.Clock.Now()),
 		signs:      signs.New(o.Clock, o.Logger),
+		startedAt:  o.Clock.Now(),
 		pools:      make(map[string]*batch.Pool),
 		zones:      make(map[track.AvailabilityZone]zoneSummary),
 		ranks:      make(map[string]rankReport),
@@ -305,6 +308,7 @@
 			Clock: o.Clock, Random: o.Random, Logger: o.Logger,
 		})
 		p.Update(e.replicas)
+		p.SetShare(permit.Share{})
 		e.pools[service] = p
 		e.registerPool(service, p)
 	}
@@ -391,6 +395,7 @@
 		note.LogAge = age
 	}
 	note.InFlight = e.inFlight()
+	note.Demand = e.ownDemand()
 	return note
 }
 
@@ -465,4 +470,5 @@
 	for _, p := range e.allPools() {
 		p.SetOtherInFlight(others)
 	}
+	e.updateShares()
 }
--- a/edge/members.go
+++ b/edge/members.go
@@ -119,6 +119,22 @@
 	return n + 1
 }
 
+// entriesByZone returns the names of the known entries of each zone, in order.
+func (m *members) entriesByZone() map[track.AvailabilityZone][]track.InstanceID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	entries := make(map[track.AvailabilityZone][]track.InstanceID)
+	for name, member := range m.known {
+		if member.Role == track.RoleEntry {
+			entries[member.Zone] = append(entries[member.Zone], name)
+		}
+	}
+	for _, names := range entries {
+		slices.Sort(names)
+	}
+	return entries
+}
+
 // entriesIn returns the number of known entries of a zone, including this process if it is one.
 func (m *members) entriesIn(zone track.AvailabilityZone) int {
 	m.mu.Lock()
--- a/edge/zones.go
+++ b/edge/zones.go
@@ -119,7 +119,7 @@
 func (e *Entry) summarizeZone() gossip.ZoneSummary {
 	summary := gossip.ZoneSummary{
 		Zone: e.options.Zone, Representative: e.options.Self,
-		InFlight: e.inFlight(),
+		InFlight: e.inFlight(), Demand: e.zoneDemand(),
 	}
 	summary.Era, summary.Offsets = e.offsets()
 	for _, note := range e.zonePeers() {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -67,6 +67,8 @@
 	LogAge time.Duration
 	// InFlight counts the sender's requests in flight on each replica.
 	InFlight map[track.ReplicaID]track.InFlight `json:",omitempty"`
+	// Demand holds the requests a second that the sender would send to each service.
+	Demand map[string]float64 `json:",omitempty"`
 	// Zones holds summaries of whole zones. In each zone one entry acts as representative: it
 	// sends the summary of its own zone to the representatives of other zones, and those of all
 	// other zones to the entries of its own.
@@ -97,6 +99,8 @@
 	Era uint64 `json:",omitempty"`
 	// InFlight counts the zone's requests in flight on each replica.
 	InFlight map[track.ReplicaID]track.InFlight
+	// Demand holds the requests a second that the zone's entries would send to each service.
+	Demand map[string]float64 `json:",omitempty"`
 	// Ranks holds what the agents of the zone report about their ranks.
 	Ranks []RankSummary `json:",omitempty"`
 }
