fix(agent): backend servers get no requests that they have said they don't want

Callers of filberttrack saw: requests sent to backend servers that leave, rest or are at their limit. Change: the agent records it in the same book (signs), refuses what its backend server doesn't want, and keeps to its limit for all entries, as all requests pass through it. Heartbeats say that the server is down while it leaves or rests.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -42,6 +42,7 @@
 	ledger   *ledger.Ledger
 	leaving  atomic.Bool
 	healthy  atomic.Bool
+	signs    *backendSigns
 	inFlight drain.Requests
 	// reportSeq is the sequence number of the last report.
 	reportSeq atomic.Uint64
@@ -61,6 +62,7 @@
 	a := &Agent{
 		options:  options,
 		probeNow: make(chan struct{}, 1),
+		signs:    newBackendSigns(options),
 		ledger:   ledger.New(options.Instance.ID, options.Incarnation, options.Clock, options.Ledger),
 	}
 	a.healthy.Store(true)
@@ -128,6 +130,10 @@
 		// An attempt that is sent to a crashed backend server would be counted as in
 		// flight at the time of the crash.
 		return track.RefusedBackendServerDown
+	case !a.wantsRequests():
+		return track.RefusedBackendServerDown
+	case !a.takePermit(d):
+		return track.RefusedFull
 	}
 	return ""
 }
@@ -154,7 +160,7 @@
 		Incarnation: a.options.Incarnation,
 		Seq:         a.reportSeq.Add(1),
 		Leaving:     a.leaving.Load(),
-		Up:          a.healthy.Load(),
+		Up:          a.healthy.Load() && a.wantsRequests(),
 		Load:        load,
 	}, nil
 }
--- a/agent/forward.go
+++ b/agent/forward.go
@@ -56,6 +56,7 @@
 		return frames.sendFinal(a.requestFailedFrame(ctx, err))
 	}
 	defer response.Body.Close()
+	a.observe(response)
 	err = frames.sendNext(track.Frame{Kind: track.FrameHeader, Status: response.StatusCode, Header: response.Header})
 	if err != nil {
 		return err
--- a/agent/probe.go
+++ b/agent/probe.go
@@ -46,6 +46,7 @@
 		return
 	}
 	if !a.healthy.Swap(true) {
+		a.forgetSigns()
 		a.options.Logger.Info("backend server up again")
 	}
 	a.loadMu.Lock()
@@ -66,6 +67,7 @@
 		return load, fmt.Errorf("probe: %w", err)
 	}
 	defer response.Body.Close()
+	a.observeProbe(response)
 	switch {
 	case response.StatusCode >= http.StatusInternalServerError:
 		return load, fmt.Errorf("probe: status %d", response.StatusCode)
