fix(entry): the error of a replica that was to continue a stream is no part of it

Cause: an error status was judged the same whether or not a part of the response had been sent. Evidence: TestStreamThatNoReplicaContinues (boot) failed before for 409, 500 and 503.

--- a/entry/send/judge.go
+++ b/entry/send/judge.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 
 	"filberttrack.example/track"
@@ -42,6 +43,11 @@
 		}
 		e.reset()
 		return e.newRefusal(http.StatusBadGateway, "backend_server_failed", e.failureMessage(a)), true
+	case a.status >= errorStatus && e.response.Committed():
+		// The error of a replica that was to continue the response is no part of it.
+		e.excluded = append(e.excluded, choice.Server.Agent)
+		message := fmt.Sprintf("the backend server can't continue the response: status %d", a.status)
+		return e.newRefusal(http.StatusBadGateway, "backend_server_failed", message), true
 	case a.status >= errorStatus && !a.relaysErrors():
 		return e.engineRefusal(a), a.status >= serverErrorStatus
 	case isRetryable(a.status) && e.mayRetry(ctx):
