test(soak): replicas name limits

The stand-in of replicas names a limit; new faults ReplicaLimited and ReplicasLimited, new check LimitsAreKept with the users' bounds.

--- a/soak/check.go
+++ b/soak/check.go
@@ -49,6 +49,8 @@
 	RevokedAt, AddedAt map[string]time.Time
 	// ArrivalsDuringRest holds the requests that reached replicas which had asked for rest.
 	ArrivalsDuringRest []mimic.Arrival
+	// ArrivalsUnderLimit holds the requests that reached replicas which named limits.
+	ArrivalsUnderLimit []mimic.LimitedArrival
 	// Crashes holds the crashes of replicas, and CrashArrivals the arrivals of requests that crash
 	// them.
 	Crashes, CrashArrivals []mimic.CrashEvent
@@ -88,6 +90,11 @@
 	// MaxDuringRest from each entry.
 	RestGrace     time.Duration
 	MaxDuringRest int
+	// LimitFactor and LimitSlack say how many requests may reach a replica within LimitWindow: LimitFactor
+	// times what the limit that it names allows, and LimitSlack.
+	LimitWindow time.Duration
+	LimitFactor float64
+	LimitSlack  float64
 	// MaxCrashesByRequest and MaxCrashesByPart are the crashes by one request and by one part of a
 	// prompt, and MaxAfterCrashes the requests with it that may still arrive from stableTime after
 	// that crash on.
@@ -113,6 +120,7 @@
 func DefaultBounds() Bounds {
 	return Bounds{
 		RestGrace: 500 * time.Millisecond, MaxDuringRest: 2,
+		LimitWindow: 4 * time.Second, LimitFactor: 1.5, LimitSlack: 5,
 		MaxCrashesByRequest: 3, MaxCrashesByPart: 5, MaxAfterCrashes: 3, MinSoundRatio: 0.5,
 		DrainTime: 2 * time.Second, ApplyTime: 2 * time.Second,
 		RecoveryTime: 12 * time.Second, MinRecoveredShare: 0.95, MinServedRatio: 0.25,
@@ -136,6 +144,7 @@
 	{"NoPieceLostOrDoubled", noPieceLostOrDoubled},
 	{"LeavingReplicasGetNothing", leavingReplicasGetNothing},
 	{"RestingReplicasGetNothing", restingReplicasGetNothing},
+	{"LimitsAreKept", limitsAreKept},
 	{"CrashingRequestsAreBarred", crashingRequestsAreBarred},
 	{"SoundRequestsAreServedBesideCrashingOnes", soundRequestsAreServedBesideCrashingOnes},
 	{"RevokedKeysAreRefused", revokedKeysAreRefused},
@@ -280,6 +289,36 @@
 	return found
 }
 
+// limitsAreKept checks that replicas get no more requests than the limits that they name allow, from stableTime
+// after they first did.
+func limitsAreKept(h *History, b Bounds) []string {
+	type period struct {
+		replica string
+		start   time.Time
+		limit   float64
+	}
+	arrivals := make(map[period][]time.Time)
+	for _, a := range h.ArrivalsUnderLimit {
+		if a.At.After(a.LimitStart.Add(stableTime)) && h.noFaultsBefore(a.At, Freeze, Kill, Stop, LinkDelay, LinkSilent, LinkSlow) {
+			p := period{a.Replica, a.LimitStart, a.Limit}
+			arrivals[p] = append(arrivals[p], a.At)
+		}
+	}
+	var found []string
+	for p, times := range arrivals {
+		allowed := b.LimitFactor*b.LimitWindow.Seconds()*p.limit + b.LimitSlack
+		for i := range times {
+			end, _ := slices.BinarySearchFunc(times, times[i].Add(b.LimitWindow), time.Time.Compare)
+			if n := end - i; float64(n) > allowed {
+				found = append(found, fmt.Sprintf("%d requests in %s reached replica %s at a limit of %g a second", n, b.LimitWindow, p.replica, p.limit))
+				break
+			}
+		}
+	}
+	slices.Sort(found)
+	return found
+}
+
 // crashingRequestsAreBarred checks that next to no requests arrive at replicas after they have
 // crashed some of them.
 func crashingRequestsAreBarred(h *History, b Bounds) []string {
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -74,6 +74,13 @@
 				})
 			}
 		}, "RestingReplicasGetNothing"},
+		{"requests beyond the limit of a replica", func(h *History) {
+			for i := range 18 {
+				h.ArrivalsUnderLimit = append(h.ArrivalsUnderLimit, mimic.LimitedArrival{
+					Replica: "i-1", Limit: 2, LimitStart: start, At: start.Add(10*time.Second + time.Duration(i)*200*time.Millisecond),
+				})
+			}
+		}, "LimitsAreKept"},
 		{"request that crashes replicas goes on", func(h *History) {
 			for i := range 4 {
 				at := start.Add(time.Duration(5+i) * time.Second)
--- a/soak/disturb.go
+++ b/soak/disturb.go
@@ -94,6 +94,19 @@
 		s.endpoints[e.Target%len(s.endpoints)].current().Rest(e.Duration)
 		return nil
 	},
+	ReplicaLimited: func(s *testbed, e PlannedFault) func() {
+		s.limitReplica(s.endpoints[e.Target%len(s.endpoints)], e)
+		return nil
+	},
+	ReplicasLimited: func(s *testbed, e PlannedFault) func() {
+		service := s.endpoints[e.Target%len(s.endpoints)].service
+		for _, ep := range s.endpoints {
+			if ep.service == service {
+				s.limitReplica(ep, e)
+			}
+		}
+		return nil
+	},
 	ReplicasRest: func(s *testbed, e PlannedFault) func() {
 		service := s.endpoints[e.Target%len(s.endpoints)].service
 		for _, ep := range s.endpoints {
@@ -115,6 +128,21 @@
 	operatorDelayStep = 600 * time.Millisecond
 )
 
+const (
+	// limitedTime is the time for which a replica names a limit, in addition to the planned time of the
+	// fault: entries must keep to it from stableTime on.
+	limitedTime = 6 * time.Second
+	// limitStep is multiplied by the interval of the planned fault to give the limit, in requests a second.
+	limitStep = 0.25
+)
+
+// limitReplica makes the replica at the endpoint name a limit.
+func (s *testbed) limitReplica(ep *endpoint, e PlannedFault) {
+	limited := e.Duration + limitedTime
+	ep.current().Limit(limitStep*float64(e.Interval), limited)
+	s.recordFault(FaultPeriod{From: time.Now(), To: time.Now().Add(limited), Fault: e.Fault})
+}
+
 func (s *testbed) recordFault(f FaultPeriod) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -42,6 +42,9 @@
 	ReplicasRest Fault = "ReplicasRest"
 	// ReplicaRests does so for one replica.
 	ReplicaRests Fault = "ReplicaRests"
+	// ReplicasLimited makes all replicas of a service name a limit, and ReplicaLimited one.
+	ReplicasLimited Fault = "ReplicasLimited"
+	ReplicaLimited  Fault = "ReplicaLimited"
 	// CrashingRequest sends a request that crashes replicas again and again, and CrashingPart
 	// different requests with one part in their prompts that does.
 	CrashingRequest Fault = "CrashingRequest"
@@ -55,6 +58,7 @@
 	LinkDelay, LinkReset, LinkSilent, LinkSlow, RevokeKey, NewRoute,
 	AgentFreezes, AgentKilled, OrdersLost, DemandShifts, DemandShifts, GroupBreaks,
 	LogRestored, ReplicaSaysLeaving, ReplicasRest, ReplicaRests, CrashingRequest, CrashingPart,
+	ReplicasLimited, ReplicaLimited,
 }
 
 // PlannedFault is a fault to inject.
--- a/soak/play.go
+++ b/soak/play.go
@@ -168,6 +168,7 @@
 	defer s.mu.Unlock()
 	s.history.Requests, s.history.Runs = s.requests, s.ledger.Executions()
 	s.history.Crashes, s.history.CrashArrivals = s.ledger.Crashes()
+	s.history.ArrivalsUnderLimit = s.ledger.ArrivalsUnderLimit()
 	s.history.ArrivalsDuringRest, s.history.Entries = s.ledger.ArrivalsDuringRest(), len(s.entries)
 	return &s.history, nil
 }
