--- a/stand/desk/desk.go
+++ b/stand/desk/desk.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -42,6 +43,8 @@
 
 	mu      sync.Mutex
 	latency time.Duration
+	// limit is the limit that responses name, in requests a second; 0 if they name none.
+	limit float64
 	// crashed is closed when the service crashes. Restart replaces it.
 	crashed chan struct{}
 }
@@ -89,10 +92,23 @@
 	case <-d.crashedChan():
 		panic(http.ErrAbortHandler)
 	default:
+		d.mu.Lock()
+		limit := d.limit
+		d.mu.Unlock()
+		if limit > 0 {
+			w.Header().Set("Server-Limit", strconv.FormatFloat(limit, 'f', -1, 64))
+		}
 		d.mux.ServeHTTP(w, r)
 	}
 }
 
+// SetLimit makes responses name a limit, in requests a second; none if it is 0.
+func (d *BookingService) SetLimit(limit float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.limit = limit
+}
+
 // Bookings returns the bookings in order of creation.
 func (d *BookingService) Bookings() []Item {
 	return d.bookings.items()
--- a/stand/engine/engine.go
+++ b/stand/engine/engine.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -118,6 +119,8 @@
 	crashes     int64
 	// unpaused is closed unless the engine is paused.
 	unpaused chan struct{}
+	// limit is the limit that responses name, in requests a second; 0 if they name none.
+	limit float64
 }
 
 // incarnation is one run of the engine, from a start to the next crash.
@@ -159,9 +162,22 @@
 	if !e.isUp() {
 		panic(http.ErrAbortHandler)
 	}
+	e.mu.Lock()
+	limit := e.limit
+	e.mu.Unlock()
+	if limit > 0 {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(limit, 'f', -1, 64))
+	}
 	e.mux.ServeHTTP(w, r)
 }
 
+// SetLimit makes responses name a limit, in requests a second; none if it is 0.
+func (e *Engine) SetLimit(limit float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limit = limit
+}
+
 // Counts returns the totals since the engine was created.
 func (e *Engine) Counts() Counts {
 	e.mu.Lock()
