--- a/soak/disturb.go
+++ b/soak/disturb.go
@@ -14,7 +14,7 @@
 )
 
 // longFaults lists the faults that consist of several steps and are not in faultInjectors.
-var longFaults = []Fault{ReplicaLeaves, ReplicaDies, ReplicaSaysLeaving, CrashingRequest, CrashingPart}
+var longFaults = []Fault{ReplicaLeaves, ReplicaDies, ReplicaSaysLeaving, CrashingRequest, CrashingPart, ReplicaLimited, ReplicasLimited}
 
 // injectFault injects a planned fault, waits for its duration and ends it.
 func (s *testbed) injectFault(ctx context.Context, e PlannedFault) error {
@@ -23,6 +23,8 @@
 		return s.replaceReplica(ctx, s.endpoints[e.Target%len(s.endpoints)], e.Duration, e.Fault)
 	case CrashingRequest, CrashingPart:
 		return s.sendCrashing(ctx, e)
+	case ReplicaLimited, ReplicasLimited:
+		return s.limitReplicas(ctx, e)
 	}
 	end := faultInjectors[e.Fault](s, e)
 	if e.Fault == Kill {
@@ -94,19 +96,6 @@
 		s.endpoints[e.Target%len(s.endpoints)].current().Rest(e.Duration)
 		return nil
 	},
-	ReplicaLimited: func(s *testbed, e PlannedFault) func() {
-		s.limitReplica(s.endpoints[e.Target%len(s.endpoints)], e)
-		return nil
-	},
-	ReplicasLimited: func(s *testbed, e PlannedFault) func() {
-		service := s.endpoints[e.Target%len(s.endpoints)].service
-		for _, ep := range s.endpoints {
-			if ep.service == service {
-				s.limitReplica(ep, e)
-			}
-		}
-		return nil
-	},
 	ReplicasRest: func(s *testbed, e PlannedFault) func() {
 		service := s.endpoints[e.Target%len(s.endpoints)].service
 		for _, ep := range s.endpoints {
@@ -136,11 +125,16 @@
 	limitStep = 0.25
 )
 
-// limitReplica makes the replica at the endpoint name a limit.
-func (s *testbed) limitReplica(ep *endpoint, e PlannedFault) {
+// limitReplicas makes a replica, or all of its service, name a limit, and returns when they no longer do.
+func (s *testbed) limitReplicas(ctx context.Context, e PlannedFault) error {
 	limited := e.Duration + limitedTime
-	ep.current().Limit(limitStep*float64(e.Interval), limited)
-	s.recordFault(FaultPeriod{From: time.Now(), To: time.Now().Add(limited), Fault: e.Fault})
+	chosen := s.endpoints[e.Target%len(s.endpoints)]
+	for _, ep := range s.endpoints {
+		if ep == chosen || e.Fault == ReplicasLimited && ep.service == chosen.service {
+			ep.current().Limit(limitStep*float64(e.Interval), limited)
+		}
+	}
+	return sleep(ctx, limited)
 }
 
 func (s *testbed) recordFault(f FaultPeriod) {
