--- a/agent/signs.go
+++ b/agent/signs.go
@@ -26,10 +26,12 @@
 
 func newBackendSigns(o Options) *backendSigns {
 	id := track.ReplicaID(o.Instance.ID)
-	return &backendSigns{
-		book:    signs.New(o.Clock, o.Logger),
-		backend: track.Replica{ID: id}, permits: permit.New(id),
-	}
+	book := signs.New(o.Clock, o.Logger)
+	o.Metrics.GetOrCreateGauge("filberttrack_agent_limit", func() float64 {
+		_, limit := book.Limited()
+		return limit
+	})
+	return &backendSigns{book: book, backend: track.Replica{ID: id}, permits: permit.New(id)}
 }
 
 // observe records the signs in a response of the backend server.
@@ -60,6 +62,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.backend.StartID++
+	s.book.Observe(s.backend, track.Signs{})
 	s.permits.SetLimit(0, a.options.Clock.Now())
 }
 
