--- a/agent/signs.go
+++ b/agent/signs.go
@@ -26,12 +26,13 @@
 
 func newBackendSigns(o Options) *backendSigns {
 	id := track.ReplicaID(o.Instance.ID)
-	book := signs.New(o.Clock, o.Logger)
+	s := &backendSigns{book: signs.New(o.Clock, o.Logger), backend: track.Replica{ID: id}, permits: permit.New(id)}
 	o.Metrics.GetOrCreateGauge("filberttrack_agent_limit", func() float64 {
-		_, limit := book.Limited()
-		return limit
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.book.Of(s.backend).Limit
 	})
-	return &backendSigns{book: book, backend: track.Replica{ID: id}, permits: permit.New(id)}
+	return s
 }
 
 // observe records the signs in a response of the backend server.
@@ -62,7 +63,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.backend.StartID++
-	s.book.Observe(s.backend, track.Signs{})
 	s.permits.SetLimit(0, a.options.Clock.Now())
 }
 
--- a/batch/pool.go
+++ b/batch/pool.go
@@ -180,7 +180,7 @@
 	// nextReturn is when the next client should retry that is refused while all replicas rest
 	// or name limits.
 	nextReturn time.Time
-	// share is this entry's part of the limits that replicas name.
+	// share is this entry's part of the limits that replicas name: an even one until SetShare.
 	share permit.Share
 	// demand is the rate of the requests that this entry would send.
 	demand demandRate
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -308,6 +308,7 @@
 			Clock: o.Clock, Random: o.Random, Logger: o.Logger,
 		})
 		p.Update(e.replicas)
+		// The next tick sets the share; an even one could overlap with those of other entries.
 		p.SetShare(permit.Share{})
 		e.pools[service] = p
 		e.registerPool(service, p)
--- a/edge/gauges.go
+++ b/edge/gauges.go
@@ -26,16 +26,30 @@
 		return age.Seconds()
 	})
 	set.GetOrCreateGauge("filberttrack_limited_replicas", func() float64 {
-		replicas, _ := e.signs.Limited()
+		replicas, _ := e.limitedReplicas()
 		return float64(replicas)
 	})
 	set.GetOrCreateGauge("filberttrack_replica_limits", func() float64 {
-		_, sum := e.signs.Limited()
+		_, sum := e.limitedReplicas()
 		return sum
 	})
 	set.GetOrCreateGauge("filberttrack_peers_heard", func() float64 { return float64(len(e.gossipNode.LiveMessages())) })
 }
 
+// limitedReplicas returns the number of listed replicas that name a limit, and the sum of these, in requests
+// a second.
+func (e *Entry) limitedReplicas() (replicas int, sum float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, r := range e.replicas {
+		if limit := e.signs.Of(r).Limit; limit > 0 {
+			replicas++
+			sum += limit
+		}
+	}
+	return replicas, sum
+}
+
 // registerPool registers the gauges of a service's queue and capacity.
 func (e *Entry) registerPool(service string, pool *batch.Pool) {
 	e.options.Metrics.GetOrCreateGauge(fmt.Sprintf("filberttrack_waiting{service=%q}", service), func() float64 {
--- a/edge/shares.go
+++ b/edge/shares.go
@@ -18,8 +18,8 @@
 	// evenShare is the part of the mean demand that each entry has in addition to its own, so
 	// that it may send its first requests.
 	evenShare = 0.2
-	// demandDigits is the power of ten to which demand is rounded in messages.
-	demandDigits = 10
+	// demandPrecision is the number of steps in a request a second to which messages round demand.
+	demandPrecision = 10
 )
 
 // ownDemand returns this entry's demand for each service, in requests a second.
@@ -29,7 +29,7 @@
 	e.mu.Unlock()
 	demand := make(map[string]float64, len(pools))
 	for service, p := range pools {
-		if d := math.Round(p.Demand()*demandDigits) / demandDigits; d > 0 {
+		if d := math.Round(p.Demand()*demandPrecision) / demandPrecision; d > 0 {
 			demand[service] = d
 		}
 	}
@@ -71,7 +71,7 @@
 
 // updateShares sets this entry's share of the limits of replicas in each pool, if there are limits.
 func (e *Entry) updateShares() {
-	if limited, _ := e.signs.Limited(); limited == 0 {
+	if !e.signs.AnyLimit() {
 		return
 	}
 	e.mu.Lock()
--- a/signs/signs.go
+++ b/signs/signs.go
@@ -130,6 +130,7 @@
 	defer b.mu.Unlock()
 	now := b.clock.Now()
 	if said == (track.Signs{}) && b.known[r.ID] == nil {
+		// Most replicas give no signs, and nothing is kept of them.
 		return
 	}
 	s := b.forStart(r.ID, r.StartID)
@@ -253,15 +254,14 @@
 	return reports
 }
 
-// Limited returns the number of replicas that name a limit, and the sum of these limits.
-func (b *Book) Limited() (replicas int, sum float64) {
+// AnyLimit reports whether a replica names a limit.
+func (b *Book) AnyLimit() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, s := range b.known {
 		if s.Limit > 0 {
-			replicas++
-			sum += s.Limit
+			return true
 		}
 	}
-	return replicas, sum
+	return false
 }
