--- a/batch/limited_test.go
+++ b/batch/limited_test.go
@@ -12,6 +12,7 @@
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/batch"
+	"filberttrack.example/track/permit"
 	"filberttrack.example/track/signs"
 )
 
@@ -27,6 +28,7 @@
 	clock   *clockwork.FakeClock
 	rng     *rand.Rand
 	pools   []*batch.Pool
+	books   []*signs.Book
 	limited map[track.ReplicaID]bool
 	// arrivals holds the times at which requests reached each replica.
 	arrivals map[track.ReplicaID][]time.Time
@@ -44,13 +46,16 @@
 	for i := range limitedCount {
 		f.limited[id(i)] = true
 	}
-	for range entries {
+	for i := range entries {
+		book := signs.New(f.clock, zap.NewNop())
+		f.books = append(f.books, book)
 		p := batch.New(batch.Options{
 			Service: service, Zone: "rivera", Clock: f.clock, Logger: zap.NewNop(), Random: f.rng.Float64,
-			Entries: func() int { return entries }, Signs: signs.New(f.clock, zap.NewNop()),
+			Entries: func() int { return entries }, Signs: book,
 		})
 		p.Configure(spec)
 		p.Update(replicas(replicaCount))
+		p.SetShare(permit.Share{From: float64(i) / float64(entries), Width: 1 / float64(entries)})
 		f.pools = append(f.pools, p)
 	}
 	return f
@@ -80,24 +85,37 @@
 	f.ends[end] = append(f.ends[end], g)
 }
 
-// run sends rate requests a second for a time. Entry i gets a part in proportion to weight(i).
-func (f *fleetOfEntries) run(d time.Duration, rate float64, weight func(int) float64) {
-	sum := 0.0
-	for i := range f.pools {
-		sum += weight(i)
-	}
+// run sends rate requests a second for a time, as many through each entry.
+func (f *fleetOfEntries) run(d time.Duration, rate float64) {
 	for range int(d / fleetStep) {
 		for _, g := range f.ends[f.step] {
 			g.Done(batch.Result{Verdict: batch.Served, FirstByte: 100 * time.Millisecond})
 		}
 		for i := range f.pools {
-			expected := rate * fleetStep.Seconds() * weight(i) / sum
+			expected := rate * fleetStep.Seconds() / float64(len(f.pools))
 			for ; f.rng.Float64() < expected; expected-- {
 				f.send(i)
 			}
 		}
 		f.clock.Advance(fleetStep)
-		f.step++
+		if f.step++; f.step%messageSteps == 0 {
+			f.exchangeSigns()
+		}
+	}
+}
+
+// messageSteps is the number of steps from one exchange of messages to the next: half a second.
+const messageSteps = 10
+
+// exchangeSigns makes all entries tell all others of the signs of replicas.
+func (f *fleetOfEntries) exchangeSigns() {
+	var reports []track.SignReport
+	for _, book := range f.books {
+		reports = append(reports, book.Share()...)
+	}
+	for i, p := range f.pools {
+		f.books[i].Merge("peer", reports)
+		p.SignsChanged(reports)
 	}
 }
 
@@ -120,25 +138,25 @@
 	return most
 }
 
-func even(int) float64 { return 1 }
-
 // Guards against entries that together send a replica more than the limit that it names.
 func TestEntriesTogetherKeepToTheLimitOfAReplica(t *testing.T) {
-	for _, spec := range []*track.EngineSpec{engine, nil} {
-		f := newFleetOfEntries(6, 8, 2, spec)
-		f.run(2*time.Second, 40, even)
-		from := f.clock.Now()
-		f.run(20*time.Second, 40, even)
-		assert.Assert(t, f.most(from) <= maxArrivals(named), "%d requests in 4 s", f.most(from))
+	for _, entries := range []int{1, 6, 98} {
+		for _, spec := range []*track.EngineSpec{engine, nil} {
+			f := newFleetOfEntries(entries, 8, 2, spec)
+			f.run(2*time.Second, 40)
+			from := f.clock.Now()
+			f.run(20*time.Second, 40)
+			assert.Assert(t, f.most(from) <= maxArrivals(named), "%d entries: %d requests in 4 s", entries, f.most(from))
+		}
 	}
 }
 
 // What limited replicas don't take goes to the others, and the limited ones get about what they take.
 func TestRestGoesToReplicasWithoutALimit(t *testing.T) {
 	f := newFleetOfEntries(6, 8, 2, nil)
-	f.run(3*time.Second, 30, even)
+	f.run(3*time.Second, 30)
 	from := f.clock.Now()
-	f.run(20*time.Second, 30, even)
+	f.run(20*time.Second, 30)
 	assert.Equal(t, f.denied, 0)
 	n := 0
 	for _, at := range f.arrivals[id(0)] {
--- a/signs/signs_test.go
+++ b/signs/signs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -77,3 +78,17 @@
 	}
 	assert.Equal(t, len(heard), 100)
 }
+
+// No header makes the signs of a replica leave their bounds.
+func FuzzDecode(f *testing.F) {
+	f.Add(503, "1", "2.7", "1.5")
+	f.Add(200, " 0 ", "-Inf", "NaN")
+	f.Add(503, "", "1e400", "0x1p9")
+	names := signs.Headers{Leaving: "Leaving", Limit: "Limit"}
+	f.Fuzz(func(t *testing.T, status int, leaving, limit, retryAfter string) {
+		said := names.Decode(status, http.Header{"Leaving": {leaving}, "Limit": {limit}, "Retry-After": {retryAfter}})
+		assert.Assert(t, said.Limit == 0 || said.Limit >= 0.2 && said.Limit < 10000, "%v", said)
+		assert.Assert(t, said.RestFor >= 0 && said.RestFor <= 5*time.Minute, "%v", said)
+		assert.Assert(t, status == http.StatusServiceUnavailable || said.RestFor == 0, "%v", said)
+	})
+}
