fix(signs): new signs are told beside many older limits; messages stay within a datagram

Cause: the position of the next older limit was moved while the loop still counted from it, so that signs after it were left out; and all new signs went into one message, 110 KB for 1,500 replicas.

--- a/signs/signs.go
+++ b/signs/signs.go
@@ -25,6 +25,8 @@
 	// olderReports is the number of older limits in each message, for peers that have started
 	// since or have missed earlier messages.
 	olderReports = 16
+	// maxReports is the most reports in a message, which must not exceed the size of a datagram.
+	maxReports = 128
 	// maxRest limits the time for which a replica may ask for rest.
 	maxRest = 5 * time.Minute
 	// minLimit is the least limit, in requests a second. At a limit of 0 no answer would show
@@ -103,8 +105,8 @@
 	// known outlasts the replicas' entries in the list, which may come back after an outage of
 	// the log.
 	known map[track.ReplicaID]*Signs
-	// order holds the replicas of known. next is the position in it from which on older
-	// limits are shared next.
+	// order holds the replicas of known. next is the position in it from which on signs are
+	// shared next, since a message doesn't hold all.
 	order []track.ReplicaID
 	next  int
 }
@@ -235,16 +237,21 @@
 	defer b.mu.Unlock()
 	now := b.clock.Now()
 	var reports []track.SignReport
-	older := 0
+	older, first := 0, b.next
 	for i := range b.order {
-		id := b.order[(b.next+i)%len(b.order)]
+		position := (first + i) % len(b.order)
+		if len(reports) == maxReports {
+			b.next = position
+			break
+		}
+		id := b.order[position]
 		s := b.known[id]
 		if now.Sub(s.changed) >= shareFor {
 			if s.Limit == 0 || older == olderReports {
 				continue
 			}
 			if older++; older == olderReports {
-				b.next = (b.next + i + 1) % len(b.order)
+				b.next = (position + 1) % len(b.order)
 			}
 		}
 		reports = append(reports, track.SignReport{
--- a/signs/signs_test.go
+++ b/signs/signs_test.go
@@ -1,6 +1,7 @@
 package signs_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"testing"
@@ -68,15 +69,42 @@
 		book.Observe(track.Replica{ID: track.ReplicaID(fmt.Sprint(i))}, track.Signs{Limit: 2})
 	}
 	clock.Advance(4 * time.Second)
+	// Three new signs are in each message.
+	for i := range 3 {
+		book.Observe(track.Replica{ID: track.ReplicaID(fmt.Sprint("new-", i))}, track.Signs{Leaving: true})
+	}
 	heard := map[track.ReplicaID]bool{}
 	for range 7 {
 		reports := book.Share()
-		assert.Assert(t, len(reports) <= 16)
+		assert.Equal(t, len(reports), 16+3)
+		inMessage := map[track.ReplicaID]bool{}
+		for _, r := range reports {
+			heard[r.Replica], inMessage[r.Replica] = true, true
+		}
+		assert.Equal(t, len(inMessage), 16+3, "a replica is reported twice")
+		assert.Assert(t, inMessage["new-0"] && inMessage["new-1"] && inMessage["new-2"])
+	}
+	assert.Equal(t, len(heard), 100+3)
+}
+
+// All replicas of a large fleet name limits at once: a message still fits into a datagram, and messages in a row hold
+// all of them.
+func TestShareOfManyNewLimits(t *testing.T) {
+	book := signs.New(clockwork.NewFakeClock(), zap.NewNop())
+	for i := range 1500 {
+		book.Observe(track.Replica{ID: track.ReplicaID(fmt.Sprintf("i-%010x", i))}, track.Signs{Limit: 2.75})
+	}
+	heard := map[track.ReplicaID]bool{}
+	for range 12 {
+		reports := book.Share()
+		data, err := json.Marshal(reports)
+		assert.NilError(t, err)
+		assert.Assert(t, len(data) < 16<<10, "%d bytes", len(data))
 		for _, r := range reports {
 			heard[r.Replica] = true
 		}
 	}
-	assert.Equal(t, len(heard), 100)
+	assert.Equal(t, len(heard), 1500)
 }
 
 // No header makes the signs of a replica leave their bounds.
