--- a/edge/shares.go
+++ b/edge/shares.go
@@ -84,8 +84,8 @@
 	}
 }
 
-// demands returns the demand for a service of each entry of the own zone, and of each other zone, in an
-// order that is the same at all entries. The own demand comes first.
+// demands returns the demand for a service of each entry of the own zone, and of each other zone. The own
+// demand comes first, the others in any order.
 func (e *Entry) demands(
 	service string, own float64, members map[track.AvailabilityZone][]track.InstanceID,
 	messages map[track.InstanceID]gossip.Message, zones map[track.AvailabilityZone]zoneSummary,
@@ -115,7 +115,8 @@
 }
 
 // ownShare returns the share of the first of the demands, which are those of all entries. A share is in
-// proportion to the demand, and a small part is the same for all.
+// proportion to the demand, and a small part is the same for all. Shares lie side by side in the order of
+// zones and entries by name, which is the same at all entries.
 func ownShare(demands []demandOf) permit.Share {
 	sum, heard := 0.0, 0
 	for _, d := range demands {
