feat(keyed): show how long a read of the log is pending and when a topic was last known to be whole

Gauges filberttrack_log_confirmed_age_seconds and filberttrack_log_read_pending_seconds; PendingMs in the line "log lost".

--- a/edge/gauges.go
+++ b/edge/gauges.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"filberttrack.example/track/batch"
+	"filberttrack.example/track/keyed"
 	"filberttrack.example/track/retry"
 )
 
@@ -25,6 +27,9 @@
 		}
 		return age.Seconds()
 	})
+	e.registerTopic(e.options.Topics.Config, e.configFollower)
+	e.registerTopic(e.options.Topics.Replicas, e.replicaFollower)
+	e.registerTopic(topicMembers, e.memberFollower)
 	set.GetOrCreateGauge("filberttrack_limited_replicas", func() float64 {
 		replicas, _ := e.limitedReplicas()
 		return float64(replicas)
@@ -36,6 +41,21 @@
 	set.GetOrCreateGauge("filberttrack_peers_heard", func() float64 { return float64(len(e.gossipNode.LiveMessages())) })
 }
 
+// registerTopic registers the gauges that tell a topic without news from one whose answers are lost.
+func (e *Entry) registerTopic(topic string, follower *keyed.Follower) {
+	age := func(at func() time.Time, never float64) func() float64 {
+		return func() float64 {
+			if t := at(); !t.IsZero() {
+				return e.options.Clock.Since(t).Seconds()
+			}
+			return never
+		}
+	}
+	set := e.options.Metrics
+	set.GetOrCreateGauge(fmt.Sprintf("filberttrack_log_confirmed_age_seconds{topic=%q}", topic), age(follower.ConfirmedAt, -1))
+	set.GetOrCreateGauge(fmt.Sprintf("filberttrack_log_read_pending_seconds{topic=%q}", topic), age(follower.PendingSince, 0))
+}
+
 // limitedReplicas returns the number of listed replicas that name a limit, and the sum of these, in requests
 // a second.
 func (e *Entry) limitedReplicas() (replicas int, sum float64) {
--- a/keyed/follow.go
+++ b/keyed/follow.go
@@ -51,6 +51,7 @@
 	mirror    *Mirror
 	peerAhead chan struct{}
 	outage    outage
+	progress  progress
 }
 
 // NewFollower returns a follower that has read nothing yet.
@@ -69,6 +70,18 @@
 	return f.outage.times()
 }
 
+// ConfirmedAt returns the latest time at which the mirror is known to have held all records of
+// the topic; zero if it never was.
+func (f *Follower) ConfirmedAt() time.Time {
+	return f.progress.confirmed()
+}
+
+// PendingSince returns when the read that waits for the log's answer was sent; zero if none
+// waits.
+func (f *Follower) PendingSince() time.Time {
+	return f.progress.pending()
+}
+
 // NotifyPeerPosition tells the follower that a peer has read the topic up to a position. If that is
 // ahead of the mirror, RunPeerSync reads from a peer.
 func (f *Follower) NotifyPeerPosition(position track.LogPosition) {
@@ -89,12 +102,14 @@
 	readPause := f.options.PollInterval
 	for {
 		var err error
-		before := from
+		before, sentAt := from, f.options.Clock.Now()
+		f.progress.start(sentAt)
 		if loaded {
 			from, err = f.read(ctx, from)
 		} else {
 			from, err = f.load(ctx)
 		}
+		f.progress.end()
 		if ctx.Err() != nil {
 			return context.Cause(ctx)
 		}
@@ -102,6 +117,7 @@
 		switch {
 		case err == nil:
 			f.recordAnswer()
+			f.progress.confirm(sentAt)
 			readPause = max(readPause, min(2*readPause, f.options.MaxPollInterval))
 			if from != before {
 				pause = max(pause, f.options.GatherTime)
@@ -112,7 +128,7 @@
 				zap.String("Topic", f.options.Topic), zap.Uint64("From", from.Offset), zap.Uint64("Era", from.Era), zap.Error(err))
 			loaded, pause = false, 0
 		default:
-			f.recordFailure(err)
+			f.recordFailure(err, sentAt)
 			pause, backoff = backoff, min(2*backoff, maxBackoff)
 		}
 		if pause > 0 {
@@ -262,8 +278,10 @@
 }
 
 // recordFailure logs the start of an outage of the log.
-func (f *Follower) recordFailure(err error) {
-	if f.outage.recordFailure(f.options.Clock.Now()) {
-		f.options.Logger.Warn("log lost", zap.String("Topic", f.options.Topic), zap.Error(err))
+func (f *Follower) recordFailure(err error, sentAt time.Time) {
+	now := f.options.Clock.Now()
+	if f.outage.recordFailure(now) {
+		f.options.Logger.Warn("log lost", zap.String("Topic", f.options.Topic),
+			zap.Int64("PendingMs", now.Sub(sentAt).Milliseconds()), zap.Error(err))
 	}
 }
