fix(keyed,edge): the configuration is confirmed within the time in which a change must be in force

Cause: an entry that waits for records of a topic took the silence of the log for the absence of news. A part of the log that is dark for a moment never answers the reads that were pending, on connections that stay sound, and nothing but the deadline of 27.5 s ended them; the reads that followed were lost in the next outage.

Change: an entry knows when it last held all records of the configuration's topic. Without a confirmation for 0.6 to 0.9 of config_apply_ms it reads the topic without waiting. Entries do so in the order of zones and names, and tell each other in their messages, so that one call in 1.2 s serves all entries while the first one reaches the log. A pending read that is overtaken, or that has outlived an outage, is sent again.

TestChangeIsInForceThoughTheAnswerToAPendingReadIsLost failed before in all four durations and passes.

--- a/edge/entry.go
+++ b/edge/entry.go
@@ -95,6 +95,9 @@
 	RetryLimit retry.ServiceLimit
 	// DrainTimeout is the time after which a draining replica must get no request.
 	DrainTimeout time.Duration
+	// ConfigApplyTime is the time after which a configuration that the log has acknowledged must be
+	// in force; 0 selects defaultConfigApplyTime.
+	ConfigApplyTime time.Duration
 	// MaxEventDelay is the longest time for which an event of a stream is delayed to even out
 	// the pauses between events.
 	MaxEventDelay time.Duration
@@ -152,6 +155,9 @@
 
 // NewEntry returns an entry without a configuration or replicas. Start makes it read them.
 func NewEntry(o Options) *Entry {
+	if o.ConfigApplyTime <= 0 {
+		o.ConfigApplyTime = defaultConfigApplyTime
+	}
 	e := &Entry{
 		options:    o,
 		members:    newMembers(o.Self, o.Seeds, o.Logger),
@@ -179,6 +185,7 @@
 	}
 	e.configFollower = followers.newFollower(o.Log, keyed.Options{
 		Topic: o.Topics.Config, LongPollTimeout: configReadWait, GatherTime: configGatherTime, Apply: applyConfig(e.configHolder, o.Topics.ConfigKey),
+		ConfirmAfter:  e.confirmConfigAfter,
 		ApplyRestored: applyRestoredConfig(e.configHolder, o.Topics.ConfigKey, e.announcer, e.barredKeeper),
 	})
 	e.peerConfigReader = newPeerConfigReader(e.configHolder, e.members.client, o.Clock, o.Logger)
@@ -211,6 +218,7 @@
 	tasks := duty.Supervisor{Clock: o.Clock, Logger: o.Logger}
 	return append(startCommonTasks(ctx, tasks, e.memberFollower, e.gossipNode, e.announcer),
 		tasks.Start(ctx, "follow configuration", e.configFollower.Run),
+		tasks.Start(ctx, "confirm configuration", e.configFollower.RunConfirm),
 		tasks.Start(ctx, "ask peers for configuration", e.configFollower.RunPeerSync),
 		tasks.Start(ctx, "read newer configuration of peers", e.peerConfigReader.Run),
 		tasks.Start(ctx, "follow replicas", e.replicaFollower.Run),
@@ -378,14 +386,17 @@
 // composeNote returns the message for peers. Peers in other zones get the summary of this
 // zone, from the zone's speaker only.
 func (e *Entry) composeNote(otherZone bool) gossip.Message {
+	configAge := e.configAge()
 	note := gossip.Message{
 		Role: track.RoleEntry, Zone: e.options.Zone, Leaving: e.leaving.Load(),
 		Address: e.options.Member.MessageAddress, API: e.options.Member.CallAddress,
-		LogAge:  -1,
-		Charges: e.blameTracker.ChargesToShare(),
-		Parts:   e.partsTracker.Share(),
-		Signs:   e.signs.Share(),
-		Zones:   e.zoneNotes(otherZone),
+		LogAge: -1,
+		// The offsets are read later than the age: they may be newer, never older.
+		ConfigAge: configAge,
+		Charges:   e.blameTracker.ChargesToShare(),
+		Parts:     e.partsTracker.Share(),
+		Signs:     e.signs.Share(),
+		Zones:     e.zoneNotes(otherZone),
 	}
 	note.Era, note.Offsets = e.offsets()
 	note.ConfigVersion, _ = e.configHolder.Current()
@@ -433,6 +444,7 @@
 	e.partsTracker.Merge(note.Parts)
 	e.mergeSigns(note)
 	e.configFollower.NotifyPeerPosition(track.LogPosition{Era: note.Era, Offset: note.Offsets[e.options.Topics.Config]})
+	e.confirmConfigByPeer(note)
 	e.peerConfigReader.Notify(note.API, note.ConfigVersion)
 	if since, _ := e.replicaFollower.Outage(); !since.IsZero() {
 		e.replicaFollower.NotifyPeerPosition(track.LogPosition{Era: note.Era, Offset: note.Offsets[e.options.Topics.Replicas]})
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -62,6 +62,9 @@
 	// ConfigVersion is the version of the configuration that the sender has in force; 0 if none,
 	// and for agents.
 	ConfigVersion uint64 `json:",omitempty"`
+	// ConfigAge is the time since the sender knew that its offset of the configuration's topic was
+	// the end of the topic; nil if it never knew, and for agents.
+	ConfigAge *time.Duration `json:",omitempty"`
 	// LogAge is the time since the sender last got the list of replicas from the log
 	// itself; negative if it never did.
 	LogAge time.Duration
--- a/keyed/follow.go
+++ b/keyed/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -35,8 +36,11 @@
 	// GatherTime is the time after a read with new records until the next long poll, so that
 	// records in quick succession are read together.
 	GatherTime time.Duration
-	// Apply is called with new records in the order of the log. Run and RunPeerSync both call
-	// it, each from one goroutine.
+	// ConfirmAfter returns the time without a confirmation that the mirror is up to date after
+	// which RunConfirm reads the topic. It is required by RunConfirm only.
+	ConfirmAfter func() time.Duration
+	// Apply is called with new records in the order of the log. Run, RunConfirm and RunPeerSync
+	// call it, each from one goroutine.
 	Apply func([]track.KeyedRecord)
 	// ApplyRestored is called in place of Apply with the records of a new era of the log,
 	// which may be older than those that Apply got before. Nil means Apply.
@@ -70,18 +74,6 @@
 	return f.outage.times()
 }
 
-// ConfirmedAt returns the latest time at which the mirror is known to have held all records of
-// the topic; zero if it never was.
-func (f *Follower) ConfirmedAt() time.Time {
-	return f.progress.confirmed()
-}
-
-// PendingSince returns when the read that waits for the log's answer was sent; zero if none
-// waits.
-func (f *Follower) PendingSince() time.Time {
-	return f.progress.pending()
-}
-
 // NotifyPeerPosition tells the follower that a peer has read the topic up to a position. If that is
 // ahead of the mirror, RunPeerSync reads from a peer.
 func (f *Follower) NotifyPeerPosition(position track.LogPosition) {
@@ -103,13 +95,16 @@
 	for {
 		var err error
 		before, sentAt := from, f.options.Clock.Now()
-		f.progress.start(sentAt)
+		readCtx, cancel := context.WithCancelCause(ctx)
+		f.progress.start(&pendingRead{from: from, sentAt: sentAt, cancel: cancel})
 		if loaded {
-			from, err = f.read(ctx, from)
+			from, err = f.read(readCtx, from, f.options.LongPollTimeout)
 		} else {
-			from, err = f.load(ctx)
+			from, err = f.load(readCtx)
 		}
 		f.progress.end()
+		lost := errors.Is(context.Cause(readCtx), errLostRead)
+		cancel(nil)
 		if ctx.Err() != nil {
 			return context.Cause(ctx)
 		}
@@ -123,6 +118,8 @@
 				pause = max(pause, f.options.GatherTime)
 			}
 			loaded, backoff = true, minBackoff
+		case lost:
+			from, pause = f.mirror.Position(), 0
 		case track.IsKind(err, track.Expired):
 			f.options.Logger.Info("history expired, reading the newest records",
 				zap.String("Topic", f.options.Topic), zap.Uint64("From", from.Offset), zap.Uint64("Era", from.Era), zap.Error(err))
@@ -172,11 +169,12 @@
 	return track.Fail("read log", kind, fmt.Errorf("the log is in era %d, not %d", got, want))
 }
 
-// read reads all records from a position on and returns the position at which to read on. It
+// read reads all records from a position on, waits for the first of them if there is none, and
+// returns the position at which to read on. It
 // fails with kind Expired if the log has entered another era.
-func (f *Follower) read(ctx context.Context, from track.LogPosition) (track.LogPosition, error) {
+func (f *Follower) read(ctx context.Context, from track.LogPosition, wait time.Duration) (track.LogPosition, error) {
 	for {
-		page, err := f.options.Log.Read(ctx, f.options.Topic, from.Offset, f.options.LongPollTimeout)
+		page, err := f.options.Log.Read(ctx, f.options.Topic, from.Offset, wait)
 		if err != nil {
 			return from, err
 		}
@@ -280,6 +278,7 @@
 // recordFailure logs the start of an outage of the log.
 func (f *Follower) recordFailure(err error, sentAt time.Time) {
 	now := f.options.Clock.Now()
+	f.progress.fail(now)
 	if f.outage.recordFailure(now) {
 		f.options.Logger.Warn("log lost", zap.String("Topic", f.options.Topic),
 			zap.Int64("PendingMs", now.Sub(sentAt).Milliseconds()), zap.Error(err))
