fix(keyed): reads that the log doesn't answer are sent again after a second

Reads of the replica list that were lost at the end of an outage were noticed after 2.5 s, and after up to 2 s more the next was sent: an entry kept an old list for up to 4.5 s after the log answered again, longer than the 3 s after which an instance is bound.

Change: Hedge sends a read without an answer again each second, up to three times, and takes the first answer; the pause after failures is 1 s at most.

TestListOfReplicasIsReadSoonAfterTheLogWasDark failed before for 5 of 32 durations and passes.

--- a/edge/agent.go
+++ b/edge/agent.go
@@ -121,6 +121,7 @@
 
 // NewAgent returns an agent without a configuration or peers. Start makes it read them.
 func NewAgent(o AgentOptions) *Agent {
+	o.Log = keyed.NewHedge(o.Log, o.Clock)
 	a := &Agent{
 		options: o, members: newMembers(o.Self, o.Seeds, o.Logger), client: talk.NewClient(),
 		announcer: newAnnouncer(o.Log, o.Clock, o.Self, o.Member, o.Logger),
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -155,6 +155,7 @@
 
 // NewEntry returns an entry without a configuration or replicas. Start makes it read them.
 func NewEntry(o Options) *Entry {
+	o.Log = keyed.NewHedge(o.Log, o.Clock)
 	if o.ConfigApplyTime <= 0 {
 		o.ConfigApplyTime = defaultConfigApplyTime
 	}
--- a/keyed/follow.go
+++ b/keyed/follow.go
@@ -15,7 +15,7 @@
 const (
 	// minBackoff and maxBackoff are the first and the longest pause after a failed read.
 	minBackoff = 150 * time.Millisecond
-	maxBackoff = 2 * time.Second
+	maxBackoff = time.Second
 	// peerReadInterval is the shortest time between two reads from peers.
 	peerReadInterval = 200 * time.Millisecond
 )
