fix(proxy): a key or route is called unknown only while the configuration is confirmed

Callers with a new key got 401, which they don't retry, from entries that couldn't read the configuration. An entry whose configuration hasn't been confirmed for config_apply_ms now answers 503 with Retry-After for keys and routes that it doesn't know; those that it knows are served as before, so that a zone that is cut off goes on serving what it can.

TestUnknownKeysAndRoutesWhileTheConfigurationIsNotConfirmed failed before (401 and 404).

--- a/edge/confirm.go
+++ b/edge/confirm.go
@@ -60,6 +60,13 @@
 	return &age
 }
 
+// configConfirmed reports whether the configuration in force was known to be the newest within the time
+// in which a newer one must be in force.
+func (e *Entry) configConfirmed() bool {
+	age := e.configAge()
+	return age != nil && *age <= e.options.ConfigApplyTime
+}
+
 // confirmConfigByPeer confirms the configuration with what a peer knows of its topic.
 func (e *Entry) confirmConfigByPeer(note gossip.Message) {
 	offset, known := note.Offsets[e.options.Topics.Config]
--- a/edge/dark_test.go
+++ b/edge/dark_test.go
@@ -228,3 +228,25 @@
 		})
 	}
 }
+
+// An entry that can't read the log keeps the keys and routes that it knows, and doesn't call others unknown.
+func TestConfigurationIsNotConfirmedWhileTheLogIsDark(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newDarkLog()
+		log.append("op", "config", "1")
+		e := startDarkEntry(t, "front-1", log)
+		for range 20 {
+			time.Sleep(time.Second)
+			assert.Assert(t, e.configConfirmed())
+		}
+		log.setDark(true, "op")
+		time.Sleep(darkApplyTime + 100*time.Millisecond)
+		assert.Assert(t, !e.configConfirmed())
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, !e.configConfirmed())
+		assert.Assert(t, e.Ready())
+		log.setDark(false, "op")
+		time.Sleep(darkApplyTime)
+		assert.Assert(t, e.configConfirmed())
+	})
+}
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -204,7 +204,7 @@
 		Clock: o.Clock, Logger: o.Logger,
 	})
 	e.proxy = proxy.New(proxy.Options{
-		RoutingTable: e.configHolder.Table, Services: e, Caller: o.Caller, WriteRefusal: o.WriteRefusal,
+		RoutingTable: e.configHolder.Table, ConfigConfirmed: e.configConfirmed, Services: e, Caller: o.Caller, WriteRefusal: o.WriteRefusal,
 		Prober: o.Prober, CrashTracker: e.blameTracker, PartsTracker: e.partsTracker,
 		MaxEventDelay: o.MaxEventDelay, Clock: o.Clock, Random: o.Random, Logger: o.Logger,
 		Metrics: proxy.NewMetrics(o.Metrics),
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -89,6 +89,9 @@
 	// expected to have its configuration. Clients are also told to retry after this
 	// time if no replica could be reached or the request ran out of time.
 	startRetryAfter = time.Second
+	// unconfirmedRetryAfter is the delay after which a client should retry if its route or key is
+	// unknown to an entry that may lack a newer configuration. Another entry may have it.
+	unconfirmedRetryAfter = 500 * time.Millisecond
 	// stoppingRetryAfter is the delay after which a client of a stopping entry should retry.
 	// Other entries can serve it at once.
 	stoppingRetryAfter = 20 * time.Millisecond
@@ -102,7 +105,7 @@
 	}
 	route, ok := x.table.Route(x.request.Host, x.request.Path)
 	if !ok {
-		return &Refusal{Status: http.StatusNotFound, Reason: "NoRoute"}
+		return x.unknownRefusal(http.StatusNotFound, "NoRoute")
 	}
 	x.route, x.priority = route, route.Priority
 	timeLeft := x.request.TimeLeft
@@ -123,7 +126,7 @@
 	}
 	account, ok := x.table.Account(x.request.APIKey)
 	if !ok {
-		return &Refusal{Status: http.StatusUnauthorized, Reason: "UnknownKey"}
+		return x.unknownRefusal(http.StatusUnauthorized, "UnknownKey")
 	}
 	x.account = account
 	if account.Priority != nil {
@@ -132,6 +135,17 @@
 	return nil
 }
 
+// unknownRefusal refuses a request with a route or key that the configuration doesn't have. A newer
+// configuration may have it, so while there may be one the client is asked to come back.
+func (x *exchange) unknownRefusal(status int, reason string) *Refusal {
+	if confirmed := x.proxy.options.ConfigConfirmed; confirmed != nil && !confirmed() {
+		return &Refusal{
+			Status: http.StatusServiceUnavailable, RetryAfter: unconfirmedRetryAfter, Reason: "ConfigurationNotConfirmed",
+		}
+	}
+	return &Refusal{Status: status, Reason: reason}
+}
+
 // chooseService picks one of the route's services at random by weight.
 func (x *exchange) chooseService(context.Context) *Refusal {
 	x.service = hosts.PickService(x.route, x.proxy.options.Random())
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -82,8 +82,11 @@
 	// RoutingTable returns the routing table of the current configuration, or nil before the
 	// first one.
 	RoutingTable func() *hosts.Table
-	Services     Services
-	Caller       track.ReplicaCaller
+	// ConfigConfirmed reports whether the table is known to be the newest. Nil means that it always
+	// is.
+	ConfigConfirmed func() bool
+	Services        Services
+	Caller          track.ReplicaCaller
 	// Prober confirms the deaths of replicas.
 	Prober track.ReplicaProber
 	// CrashTracker detects requests that crash replicas, so that they aren't sent to further ones.
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -85,6 +85,34 @@
 	assert.Equal(t, h.calls[0].Account, "")
 }
 
+// Guards against a 401 or 404 for a key or route that a newer configuration has, by an entry that can't read it.
+func TestUnknownKeysAndRoutesWhileTheConfigurationIsNotConfirmed(t *testing.T) {
+	h := newHarness()
+	request := &proxy.Request{ID: "r", Host: host, Method: http.MethodPost, Target: "/book/1", Path: "/book/1"}
+	for _, c := range []struct {
+		path, key                 string
+		status, confirmed         int
+		reason, reasonIfConfirmed string
+	}{
+		{"/book/1", "new", http.StatusServiceUnavailable, http.StatusUnauthorized, "ConfigurationNotConfirmed", "UnknownKey"},
+		{"/new/1", "key", http.StatusServiceUnavailable, http.StatusNotFound, "ConfigurationNotConfirmed", "NoRoute"},
+		{"/book/1", "key", http.StatusOK, http.StatusOK, "", ""},
+	} {
+		request.Target, request.Path, request.APIKey = c.path, c.path, c.key
+		h.unconfirmed = true
+		got, err := h.send(request)
+		assert.NilError(t, err)
+		assert.Equal(t, got.Code, c.status)
+		assert.Equal(t, got.Header().Get("Reason"), c.reason)
+		assert.Equal(t, got.Header().Get("Retry-After") != "", c.status != http.StatusOK)
+		h.unconfirmed = false
+		got, err = h.send(request)
+		assert.NilError(t, err)
+		assert.Equal(t, got.Code, c.confirmed)
+		assert.Equal(t, got.Header().Get("Reason"), c.reasonIfConfirmed)
+	}
+}
+
 func TestRequestsGet503BeforeTheFirstConfiguration(t *testing.T) {
 	h := newHarness()
 	h.table = nil
--- a/proxy/world_test.go
+++ b/proxy/world_test.go
@@ -92,6 +92,8 @@
 // harness holds a proxy and the fake replicas that it sends requests to. It implements
 // proxy.Services, track.ReplicaCaller and track.ReplicaProber.
 type harness struct {
+	// unconfirmed is set while there may be a newer configuration than table.
+	unconfirmed  bool
 	clock        *clockwork.FakeClock
 	proxy        *proxy.Proxy
 	pools        map[string]*batch.Pool
@@ -181,7 +183,7 @@
 	h.budget = retry.NewServiceBudget(retry.ServiceLimit{Share: 0.2, Slack: 50, Window: 10 * time.Second}, h.clock,
 		func() int { return 1 })
 	h.proxy = proxy.New(proxy.Options{
-		RoutingTable: func() *hosts.Table { return h.table }, Services: h, Caller: h, WriteRefusal: refuse,
+		RoutingTable: func() *hosts.Table { return h.table }, ConfigConfirmed: func() bool { return !h.unconfirmed }, Services: h, Caller: h, WriteRefusal: refuse,
 		Prober: h, CrashTracker: h.blameTracker, PartsTracker: partsTracker,
 		Clock: h.clock, Random: func() float64 { return 0 },
 		Logger: logger, Metrics: proxy.NewMetrics(metrics.NewSet()),
