fix(keyed): news are read from the peer that has them

Once one entry had a change, others asked any live peer, took the first answer as news even if it held none, and tried again 200 ms later: with many entries in a zone a change came late, or first through the read of the log. Peers are asked until the mirror has reached what was reported, those that have read the most first.

TestNewsIsReadPastPeersThatLackIt failed before.

--- a/edge/entry.go
+++ b/edge/entry.go
@@ -4,10 +4,12 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -182,7 +184,7 @@
 	e.relay = keyed.NewRelay(o.Log, e.zoneLeader, o.Clock)
 	followers := followerFactory{
 		clock: o.Clock, logger: o.Logger,
-		peers: func() []track.KeyedLog { return e.members.entryMirrors(e.gossipNode.LiveMessages()) },
+		peers: e.peerMirrors,
 	}
 	e.configFollower = followers.newFollower(o.Log, keyed.Options{
 		Topic: o.Topics.Config, LongPollTimeout: configReadWait, GatherTime: configGatherTime, Apply: applyConfig(e.configHolder, o.Topics.ConfigKey),
@@ -373,6 +375,17 @@
 	return first, first.From != "" && first.From < e.options.Self
 }
 
+// peerMirrors returns the mirrors of the other entries, those that have read the most of the
+// configuration first.
+func (e *Entry) peerMirrors() []track.KeyedLog {
+	live := e.gossipNode.LiveMessages()
+	topic := e.options.Topics.Config
+	slices.SortFunc(live, func(a, b gossip.Message) int {
+		return cmp.Or(cmp.Compare(b.Era, a.Era), cmp.Compare(b.Offsets[topic], a.Offsets[topic]))
+	})
+	return e.members.entryMirrors(live)
+}
+
 // logOutage returns the time since when the log has not answered reads of the replicas,
 // and the time at which its latest outage ended; zero if there was none. The latter may be
 // an outage that only the other entries of the zone have noticed.
--- a/keyed/follow.go
+++ b/keyed/follow.go
@@ -24,8 +24,8 @@
 type Options struct {
 	Topic string
 	Log   track.KeyedLog
-	// Peers returns the mirrors of peers. The first that answers is read when NotifyPeerPosition
-	// reports that a peer is ahead, for example while the platform's log doesn't answer.
+	// Peers returns the mirrors of peers. They are read in this order when NotifyPeerPosition
+	// reports that one is ahead, for example while the platform's log doesn't answer.
 	Peers func() []track.KeyedLog
 	// LongPollTimeout is how long a read waits for new records. PollInterval is the time between
 	// two reads. One of them is set. PollInterval doubles after each successful read, up to
@@ -53,14 +53,14 @@
 type Follower struct {
 	options   Options
 	mirror    *Mirror
-	peerAhead chan struct{}
+	peerAhead chan track.LogPosition
 	outage    outage
 	progress  progress
 }
 
 // NewFollower returns a follower that has read nothing yet.
 func NewFollower(options Options) *Follower {
-	return &Follower{options: options, mirror: NewMirror(), peerAhead: make(chan struct{}, 1)}
+	return &Follower{options: options, mirror: NewMirror(), peerAhead: make(chan track.LogPosition, 1)}
 }
 
 // Mirror returns the mirror of the topic.
@@ -81,7 +81,7 @@
 		return
 	}
 	select {
-	case f.peerAhead <- struct{}{}:
+	case f.peerAhead <- position:
 	default:
 	}
 }
@@ -218,9 +218,9 @@
 		select {
 		case <-ctx.Done():
 			return context.Cause(ctx)
-		case <-f.peerAhead:
+		case position := <-f.peerAhead:
+			f.readPeers(ctx, position)
 		}
-		f.readPeers(ctx)
 		select {
 		case <-ctx.Done():
 			return context.Cause(ctx)
@@ -229,14 +229,19 @@
 	}
 }
 
-// readPeers adds the records of the first peer that answers.
-func (f *Follower) readPeers(ctx context.Context) {
+// readPeers adds the records of one peer after the other until the mirror has reached the position
+// that one of them has reported.
+func (f *Follower) readPeers(ctx context.Context, position track.LogPosition) {
 	for _, peer := range f.options.Peers() {
+		if !position.After(f.mirror.Position()) {
+			return
+		}
 		page, complete, err := f.readPeer(ctx, peer)
 		if err != nil {
 			f.options.Logger.Info("failed to read from a peer", zap.String("Topic", f.options.Topic), zap.Error(err))
 			continue
 		}
+		before := f.mirror.Position()
 		changed := 0
 		if complete {
 			changed = f.replace(page)
@@ -245,9 +250,10 @@
 			changed = len(changes)
 			f.apply(changes)
 		}
-		f.options.Logger.Info("news from peer", zap.String("Topic", f.options.Topic),
-			zap.Uint64("End", page.End), zap.Uint64("Era", page.Era), zap.Int("Records", changed))
-		return
+		if f.mirror.Position() != before {
+			f.options.Logger.Info("news from peer", zap.String("Topic", f.options.Topic),
+				zap.Uint64("End", page.End), zap.Uint64("Era", page.Era), zap.Int("Records", changed))
+		}
 	}
 }
 
--- a/keyed/follow_test.go
+++ b/keyed/follow_test.go
@@ -245,6 +245,26 @@
 	<-done
 }
 
+// Guards against an entry that gets a change seconds late, since most of its peers lack it as well and any of
+// them is asked first.
+func TestNewsIsReadPastPeersThatLackIt(t *testing.T) {
+	fresh := &fakeLog{}
+	fresh.put("k00", "a")
+	log := &fakeLog{unavailable: true}
+	f := newTestFollower(t, keyed.Options{
+		Log: log, PollInterval: time.Second,
+		Peers: func() []track.KeyedLog { return []track.KeyedLog{&fakeLog{}, &fakeLog{}, &fakeLog{}, fresh} },
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- f.RunPeerSync(ctx) }()
+	f.NotifyPeerPosition(track.LogPosition{Offset: 1})
+	assert.NilError(t, f.clock.BlockUntilContext(t.Context(), 2))
+	f.assertState(map[string]string{"k00": "a"})
+	cancel()
+	<-done
+}
+
 // TestMirrorCopyEqualsSource follows a log of random changes with one mirror and keeps a
 // second mirror up to date from the first, as peers do.
 func TestMirrorCopyEqualsSource(t *testing.T) {
