--- a/tail/tail_test.go
+++ b/tail/tail_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -262,3 +263,38 @@
 	}
 	assert.Equal(t, tail.Backoff(3, time.Second, time.Minute), 4*time.Second)
 }
+
+// silentLog never answers the reads that are pending or arrive while it is dark.
+type silentLog struct {
+	track.Log
+	dark atomic.Bool
+}
+
+func (l *silentLog) Read(ctx context.Context, stream string, from uint64, limit int) (track.Page, error) {
+	page, err := l.Log.Read(ctx, stream, from, limit)
+	if l.dark.Load() {
+		<-ctx.Done()
+		return track.Page{}, context.Cause(ctx)
+	}
+	return page, err
+}
+
+// Guards against a reader that waits for an answer that the log has lost. Changes are in force within 14 s.
+func TestRecordsAreReadThoughTheLogHasLostAnswers(t *testing.T) {
+	const inForceWithin = 14 * time.Second
+	for _, darkFor := range []time.Duration{10 * time.Millisecond, 3 * time.Second, 5500 * time.Millisecond, time.Minute} {
+		t.Run(darkFor.String(), func(t *testing.T) {
+			withFakeTime(t, func(ctx context.Context, inner *memlog.Log) {
+				log, follower := &silentLog{Log: inner}, &recordingHandler{}
+				duty.Start(ctx, "tail", newReader(log, follower).Run)
+				time.Sleep(10 * time.Second)
+				log.dark.Store(true)
+				time.Sleep(darkFor)
+				log.dark.Store(false)
+				appendAll(ctx, t, inner, "a")
+				time.Sleep(inForceWithin)
+				assert.Equal(t, follower.valueCount(), 1)
+			})
+		})
+	}
+}
