fix(keyed): the newest records are read once, also if a key can't be named

A page of the newest records that ends with a key that isn't text names the same page again: the follower read it without end and followed nothing. It logs an error and goes on behind it. TestFollowerPassesAKeyThatCantBeNamed failed before (timed out).

--- a/keyed/follow.go
+++ b/keyed/follow.go
@@ -158,7 +158,15 @@
 		if !page.More || len(page.Records) == 0 {
 			break
 		}
-		after = page.Records[len(page.Records)-1].Key
+		last := page.Records[len(page.Records)-1].Key
+		if last <= after {
+			// A key that isn't text can't be named in the next call. The records behind it come with their next
+			// change.
+			f.options.Logger.Error("newest records can't be read to the end", zap.String("Topic", f.options.Topic),
+				zap.String("After", after))
+			break
+		}
+		after = last
 	}
 	f.replace(whole)
 	return track.LogPosition{Era: whole.Era, Offset: whole.End}, nil
--- a/keyed/follow_test.go
+++ b/keyed/follow_test.go
@@ -245,6 +245,26 @@
 	<-done
 }
 
+// stuckLog returns the same page of the newest records again and again.
+type stuckLog struct{ fakeLog }
+
+func (l *stuckLog) Newest(ctx context.Context, topic, _ string) (track.KeyedPage, error) {
+	return l.fakeLog.Newest(ctx, topic, "")
+}
+
+// Guards against a follower that reads the newest records without end, since a key isn't text.
+func TestFollowerPassesAKeyThatCantBeNamed(t *testing.T) {
+	log := &stuckLog{}
+	for i := range 5 {
+		log.put(fmt.Sprintf("k%02d", i), "a")
+	}
+	f := newTestFollower(t, keyed.Options{Log: log, PollInterval: time.Second})
+	f.assertState(map[string]string{"k00": "a", "k01": "a"})
+	log.put("k03", "b")
+	f.endPause(time.Second)
+	f.assertState(map[string]string{"k00": "a", "k01": "a", "k03": "b"})
+}
+
 // Guards against an entry that gets a change seconds late, since most of its peers lack it as well and any of
 // them is asked first.
 func TestNewsIsReadPastPeersThatLackIt(t *testing.T) {
