fix(plat): one odd entry of the instance list is left out, the others hold

Reported by another operator for lists of replicas. filberttrack decoded the list as a whole: an entry of another type, nested too deeply or with a number too large made entries and agents keep the previous list for good, and ports such as 99999 and unknown states were taken. Entries are decoded and checked one by one. TestOddEntriesOfTheInstanceListAreLeftOut failed before (list undecodable at the first entry).

--- a/cmd/filberttrack/agent.go
+++ b/cmd/filberttrack/agent.go
@@ -28,7 +28,7 @@
 
 // startAgent implements startFunc.
 func startAgent(ctx context.Context, s conf.Settings, log *zap.Logger) (stopper, string, error) {
-	platform, err := newPlatformClients(s.Platform)
+	platform, err := newPlatformClients(s.Platform, log)
 	if err != nil {
 		return nil, "", err
 	}
--- a/cmd/filberttrack/entry.go
+++ b/cmd/filberttrack/entry.go
@@ -36,7 +36,7 @@
 
 // startEntry implements startFunc.
 func startEntry(ctx context.Context, s conf.Settings, log *zap.Logger) (stopper, string, error) {
-	platform, err := newPlatformClients(s.Platform)
+	platform, err := newPlatformClients(s.Platform, log)
 	if err != nil {
 		return nil, "", err
 	}
@@ -48,7 +48,7 @@
 }
 
 // newPlatformClients returns HTTP clients for the platform's log and instance list.
-func newPlatformClients(p conf.Platform) (boot.Platform, error) {
+func newPlatformClients(p conf.Platform, log *zap.Logger) (boot.Platform, error) {
 	logURL, err := url.Parse(p.LogURL)
 	if err != nil {
 		return boot.Platform{}, fmt.Errorf("parse Platform.LogURL: %w", err)
@@ -60,6 +60,6 @@
 	client := &http.Client{Timeout: platformTimeout}
 	return boot.Platform{
 		Log:  plat.NewLog(client, logURL),
-		List: plat.NewInstanceList(client, listURL),
+		List: plat.NewInstanceList(client, listURL, log),
 	}, nil
 }
--- a/plat/plat.go
+++ b/plat/plat.go
@@ -70,36 +70,46 @@
 	return track.Internal, false
 }
 
-// call sends a request and returns the response decoded into T. Its error has kind
-// Unavailable if nothing was sent, or else the kind that the server reported, or
-// unconfirmedKind if the server reported none.
+// call sends a request and returns the response decoded into T. Its errors are those of
+// fetch, and unconfirmedKind if the response can't be decoded.
 func call[T any](
 	ctx context.Context, client *http.Client, op string, unconfirmedKind track.Kind, req *http.Request,
 ) (T, error) {
-	var (
-		result    T
-		connected atomic.Bool
-	)
+	var result T
+	body, err := fetch(ctx, client, op, unconfirmedKind, req)
+	if err != nil {
+		return result, err
+	}
+	if err := json.Unmarshal(body, &result); err != nil {
+		return result, track.Fail(op, unconfirmedKind, err)
+	}
+	return result, nil
+}
+
+// fetch sends a request and returns the body of the response. Its error has kind
+// Unavailable if nothing was sent, or else the kind that the server reported, or
+// unconfirmedKind if the server reported none.
+func fetch(
+	ctx context.Context, client *http.Client, op string, unconfirmedKind track.Kind, req *http.Request,
+) ([]byte, error) {
+	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	resp, err := client.Do(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	switch {
 	case err != nil && !connected.Load():
-		return result, track.Fail(op, track.Unavailable, err)
+		return nil, track.Fail(op, track.Unavailable, err)
 	case err != nil:
-		return result, track.Fail(op, unconfirmedKind, fmt.Errorf("%w: %w", errNoResponse, err))
+		return nil, track.Fail(op, unconfirmedKind, fmt.Errorf("%w: %w", errNoResponse, err))
 	}
 	defer resp.Body.Close()
 	body, err := readLimited(resp.Body)
 	if err != nil {
-		return result, track.Fail(op, unconfirmedKind, err)
+		return nil, track.Fail(op, unconfirmedKind, err)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return result, responseError(op, unconfirmedKind, resp.StatusCode, body)
+		return nil, responseError(op, unconfirmedKind, resp.StatusCode, body)
 	}
-	if err := json.Unmarshal(body, &result); err != nil {
-		return result, track.Fail(op, unconfirmedKind, err)
-	}
-	return result, nil
+	return body, nil
 }
 
 // responseError returns the error of a response whose status is not 200. A status code
--- a/plat/plat_test.go
+++ b/plat/plat_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"testing"
 
 	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"filberttrack.example/track"
@@ -133,7 +135,8 @@
 		State: track.InstanceLive, Serves: "dispatch-llm", Ranks: 64,
 	}
 	list := roster.New(clockwork.NewFakeClock(), instance)
-	client := plat.NewInstanceList(serve(t, plat.NewInstanceListHandler(list)))
+	httpClient, base := serve(t, plat.NewInstanceListHandler(list))
+	client := plat.NewInstanceList(httpClient, base, zap.NewNop())
 	got, err := client.Instances(t.Context())
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, []track.Instance{instance})
@@ -141,3 +144,28 @@
 	_, err = client.Instances(t.Context())
 	assert.Assert(t, track.IsKind(err, track.Unavailable))
 }
+
+// Guards against a list that is no longer followed after one odd entry.
+func TestOddEntriesOfTheInstanceListAreLeftOut(t *testing.T) {
+	sound := `{"ID":"a","Role":"Entry","Zone":"rivera","Address":"10.0.0.1:1","State":"Live"}`
+	odd := []string{
+		`1`, `null`, `"a"`, `{}`, strings.Repeat(`{"ID":`, 1<<15) + "1" + strings.Repeat("}", 1<<15),
+		`{"ID":"b,]}\\\"[{","Role":"Clown","State":"Live"}`, `{"ID":1,"Role":"Agent","State":"Live"}`, `{"ID":"b","Role":"Agent","State":"Live","Ranks":-1}`,
+		`{"ID":"b","Role":"Agent","State":"Live","Ranks":9e18}`, `{"ID":"b","Role":"Agent","State":"Live","Ranks":9000000000000000000}`,
+		`{"ID":"b","Role":"Agent","State":"Live","Ranks":1e300}`, `{"ID":"b","Role":"Clown","State":"Live"}`,
+		`{"ID":"b","Role":"Agent","State":"Dancing"}`,
+	}
+	for _, address := range []string{"10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:-1", "10.0.0.1:99999", "10.0.0.1:http", ":80", "1:1:1"} {
+		odd = append(odd, fmt.Sprintf(`{"ID":"b","Role":"Agent","State":"Live","Address":%q}`, address))
+	}
+	body := ""
+	client, base := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) }))
+	list := plat.NewInstanceList(client, base, zap.NewNop())
+	for _, entry := range odd {
+		body = "[" + entry + "," + sound + "]"
+		got, err := list.Instances(t.Context())
+		assert.NilError(t, err, "%.80s", entry)
+		assert.Equal(t, len(got), 1, "%.80s", entry)
+		assert.Equal(t, got[0].ID, track.InstanceID("a"))
+	}
+}
