fix(proxy): requests that come late in a planned stop are refused or answered

It could happen here: a request was taken if requests like it usually end in time, and what was still open when the process ended lost its connection.

Change: a request that must not run twice is taken only if its deadline lies before the end.

TestRequestsThatComeLateInAStopAreAnswered failed before (a booking with 0.9 s left was sent on, and hung).

--- a/edge/entry.go
+++ b/edge/entry.go
@@ -258,7 +258,7 @@
 
 // StartDraining makes the entry report to peers and readiness checks that it accepts no new
 // connections, and refuse requests that are likely to last beyond the given time, at which
-// it stops.
+// those in progress are ended.
 func (e *Entry) StartDraining(stopAt time.Time) {
 	e.leaving.Store(true)
 	e.proxy.StopAt(stopAt)
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -163,7 +163,8 @@
 		return nil
 	}
 	expected := x.pool.LongDuration()
-	if expected == 0 {
+	if expected == 0 || x.route.RetryRule == track.RetryOnlyIfNotRun {
+		// Nobody could tell whether a request that is cut off has run.
 		expected = x.deadline.Sub(x.arrived)
 	}
 	if !x.proxy.options.Clock.Now().Add(expected).After(*stopAt) {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -108,19 +108,26 @@
 // Proxy forwards clients' requests to replicas. It is safe for concurrent use.
 type Proxy struct {
 	options Options
-	// stopAt is when requests in progress are cut off; nil unless the entry stops.
+	// stopAt is when requests in progress are ended; nil unless the entry stops.
 	stopAt atomic.Pointer[time.Time]
+	// stopping ends at stopAt.
+	stopping         context.Context
+	cancelInProgress context.CancelFunc
 }
 
 // New returns a Proxy.
 func New(options Options) *Proxy {
-	return &Proxy{options: options}
+	p := &Proxy{options: options}
+	p.stopping, p.cancelInProgress = context.WithCancel(context.Background())
+	return p
 }
 
-// StopAt tells the proxy that the entry stops, and when requests in progress will be cut
-// off. Requests that are likely to take longer are refused from then on.
+// StopAt tells the proxy that the entry stops, and when requests that are still in progress are
+// ended, so that their clients get an answer. Requests that are likely to take longer are refused from
+// then on, also those that must not run twice and may take longer.
 func (p *Proxy) StopAt(t time.Time) {
 	p.stopAt.Store(&t)
+	p.options.Clock.AfterFunc(t.Sub(p.options.Clock.Now()), p.cancelInProgress)
 }
 
 // Serve answers one request. The context must end when the client disconnects. Serve
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -392,6 +392,53 @@
 	}
 }
 
+// Guards against requests that come late in a planned stop, on kept connections as well, and are cut off without an
+// answer, among them such as must not run twice.
+func TestRequestsThatComeLateInAStopAreAnswered(t *testing.T) {
+	for _, c := range []struct {
+		path string
+		left time.Duration
+		code int
+		sent int
+	}{
+		{"/book/1", 900 * time.Millisecond, http.StatusServiceUnavailable, 0},
+		{"/book/1", 1100 * time.Millisecond, http.StatusGatewayTimeout, 1},
+		{"/status/1", 900 * time.Millisecond, http.StatusGatewayTimeout, 1},
+		{"/notes/1", 900 * time.Millisecond, http.StatusGatewayTimeout, 1},
+	} {
+		t.Run(fmt.Sprintf("%s with %s left", c.path, c.left), func(t *testing.T) {
+			h := newHarness(hangsBeforeHead, hangsBeforeHead, hangsBeforeHead)
+			for _, service := range []string{"desk", "llm"} {
+				grant, err := h.pools[service].Acquire(t.Context(), batch.AdmissionRequest{
+					WaitUntil: h.clock.Now().Add(time.Second), OnTimeUntil: h.clock.Now().Add(time.Second),
+					Deadline: h.clock.Now().Add(time.Second),
+				})
+				assert.NilError(t, err)
+				h.clock.Advance(30 * time.Millisecond)
+				grant.Done(batch.Result{Verdict: batch.Served})
+			}
+			h.proxy.StopAt(h.clock.Now().Add(c.left))
+			type answer struct {
+				got *httptest.ResponseRecorder
+				err error
+			}
+			answers := make(chan answer, 1)
+			go func() {
+				got, err := h.post(c.path)
+				answers <- answer{got, err}
+			}()
+			if c.sent > 0 {
+				<-h.hung
+				h.clock.Advance(c.left)
+			}
+			a := <-answers
+			assert.NilError(t, a.err)
+			assert.Equal(t, a.got.Code, c.code)
+			assert.Equal(t, len(h.calls), c.sent)
+		})
+	}
+}
+
 func TestLeavingAndRestingReplicasGetNoRequests(t *testing.T) {
 	for _, b := range []behaviour{leaves, rests} {
 		h := newHarness(b)
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -63,6 +63,7 @@
 	defer cancel()
 	deadline := clock.AfterFunc(x.deadline.Sub(clock.Now()), cancel)
 	defer deadline.Stop()
+	defer context.AfterFunc(x.proxy.stopping, cancel)()
 	for {
 		grant, refusal := x.admit(ctx)
 		if refusal != nil {
@@ -217,17 +218,20 @@
 	return &Refusal{Status: status, Reason: reason}
 }
 
-// endedRefusal returns the refusal of a request that passed its deadline or whose client
-// left.
+// endedRefusal returns the refusal of a request that passed its deadline, whose client left, or that
+// the entry's stop has ended.
 func (x *exchange) endedRefusal() *Refusal {
-	reason := "ClientGone"
-	if !x.proxy.options.Clock.Now().Before(x.deadline) {
+	reason, retryAfter := "ClientGone", startRetryAfter
+	switch {
+	case !x.proxy.options.Clock.Now().Before(x.deadline):
 		reason = "DeadlineExceeded"
+	case x.proxy.stopping.Err() != nil:
+		reason, retryAfter = "Stopping", stoppingRetryAfter
 	}
 	if x.mayHaveRun {
 		return &Refusal{Status: http.StatusGatewayTimeout, Reason: reason}
 	}
-	return &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: startRetryAfter, Reason: reason}
+	return &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryAfter, Reason: reason}
 }
 
 // attempt sends the request to the granted replica and relays the answer.
--- a/proxy/world_test.go
+++ b/proxy/world_test.go
@@ -78,6 +78,8 @@
 	// rests turns the request away and wants no more for restTime.
 	rests
 	behaviourCount
+	// hangsBeforeHead never answers. It is left out where behaviours are drawn.
+	hangsBeforeHead
 )
 
 // ran reports whether the replica began to run the attempt.
@@ -270,6 +272,12 @@
 	switch b {
 	case unreachable:
 		return track.ReplicaAnswer{}, track.Fail("call", track.Unavailable, errors.New("connection refused"))
+	case hangsBeforeHead:
+		h.mu.Unlock()
+		h.hung <- struct{}{}
+		<-ctx.Done()
+		h.mu.Lock()
+		return track.ReplicaAnswer{}, track.Fail("call", track.Ambiguous, context.Cause(ctx))
 	case crashes:
 		// The list of replicas shows the restart.
 		i := slices.IndexFunc(h.replicas, func(r track.Replica) bool { return r.ID == call.Replica.ID })
