fix(boot,entry): requests that the end of a stop cuts off get an answer

The contexts of open requests end first, with a cause: their callers get the code stopping and the outcome NotRun or Unknown within 250 ms. TestStopAnswersRequestsThatItEnds failed before (EOF).

--- a/boot/member_test.go
+++ b/boot/member_test.go
@@ -15,6 +15,7 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -105,6 +106,46 @@
 	assert.Assert(t, group.Wait() != nil)
 }
 
+// Guards against requests that are cut off without an answer at the end of a planned stop.
+func TestStopAnswersRequestsThatItEnds(t *testing.T) {
+	d := startDev(t)
+	for _, h := range d.Backends {
+		if e, ok := h.(*engine.Engine); ok {
+			e.Pause()
+		}
+	}
+	type answer struct {
+		status  int
+		outcome string
+		err     error
+	}
+	answers := make(chan answer, 1)
+	go func() {
+		body := strings.NewReader(`{"model":"dispatch-llm","messages":[{"role":"user","content":"x"}]}`)
+		request, err := http.NewRequest(http.MethodPost, "http://"+d.Entry.Addr()+"/v1/chat/completions", body)
+		if err != nil {
+			answers <- answer{err: err}
+			return
+		}
+		request.Header.Set("Authorization", "Bearer "+token)
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			answers <- answer{err: err}
+			return
+		}
+		defer response.Body.Close()
+		answers <- answer{status: response.StatusCode, outcome: response.Header.Get("Filberttrack-Outcome")}
+	}()
+	waitFor(t, func() bool { return openAttempts(d) == 1 })
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	assert.ErrorContains(t, d.Stop(ctx), "1 requests open")
+	got := <-answers
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusGatewayTimeout)
+	assert.Equal(t, got.outcome, "Unknown")
+}
+
 func TestEntryKeepsReplicasWhenInstanceListIsEmpty(t *testing.T) {
 	d := startDev(t)
 	stopAtCleanup(t, d)
--- a/boot/server.go
+++ b/boot/server.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
+	"filberttrack.example/track/drain"
 	"filberttrack.example/track/duty"
 )
 
@@ -27,8 +28,13 @@
 	server   *http.Server
 	listener net.Listener
 	task     *duty.Duty
+	// endRequests ends the contexts of the open requests.
+	endRequests context.CancelCauseFunc
 }
 
+// lastAnswerTime is the time in which open requests that the end of a stop cuts off are answered.
+const lastAnswerTime = 250 * time.Millisecond
+
 // startHTTPServer starts an HTTP server on the address. The name appears in errors and
 // in the log. It fails if it can't listen.
 func startHTTPServer(
@@ -38,17 +44,18 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for %s: %w", name, err)
 	}
+	// Requests don't end with the context that started the server, so that a graceful stop cuts none
+	// of them off.
+	requestCtx, endRequests := context.WithCancelCause(context.WithoutCancel(ctx))
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          zap.NewStdLog(logger.Named(name)),
-		// Requests don't end with the context that started the server, so that a
-		// graceful stop cuts none of them off.
-		BaseContext: func(net.Listener) context.Context { return context.WithoutCancel(ctx) },
+		BaseContext:       func(net.Listener) context.Context { return requestCtx },
 	}
-	s := &httpServer{server: server, listener: listener}
+	s := &httpServer{server: server, listener: listener, endRequests: endRequests}
 	s.task = duty.Start(ctx, name, func(context.Context) error {
 		err := server.Serve(listener)
 		if errors.Is(err, http.ErrServerClosed) {
@@ -64,10 +71,17 @@
 	return s.listener.Addr().String()
 }
 
-// stop waits for the open requests and cuts them off when the context ends.
+// stop waits for the open requests. When the context ends, it ends them, and closes the connections
+// of those that are not answered within lastAnswerTime.
 func (s *httpServer) stop(ctx context.Context) {
-	err := s.server.Shutdown(ctx)
-	if err != nil {
+	defer s.endRequests(drain.ErrStopped)
+	if s.server.Shutdown(ctx) == nil {
+		return
+	}
+	s.endRequests(drain.ErrStopped)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastAnswerTime)
+	defer cancel()
+	if s.server.Shutdown(ctx) != nil {
 		s.server.Close()
 	}
 }
--- a/drain/errors.go
+++ b/drain/errors.go
@@ -1,11 +1,16 @@
 package drain
 
 import (
+	"errors"
 	"fmt"
 
 	"filberttrack.example/track"
 )
 
+// ErrStopped is the cause with which the contexts of requests end that are still open at the end of a
+// shutdown.
+var ErrStopped = errors.New("the instance has stopped")
+
 // Kind classifies the failures of this package.
 type Kind int
 
--- a/entry/queue/queue.go
+++ b/entry/queue/queue.go
@@ -4,12 +4,15 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"time"
 
 	"go.uber.org/zap"
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/admit"
+	"filberttrack.example/track/drain"
 	"filberttrack.example/track/entry/flow"
 )
 
@@ -46,6 +49,12 @@
 		return s.newRefusal(&x.Call, d)
 	case <-ctx.Done():
 		controller.Cancel(ticket)
+		if errors.Is(context.Cause(ctx), drain.ErrStopped) {
+			return &flow.RefusalError{
+				Status: http.StatusServiceUnavailable, Code: "stopping", Message: "this instance is stopping; send the request again",
+				Outcome: track.NotRun, RetryAfter: time.Second,
+			}
+		}
 		return &flow.RefusalError{
 			Status: flow.StatusClientClosed, Code: "caller_gone", Message: "the caller closed the request",
 			Outcome: track.NotRun,
--- a/entry/send/judge.go
+++ b/entry/send/judge.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/drain"
 	"filberttrack.example/track/entry/flow"
 	"filberttrack.example/track/entry/relay"
 )
@@ -90,12 +91,19 @@
 	return refusal
 }
 
-// contextRefusal returns the refusal for a call whose deadline has passed or
-// that the caller has canceled.
+// contextRefusal returns the refusal for a call whose deadline has passed, that
+// the caller has canceled, or that the end of this instance has cut off.
 func (e *execution) contextRefusal(ctx context.Context) *flow.RefusalError {
 	if e.deadlinePassed() || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return e.newRefusal(http.StatusGatewayTimeout, "deadline_exceeded", "the deadline of the request has passed")
 	}
+	if errors.Is(context.Cause(ctx), drain.ErrStopped) {
+		status := http.StatusServiceUnavailable
+		if e.mayHaveRun {
+			status = http.StatusGatewayTimeout
+		}
+		return e.newRefusal(status, "stopping", "this instance stopped before the answer was complete")
+	}
 	return e.newRefusal(flow.StatusClientClosed, "caller_gone", "the caller closed the request")
 }
 
