fix(edge): odd records among those of the members are ignored

A record with an unknown role or an address that nobody can reach replaced that of a member and counted as an entry or agent: retry budgets and limits were divided by one more, and messages to it failed ten times a second. TestOddMemberRecordsAreIgnored failed before.

--- a/edge/members.go
+++ b/edge/members.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"hash/fnv"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -52,6 +54,22 @@
 	CallAddress    string `json:"API"`
 }
 
+// validate returns an error if no process publishes such a record.
+func (m Member) validate() error {
+	if m.Role != track.RoleEntry && m.Role != track.RoleAgent {
+		return fmt.Errorf("role %q is unknown", m.Role)
+	}
+	for _, address := range []string{m.MessageAddress, m.CallAddress} {
+		if address == "" {
+			continue
+		}
+		if parsed, err := netip.ParseAddrPort(address); err != nil || parsed.Port() == 0 {
+			return fmt.Errorf("address %q has no IP address or no port", address)
+		}
+	}
+	return nil
+}
+
 // members holds the entries and agents that this process knows.
 type members struct {
 	self   track.InstanceID
@@ -83,7 +101,11 @@
 			continue
 		}
 		var member Member
-		if err := json.Unmarshal(r.Value, &member); err != nil {
+		err := json.Unmarshal(r.Value, &member)
+		if err == nil {
+			err = member.validate()
+		}
+		if err != nil {
 			m.logger.Warn("can't decode member record", zap.String("Member", r.Key), zap.Error(err))
 			continue
 		}
--- a/edge/members_test.go
+++ b/edge/members_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"testing"
 
@@ -59,3 +60,19 @@
 	m.applyRecords([]track.KeyedRecord{{Key: "front-2"}})
 	assert.Equal(t, m.entryCount(), 2)
 }
+
+// Guards against an odd record that replaces that of a member, or that counts as one.
+func TestOddMemberRecordsAreIgnored(t *testing.T) {
+	m := newMembers("front-1", nil, zap.NewNop())
+	sound := Member{Role: track.RoleEntry, Zone: "rivera", MessageAddress: "10.0.0.2:7340", CallAddress: "10.0.0.2:7341"}
+	m.applyRecords([]track.KeyedRecord{{Key: "front-2", Value: []byte(
+		`{"Role":"Entry","Zone":"rivera","Notes":"10.0.0.2:7340","API":"10.0.0.2:7341"}`)}})
+	for _, odd := range []string{
+		`1`, `{}`, `{"Role":"Clown"}`, `{"Role":"Entry","Notes":1}`, `{"Role":"Entry","Notes":"10.0.0.2:99999"}`,
+		`{"Role":"Entry","Notes":"10.0.0.2:0"}`, `{"Role":"Entry","API":"10.0.0.2:http"}`, `{"Role":"Agent","API":"yard:1"}`,
+		strings.Repeat(`{"Role":`, 1<<15),
+	} {
+		m.applyRecords([]track.KeyedRecord{{Key: "front-2", Value: []byte(odd)}, {Key: "front-3", Value: []byte(odd)}})
+		assert.DeepEqual(t, m.known, map[track.InstanceID]Member{"front-2": sound})
+	}
+}
