--- /dev/null
+++ b/edge/confirm_test.go
@@ -0,0 +1,150 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"filberttrack.example/track"
+	"filberttrack.example/track/duty"
+	"filberttrack.example/track/retry"
+)
+
+// meshConn carries the messages of one entry to the others in memory.
+type meshConn struct {
+	net.PacketConn
+	address  string
+	mesh     map[string]*meshConn
+	received chan []byte
+}
+
+// meshQueue is the number of messages that wait for an entry; more are dropped.
+const meshQueue = 1024
+
+func (c *meshConn) ReadFrom(buffer []byte) (int, net.Addr, error) {
+	data, open := <-c.received
+	if !open {
+		return 0, nil, net.ErrClosed
+	}
+	return copy(buffer, data), &net.UDPAddr{}, nil
+}
+
+func (c *meshConn) WriteTo(data []byte, to net.Addr) (int, error) {
+	if peer := c.mesh[to.String()]; peer != nil {
+		select {
+		case peer.received <- slices.Clone(data):
+		default:
+		}
+	}
+	return len(data), nil
+}
+
+// mutableLog is a darkLog as one entry reaches it.
+type mutableLog struct {
+	*darkLog
+	// away is set while the log turns this entry away.
+	away bool
+}
+
+func (l *mutableLog) Read(ctx context.Context, topic string, from uint64, wait time.Duration) (track.KeyedPage, error) {
+	if l.away {
+		return track.KeyedPage{}, track.Fail("call log", track.Unavailable, errNoAnswer)
+	}
+	return l.darkLog.Read(ctx, topic, from, wait)
+}
+
+// confirmFleet is a number of entries that exchange messages and read one log.
+type confirmFleet struct {
+	log     *darkLog
+	entries []*Entry
+	logs    []*mutableLog
+}
+
+// runConfirmFleet runs the test with entries that are spread over zones.
+func runConfirmFleet(entries, zones int, test func(f *confirmFleet)) {
+	f := &confirmFleet{log: newDarkLog()}
+	f.log.append("op", "config", "1")
+	mesh := make(map[string]*meshConn)
+	for i := range entries {
+		address := fmt.Sprintf("10.0.%d.%d:7340", i%zones, i/zones+1)
+		conn := &meshConn{address: address, mesh: mesh, received: make(chan []byte, meshQueue)}
+		mesh[address] = conn
+		log := &mutableLog{darkLog: f.log}
+		zone := track.AvailabilityZone(fmt.Sprintf("zone-%02d", i%zones))
+		f.logs = append(f.logs, log)
+		f.entries = append(f.entries, NewEntry(Options{
+			Self: track.InstanceID(fmt.Sprintf("front-%s-%03d", zone, i/zones)), Zone: zone,
+			// Nothing listens at the address for calls, so that entries read the lists themselves.
+			Member: Member{Role: track.RoleEntry, Zone: zone, MessageAddress: address, CallAddress: "127.0.0.1:1"},
+			Log:    log, Topics: Topics{Config: "op", Replicas: "servers", ConfigKey: "config"},
+			DecodeConfig: decodeConfig, DecodeReplica: decodeReplica, MessageConn: conn,
+			RetryLimit: retry.ServiceLimit{Share: 0.2, Slack: 60, Window: 10 * time.Second}, DrainTimeout: darkApplyTime,
+			Clock: clockwork.NewRealClock(), Random: func() float64 { return 0 }, Logger: zap.NewNop(), Metrics: metrics.NewSet(),
+		}))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var tasks []*duty.Duty
+	for _, e := range f.entries {
+		tasks = append(tasks, e.Start(ctx)...)
+	}
+	time.Sleep(10 * time.Second)
+	test(f)
+	cancel()
+	for _, conn := range mesh {
+		close(conn.received)
+	}
+	for _, task := range tasks {
+		<-task.Done()
+	}
+}
+
+// assertConfirmed checks for some time that the configuration of the entries is confirmed.
+func assertConfirmed(t *testing.T, entries []*Entry, d time.Duration) {
+	t.Helper()
+	for range int(d / (100 * time.Millisecond)) {
+		time.Sleep(100 * time.Millisecond)
+		for _, e := range entries {
+			assert.Assert(t, e.configConfirmed(), "%s has known nothing for %s", e.options.Self, *e.configAge())
+		}
+	}
+}
+
+// One entry reads for all, so that the calls don't grow with the number of entries.
+func TestOneEntryConfirmsTheConfigurationForAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runConfirmFleet(6, 3, func(f *confirmFleet) {
+			const d = 60 * time.Second
+			before := f.log.callsOf("op")
+			assertConfirmed(t, f.entries, d)
+			calls := f.log.callsOf("op") - before
+			// Each entry waits for news with a read in configReadWait.
+			waiting := len(f.entries) * int(d/configReadWait+1)
+			confirming := int(float64(d)/(firstConfirmShare*float64(darkApplyTime))) + 1
+			assert.Assert(t, calls <= waiting+confirming, "%d calls, %d of which may wait and %d confirm", calls, waiting, confirming)
+		})
+	})
+}
+
+// Guards against entries that lose sight of the configuration since the log turns away the one that reads for all.
+func TestOtherEntriesConfirmIfTheFirstCannot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runConfirmFleet(6, 3, func(f *confirmFleet) {
+			for i := range f.logs {
+				f.logs[i].away = true
+				assertConfirmed(t, f.entries, 10*time.Second)
+				if i == len(f.logs)-2 {
+					return
+				}
+			}
+		})
+	})
+}
