fix(entry,config): filberttrack calls names unknown only while its configuration is confirmed

Without a confirmation for 14 s, in which a change is in force, it answers 503 configuration_not_confirmed and Retry-After. TestUnknownNamesWhileTheConfigurationIsNotConfirmed: the four codes were the answer in both cases before.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -107,6 +107,27 @@
 	})
 }
 
+// Entries call names unknown only while they know that there is no newer configuration.
+func TestConfigurationIsConfirmedWhileTheLogAnswers(t *testing.T) {
+	withFleet(t, 9, 12, func(_ context.Context, t *testing.T, f *fleet) {
+		confirmed := func(n *node) bool { return n.Directory().Confirmed() }
+		awaitAll(f, time.Minute, confirmed)
+		for range 60 {
+			time.Sleep(time.Second)
+			for _, n := range f.live() {
+				assert.Assert(t, confirmed(n), "%s", n.Status().Age)
+			}
+		}
+		f.log.SetUnavailable(true)
+		time.Sleep(inForceWithin + 5*time.Second)
+		for _, n := range f.live() {
+			assert.Assert(t, !confirmed(n), "%s", n.Status().Age)
+		}
+		f.log.SetUnavailable(false)
+		assert.Assert(t, awaitAll(f, time.Minute, confirmed) <= inForceTarget)
+	})
+}
+
 func TestPublishTimeoutReportsUnknown(t *testing.T) {
 	withFleet(t, 1, 0, func(ctx context.Context, t *testing.T, f *fleet) {
 		f.log.HoldAppends(100)
--- a/config/directory.go
+++ b/config/directory.go
@@ -1,6 +1,13 @@
 package config
 
-import "filberttrack.example/track"
+import (
+	"time"
+
+	"filberttrack.example/track"
+)
+
+// inForceWithin is the time within which an accepted change is in force on all instances.
+const inForceWithin = 14 * time.Second
 
 // emptyIndex is used while no configuration is known.
 var emptyIndex = NewIndex(&track.Config{}, nil)
@@ -23,6 +30,12 @@
 // Version implements track.Directory.
 func (d *directory) Version() uint64 { return d.currentIndex().Version() }
 
+// Confirmed implements track.Directory.
+func (d *directory) Confirmed() bool {
+	age := (*Store)(d).Status().Age
+	return age >= 0 && age <= inForceWithin
+}
+
 // Account implements track.Directory.
 func (d *directory) Account(tokenSHA256 string) (track.ClientAccount, bool) {
 	return d.currentIndex().Account(tokenSHA256)
--- a/config/live.go
+++ b/config/live.go
@@ -55,6 +55,9 @@
 // accepted changes that led to it.
 func (idx *Index) Version() uint64 { return idx.config.Version }
 
+// Confirmed implements track.Directory. It returns true: an index doesn't know of newer configurations.
+func (idx *Index) Confirmed() bool { return true }
+
 // Profile returns the profile of the given name.
 func (idx *Index) Profile(name string) (track.Profile, bool) { return lookUp(idx.profiles, name) }
 
--- a/directory.go
+++ b/directory.go
@@ -4,6 +4,10 @@
 type Directory interface {
 	// Version returns the version of the configuration in force.
 	Version() uint64
+	// Confirmed reports whether the configuration in force was the newest at some time within the last
+	// seconds, in which a newer one must be in force. If not, names and tokens that are unknown here may be in a
+	// newer one.
+	Confirmed() bool
 	// Account returns the client account whose bearer token has the given
 	// hexadecimal SHA-256.
 	Account(tokenSHA256 string) (ClientAccount, bool)
--- a/entry/flow/flow.go
+++ b/entry/flow/flow.go
@@ -111,3 +111,22 @@
 		Outcome: track.NotRun,
 	}
 }
+
+// unconfirmedRetryAfter is the delay after which a caller should send a request again that names what
+// a newer configuration may have.
+const unconfirmedRetryAfter = time.Second
+
+// UnknownError returns the refusal of a request that names something which the configuration doesn't
+// have: a ClientError, or status 503 while there may be a newer configuration that has it.
+func UnknownError(directory track.Directory, status int, code, param, format string, args ...any) *RefusalError {
+	if directory.Confirmed() {
+		return ClientError(status, code, param, format, args...)
+	}
+	return &RefusalError{
+		Status:  http.StatusServiceUnavailable,
+		Code:    "configuration_not_confirmed",
+		Message: fmt.Sprintf(format, args...) + " in the configuration that this instance knows, and there may be a newer one",
+		Param:   param,
+		Outcome: track.NotRun, RetryAfter: unconfirmedRetryAfter,
+	}
+}
--- a/entry/ident/ident.go
+++ b/entry/ident/ident.go
@@ -44,7 +44,7 @@
 	}
 	account, ok := s.directory.Account(TokenSHA256(strings.TrimSpace(header[len(scheme):])))
 	if !ok {
-		return flow.ClientError(http.StatusUnauthorized, "invalid_token", "Authorization",
+		return flow.UnknownError(s.directory, http.StatusUnauthorized, "invalid_token", "Authorization",
 			"no client account has this bearer token")
 	}
 	x.Call.Account = account
--- a/entry/models/models.go
+++ b/entry/models/models.go
@@ -54,7 +54,7 @@
 	}
 	model, ok := s.directory.Model(name)
 	if !ok {
-		return flow.ClientError(http.StatusNotFound, "model_not_found", "model", "the model %q does not exist", name)
+		return flow.UnknownError(s.directory, http.StatusNotFound, "model_not_found", "model", "the model %q does not exist", name)
 	}
 	return writeJSON(x.Writer, newModelObject(model))
 }
--- a/entry/parse/chat.go
+++ b/entry/parse/chat.go
@@ -73,7 +73,7 @@
 	}
 	model, ok := s.directory.Model(request.Model)
 	if !ok {
-		return flow.ClientError(http.StatusNotFound, "model_not_found", "model",
+		return flow.UnknownError(s.directory, http.StatusNotFound, "model_not_found", "model",
 			"the model %q does not exist", truncate(request.Model))
 	}
 	call := &x.Call
--- a/entry/parse/common.go
+++ b/entry/parse/common.go
@@ -46,7 +46,7 @@
 	}
 	profile, ok := directory.Profile(name)
 	if !ok {
-		return flow.ClientError(http.StatusBadRequest, "unknown_profile", flow.HeaderProfile,
+		return flow.UnknownError(directory, http.StatusBadRequest, "unknown_profile", flow.HeaderProfile,
 			"the profile %q does not exist", truncate(name))
 	}
 	x.Call.Profile = profile
--- a/entry/parse/parse_test.go
+++ b/entry/parse/parse_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -14,6 +15,7 @@
 	"filberttrack.example/track"
 	"filberttrack.example/track/config"
 	"filberttrack.example/track/entry/flow"
+	"filberttrack.example/track/entry/ident"
 	"filberttrack.example/track/entry/parse"
 )
 
@@ -94,3 +96,49 @@
 		assert.Assert(t, refusal.Status >= 400 && refusal.Status < 500 && refusal.Outcome == track.NotRun)
 	})
 }
+
+// oldDirectory is a directory that may lack a newer configuration.
+type oldDirectory struct{ track.Directory }
+
+func (oldDirectory) Confirmed() bool { return false }
+
+// Guards against callers that are told that a model, service, profile or token doesn't exist by an entry that can't
+// read the configuration that has it.
+func TestUnknownNamesWhileTheConfigurationIsNotConfirmed(t *testing.T) {
+	service := newExchange("GET", "status", "")
+	service.Request.SetPathValue("service", "new-desk")
+	for _, c := range []struct {
+		exchange *flow.Exchange
+		step     func(track.Directory) flow.Step
+		code     string
+	}{
+		{service, func(d track.Directory) flow.Step { return parse.NewPlain(d, limits) }, "unknown_service"},
+		{
+			newExchange("GET", "status", "", flow.HeaderProfile, "new"),
+			func(d track.Directory) flow.Step { return parse.NewPlain(d, limits) }, "unknown_profile",
+		},
+		{
+			newExchange("POST", "", `{"model":"new-llm","messages":[{"role":"user","content":"x"}]}`),
+			func(d track.Directory) flow.Step { return parse.NewChat(d, limits) }, "model_not_found",
+		},
+		{
+			newExchange("GET", "status", "", "Authorization", "Bearer new"),
+			func(d track.Directory) flow.Step { return ident.New(d) }, "invalid_token",
+		},
+	} {
+		var refusal *flow.RefusalError
+		body, err := io.ReadAll(c.exchange.Request.Body)
+		assert.NilError(t, err)
+		run := func(d track.Directory) {
+			c.exchange.Request.Body = io.NopCloser(strings.NewReader(string(body)))
+			assert.Assert(t, errors.As(c.step(d).Run(t.Context(), c.exchange), &refusal))
+		}
+		run(newDirectory())
+		assert.Equal(t, refusal.Code, c.code)
+		run(oldDirectory{newDirectory()})
+		assert.Equal(t, refusal.Code, "configuration_not_confirmed", c.code)
+		assert.Equal(t, refusal.Status, http.StatusServiceUnavailable)
+		assert.Equal(t, refusal.Outcome, track.NotRun)
+		assert.Assert(t, refusal.RetryAfter > 0)
+	}
+}
--- a/entry/parse/plain.go
+++ b/entry/parse/plain.go
@@ -47,7 +47,7 @@
 	}
 	service, ok := s.directory.Service(r.PathValue("service"))
 	if !ok {
-		return flow.ClientError(http.StatusNotFound, "unknown_service", "",
+		return flow.UnknownError(s.directory, http.StatusNotFound, "unknown_service", "",
 			"the service %q does not exist", truncate(r.PathValue("service")))
 	}
 	body, err := readBody(x, s.limits)
