test(soak,platform/mimic): parts of the log go dark

LogPartDark leaves the requests for one topic without an answer, pending ones as well, on sound connections.

--- a/soak/check.go
+++ b/soak/check.go
@@ -257,7 +257,7 @@
 		leftAt, left := h.LeftAt[r.Replica]
 		// Faults can delay a request that was sent in time, which breaks no guarantee. A log that
 		// came back from an older copy may have lost that the replica leaves.
-		delayed := !h.noFaultsBefore(r.At, Freeze, LinkDelay, LinkSilent, LinkSlow, LogAway, LogSlow) ||
+		delayed := !h.noFaultsBefore(r.At, Freeze, LinkDelay, LinkSilent, LinkSlow, LogAway, LogPartDark, LogSlow) ||
 			!h.noFaultsBefore(r.At, LogRestored) && !h.noFaultsBefore(r.At, Kill, Stop)
 		if left && !delayed && r.At.After(leftAt.Add(b.DrainTime)) {
 			found = append(found, fmt.Sprintf("request %s ran on replica %s %s after the replica left", r.Request, r.Replica, r.At.Sub(leftAt)))
@@ -417,7 +417,7 @@
 
 // configDelayed reports whether a fault excuses that a change isn't in force yet.
 func (h *History) configDelayed(at time.Time) bool {
-	return !h.noFaultsBefore(at, Freeze, LogAway, LogSlow) ||
+	return !h.noFaultsBefore(at, Freeze, LogAway, LogPartDark, LogSlow) ||
 		!h.noFaultsBefore(at, LogRestored) && !h.noFaultsBefore(at, Kill, Stop)
 }
 
--- a/soak/disturb.go
+++ b/soak/disturb.go
@@ -37,6 +37,9 @@
 	return sleep(ctx, e.Duration)
 }
 
+// darkTopics lists the topics that can be dark. The configuration is listed three times, as it changes the least often.
+var darkTopics = []string{"op", "op", "op", "servers", "members"}
+
 // faultInjectors holds functions that start a fault of a kind. They return the function that ends
 // the fault, or nil if it ends by itself.
 var faultInjectors = map[Fault]func(*testbed, PlannedFault) func(){
@@ -50,6 +53,11 @@
 		s.log.SetUnavailable(true)
 		return func() { s.log.SetUnavailable(false) }
 	},
+	LogPartDark: func(s *testbed, e PlannedFault) func() {
+		topic := darkTopics[e.Target%len(darkTopics)]
+		s.log.SetDark(topic, true)
+		return func() { s.log.SetDark(topic, false) }
+	},
 	LogSlow: func(s *testbed, _ PlannedFault) func() {
 		s.log.SetDelay(slowLogDelay)
 		return func() { s.log.SetDelay(0) }
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -49,6 +49,8 @@
 	// different requests with one part in their prompts that does.
 	CrashingRequest Fault = "CrashingRequest"
 	CrashingPart    Fault = "CrashingPart"
+	// LogPartDark leaves requests for one topic of the log without an answer, on sound connections.
+	LogPartDark Fault = "LogPartDark"
 )
 
 // faults lists all kinds of faults in the order from which PlanFaults draws them. DemandShifts is
@@ -106,6 +108,27 @@
 			Target: rng.IntN(1 << 16), ReplicaFault: replicaFaults[rng.IntN(len(replicaFaults))], Interval: 2 + rng.IntN(12),
 		})
 	}
+	return append(planned, planDark(seed, length)...)
+}
+
+const (
+	// minLightTime and maxLightTime bound the time between the starts of two faults LogPartDark. They leave time
+	// in which changes must be in force again.
+	minLightTime = 3 * time.Second
+	maxLightTime = 9 * time.Second
+)
+
+// planDark returns the faults LogPartDark of a run. They have random numbers of their own, so that the other faults of
+// a seed are those that it had before this kind was added.
+func planDark(seed uint64, length time.Duration) []PlannedFault {
+	rng := rand.New(rand.NewPCG(seed, 33))
+	between := func(low, high time.Duration) time.Duration { return low + time.Duration(rng.Int64N(int64(high-low))) }
+	var planned []PlannedFault
+	for at := between(minPause, minLightTime); at < length; at += between(minLightTime, maxLightTime) {
+		planned = append(planned, PlannedFault{
+			At: at, Duration: between(10*time.Millisecond, maxDuration), Fault: LogPartDark, Target: rng.IntN(1 << 16),
+		})
+	}
 	return planned
 }
 
