--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -130,6 +130,11 @@
 	p.options.Clock.AfterFunc(t.Sub(p.options.Clock.Now()), p.cancelInProgress)
 }
 
+// onStop registers a function that ends a request in progress at the stop. The result unregisters it.
+func (p *Proxy) onStop(end func()) (unregister func() bool) {
+	return context.AfterFunc(p.stopping, end)
+}
+
 // Serve answers one request. The context must end when the client disconnects. Serve
 // returns ErrIncompleteAnswer if the caller must abort the connection.
 func (p *Proxy) Serve(ctx context.Context, w http.ResponseWriter, request *Request) error {
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -63,7 +63,7 @@
 	defer cancel()
 	deadline := clock.AfterFunc(x.deadline.Sub(clock.Now()), cancel)
 	defer deadline.Stop()
-	defer context.AfterFunc(x.proxy.stopping, cancel)()
+	defer x.proxy.onStop(cancel)()
 	for {
 		grant, refusal := x.admit(ctx)
 		if refusal != nil {
