fix(keyed): an answer of the log that can't be coped with fails its read only

Reads that are sent again run in goroutines that no supervisor watches: a panic there would have ended the process. Found by reading the change.

--- a/keyed/hedge.go
+++ b/keyed/hedge.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime/debug"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -49,6 +51,20 @@
 	err  error
 }
 
+// readSafely returns the result of a read. A panic fails the read: it would end the process, as no supervisor
+// runs this goroutine.
+func readSafely(
+	ctx context.Context, read func(context.Context) (track.KeyedPage, error),
+) (result hedgedResult) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			result.err = track.Fail("read log", track.Internal, fmt.Errorf("panic: %v\n%s", cause, debug.Stack()))
+		}
+	}()
+	result.page, result.err = read(ctx)
+	return result
+}
+
 // first sends the read, and again after each hedgeDelay, until one of them ends. It returns that
 // one's result once the others have ended, too.
 func (h *Hedge) first(
@@ -59,10 +75,7 @@
 	sent := 0
 	send := func() {
 		sent++
-		go func() {
-			page, err := read(ctx)
-			results <- hedgedResult{page: page, err: err}
-		}()
+		go func() { results <- readSafely(ctx, read) }()
 	}
 	send()
 	ticker := h.clock.NewTicker(hedgeDelay)
