--- a/edge/entry.go
+++ b/edge/entry.go
@@ -161,6 +161,7 @@
 	if o.ConfigApplyTime <= 0 {
 		o.ConfigApplyTime = defaultConfigApplyTime
 	}
+	o.ConfigApplyTime = max(o.ConfigApplyTime, minConfigApplyTime)
 	e := &Entry{
 		options:    o,
 		members:    newMembers(o.Self, o.Seeds, o.Logger),
