fix(edge): a confirmation reaches the last entry before it is due

TestOtherEntriesConfirmIfTheFirstCannot failed in 16 of 25 runs: if only an entry that doesn't speak for its zone reaches the log, what it learns takes three messages, up to 0.4 s, to the last entry of another zone, whose confirmation was then up to 2.06 s old, beyond the 2 s of config_apply_ms. Callers would have got 503 in place of 401 for that moment.

The first entry reads after 0.5 of config_apply_ms instead of 0.6, the others after 0.7 to 0.75 instead of 0.8 to 0.9. The test failed in 0 of 40 runs after.

--- a/edge/confirm.go
+++ b/edge/confirm.go
@@ -16,12 +16,13 @@
 	// firstConfirmShare is the time after which the first entry of the deployment reads the
 	// configuration's topic if nothing has confirmed that it has read all of it, as a share of
 	// ConfigApplyTime. The rest is for the answer of a slow log and for messages to the other entries.
-	firstConfirmShare = 0.6
-	// nextConfirmShare is the same for the second entry: what the first has learned reaches it in two
-	// messages. Each further entry waits confirmShareStep longer, up to maxConfirmShare.
-	nextConfirmShare = 0.8
-	confirmShareStep = 0.02
-	maxConfirmShare  = 0.9
+	firstConfirmShare = 0.5
+	// nextConfirmShare is the same for the second entry. What an entry has learned reaches the last one in
+	// three messages: through the representatives of both zones, in up to 0.4 s. Each further entry waits
+	// confirmShareStep longer, up to maxConfirmShare.
+	nextConfirmShare = 0.7
+	confirmShareStep = 0.01
+	maxConfirmShare  = 0.75
 )
 
 // confirmConfigAfter returns the time without a confirmation of the configuration after which this
--- a/edge/confirm_test.go
+++ b/edge/confirm_test.go
@@ -9,14 +9,10 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-	"github.com/jonboulle/clockwork"
-	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/duty"
-	"filberttrack.example/track/retry"
 )
 
 // meshConn carries the messages of one entry to the others in memory.
@@ -81,15 +77,10 @@
 		log := &mutableLog{darkLog: f.log}
 		zone := track.AvailabilityZone(fmt.Sprintf("zone-%02d", i%zones))
 		f.logs = append(f.logs, log)
-		f.entries = append(f.entries, NewEntry(Options{
-			Self: track.InstanceID(fmt.Sprintf("front-%s-%03d", zone, i/zones)), Zone: zone,
-			// Nothing listens at the address for calls, so that entries read the lists themselves.
-			Member: Member{Role: track.RoleEntry, Zone: zone, MessageAddress: address, CallAddress: "127.0.0.1:1"},
-			Log:    log, Topics: Topics{Config: "op", Replicas: "servers", ConfigKey: "config"},
-			DecodeConfig: decodeConfig, DecodeReplica: decodeReplica, MessageConn: conn,
-			RetryLimit: retry.ServiceLimit{Share: 0.2, Slack: 60, Window: 10 * time.Second}, DrainTimeout: darkApplyTime,
-			Clock: clockwork.NewRealClock(), Random: func() float64 { return 0 }, Logger: zap.NewNop(), Metrics: metrics.NewSet(),
-		}))
+		// Nothing listens at the address for calls, so that entries read the lists themselves.
+		member := Member{Role: track.RoleEntry, Zone: zone, MessageAddress: address, CallAddress: "127.0.0.1:1"}
+		self := track.InstanceID(fmt.Sprintf("front-%s-%03d", zone, i/zones))
+		f.entries = append(f.entries, newDarkEntry(self, log, member, conn))
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var tasks []*duty.Duty
--- a/edge/dark_test.go
+++ b/edge/dark_test.go
@@ -152,21 +152,25 @@
 	return nil
 }
 
-// startDarkEntry runs an entry that reads the log, until the test ends.
+// startDarkEntry runs an entry that reads the log and hears no other, until the test ends.
 func startDarkEntry(t *testing.T, self track.InstanceID, log track.KeyedLog) *Entry {
-	e := NewEntry(Options{
-		Self: self, Zone: "rivera", Member: Member{Role: track.RoleEntry, Zone: "rivera"},
-		Log: log, Topics: Topics{Config: "op", Replicas: "servers", ConfigKey: "config"},
+	e := newDarkEntry(self, log, Member{Role: track.RoleEntry, Zone: "rivera"}, deafConn{closed: make(chan struct{})})
+	startEntry(t, e)
+	return e
+}
+
+// newDarkEntry returns an entry that reads the log in real time, which a synctest bubble makes its own.
+func newDarkEntry(self track.InstanceID, log track.KeyedLog, member Member, conn net.PacketConn) *Entry {
+	return NewEntry(Options{
+		Self: self, Zone: member.Zone, Member: member, Log: log, Topics: Topics{Config: "op", Replicas: "servers", ConfigKey: "config"},
 		DecodeConfig: func(data []byte) (track.RouteConfig, error) {
 			version, err := strconv.ParseUint(string(data), 10, 64)
 			return track.RouteConfig{Version: version}, err
 		},
-		DecodeReplica: decodeReplica, MessageConn: deafConn{closed: make(chan struct{})},
+		DecodeReplica: decodeReplica, MessageConn: conn,
 		RetryLimit: retry.ServiceLimit{Share: 0.2, Slack: 60, Window: 10 * time.Second}, DrainTimeout: 2 * time.Second,
 		Clock: clockwork.NewRealClock(), Random: func() float64 { return 0 }, Logger: zap.NewNop(), Metrics: metrics.NewSet(),
 	})
-	startEntry(t, e)
-	return e
 }
 
 // Guards against an entry that keeps an old configuration until a pending read reaches its deadline, because the log has
