--- a/edge/confirm.go
+++ b/edge/confirm.go
@@ -11,7 +11,7 @@
 	// defaultConfigApplyTime is the time after which a configuration must be in force if the deployment
 	// doesn't say.
 	defaultConfigApplyTime = 2 * time.Second
-	// minConfigApplyTime is the shortest such time. Messages that confirm a configuration are up to 0.3 s old.
+	// minConfigApplyTime is the shortest such time. Messages that confirm a configuration are up to 0.4 s old.
 	minConfigApplyTime = 500 * time.Millisecond
 	// firstConfirmShare is the time after which the first entry of the deployment reads the
 	// configuration's topic if nothing has confirmed that it has read all of it, as a share of
--- a/keyed/follow.go
+++ b/keyed/follow.go
@@ -159,9 +159,9 @@
 			break
 		}
 		last := page.Records[len(page.Records)-1].Key
-		if last <= after {
-			// A key that isn't text can't be named in the next call. The records behind it come with their next
-			// change.
+		if last == after {
+			// The call that should continue after a key that isn't text returned that key again. The records behind
+			// it come with their next change.
 			f.options.Logger.Error("newest records can't be read to the end", zap.String("Topic", f.options.Topic),
 				zap.String("After", after))
 			break
@@ -178,8 +178,8 @@
 }
 
 // read reads all records from a position on, waits for the first of them if there is none, and
-// returns the position at which to read on. It
-// fails with kind Expired if the log has entered another era.
+// returns the position at which to read on. It fails with kind Expired if the log has entered
+// another era.
 func (f *Follower) read(ctx context.Context, from track.LogPosition, wait time.Duration) (track.LogPosition, error) {
 	for {
 		page, err := f.options.Log.Read(ctx, f.options.Topic, from.Offset, wait)
