test(edge): the fleet of the confirmation tests has no data races

The race detector found the switch of a log that turns an entry away, and the close of a channel to which entries may still send. 0 of 12 runs of the package fail under it now.

--- a/edge/confirm_test.go
+++ b/edge/confirm_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,17 +22,19 @@
 	address  string
 	mesh     map[string]*meshConn
 	received chan []byte
+	closed   chan struct{}
 }
 
 // meshQueue is the number of messages that wait for an entry; more are dropped.
 const meshQueue = 1024
 
 func (c *meshConn) ReadFrom(buffer []byte) (int, net.Addr, error) {
-	data, open := <-c.received
-	if !open {
+	select {
+	case data := <-c.received:
+		return copy(buffer, data), &net.UDPAddr{}, nil
+	case <-c.closed:
 		return 0, nil, net.ErrClosed
 	}
-	return copy(buffer, data), &net.UDPAddr{}, nil
 }
 
 func (c *meshConn) WriteTo(data []byte, to net.Addr) (int, error) {
@@ -48,11 +51,11 @@
 type mutableLog struct {
 	*darkLog
 	// away is set while the log turns this entry away.
-	away bool
+	away atomic.Bool
 }
 
 func (l *mutableLog) Read(ctx context.Context, topic string, from uint64, wait time.Duration) (track.KeyedPage, error) {
-	if l.away {
+	if l.away.Load() {
 		return track.KeyedPage{}, track.Fail("call log", track.Unavailable, errNoAnswer)
 	}
 	return l.darkLog.Read(ctx, topic, from, wait)
@@ -72,7 +75,7 @@
 	mesh := make(map[string]*meshConn)
 	for i := range entries {
 		address := fmt.Sprintf("10.0.%d.%d:7340", i%zones, i/zones+1)
-		conn := &meshConn{address: address, mesh: mesh, received: make(chan []byte, meshQueue)}
+		conn := &meshConn{address: address, mesh: mesh, received: make(chan []byte, meshQueue), closed: make(chan struct{})}
 		mesh[address] = conn
 		log := &mutableLog{darkLog: f.log}
 		zone := track.AvailabilityZone(fmt.Sprintf("zone-%02d", i%zones))
@@ -91,7 +94,7 @@
 	test(f)
 	cancel()
 	for _, conn := range mesh {
-		close(conn.received)
+		close(conn.closed)
 	}
 	for _, task := range tasks {
 		<-task.Done()
@@ -130,7 +133,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		runConfirmFleet(6, 3, func(f *confirmFleet) {
 			for i := range f.logs {
-				f.logs[i].away = true
+				f.logs[i].away.Store(true)
 				assertConfirmed(t, f.entries, 10*time.Second)
 				if i == len(f.logs)-2 {
 					return
