--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -22,11 +22,11 @@
 
 // cases holds the cases by name.
 var cases = map[string]func(context.Context, bool, *recorder) error{
-	"drain":    runDrain,
-	"settings": runSettings,
-	"stop":     runStop,
-	"memory":   runMemory,
-	"path":     runPath,
+	"drain":  runDrain,
+	"stop":   runStop,
+	"memory": runMemory,
+	"path":   runPath,
+	"switch": runSwitch,
 }
 
 func main() {
--- a/review/rig/network.go
+++ b/review/rig/network.go
@@ -28,6 +28,7 @@
 	firstReplicaHost = 10
 	firstLinkHost    = 100
 	firstEntryHost   = 150
+	firstAgentHost   = 180
 )
 
 // network is a loopback network that one run uses. Runs at the same time have different ones.
