--- a/review/rig/drain.go
+++ b/review/rig/drain.go
@@ -25,7 +25,7 @@
 	// drainLead is the shortest time from the first release to the cut, drainLeadSpread the time by which it
 	// varies, and drainCut the length of the cut.
 	drainLead       = 300 * time.Millisecond
-	drainLeadSpread = 600 * time.Millisecond
+	drainLeadSpread = 200 * time.Millisecond
 	drainCut        = 2600 * time.Millisecond
 )
 
