--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -17,8 +17,10 @@
 type request struct {
 	id, method, path, key string
 	body                  []byte
-	timeout               time.Duration
-	header                map[string]string
+	// rate is the number of bytes of the body that the client sends a second; 0 if it sends them at once.
+	rate    int
+	timeout time.Duration
+	header  map[string]string
 	// events is the number of events that a whole answer has; 0 for a call.
 	events int
 }
@@ -27,6 +29,8 @@
 type answer struct {
 	request request
 	entry   string
+	// kept is set if the request was sent over a channel with an earlier answer.
+	kept    bool
 	sentAt  time.Time
 	endedAt time.Time
 	// status is 0 if there was no answer.
@@ -106,16 +110,18 @@
 	return ready[rand.IntN(len(ready))]
 }
 
-// send sends a request, reads its answer and adds that to the log of the clients.
-func (c *client) send(ctx context.Context, r request) {
+// send sends a request, reads its answer and adds that to the log of the clients. It returns whether the request was
+// served.
+func (c *client) send(ctx context.Context, r request) bool {
 	e := c.chooseEntry()
-	a := answer{request: r, entry: e.name}
+	a := answer{request: r, entry: e.name, kept: c.entry != nil}
 	ctx, cancel := context.WithTimeout(ctx, r.timeout+500*time.Millisecond)
 	defer cancel()
-	h, err := http.NewRequestWithContext(ctx, r.method, "http://"+e.clientsAddress()+r.path, bytes.NewReader(r.body))
+	h, err := http.NewRequestWithContext(ctx, r.method, "http://"+e.clientsAddress()+r.path, newBody(r))
 	if err != nil {
 		panic(err)
 	}
+	h.ContentLength = int64(len(r.body))
 	h.Host = configHost
 	h.Header.Set("X-Request-Id", r.id)
 	h.Header.Set("X-Deadline-Ms", strconv.FormatInt(r.timeout.Milliseconds(), 10))
@@ -133,6 +139,34 @@
 	c.world.record.add(a.sentAt, "sent %s to %s: %s %s, %d bytes; answered after %d ms: status %d, whole %t, served %t %s",
 		r.id, e.name, r.method, r.path, len(r.body), a.endedAt.Sub(a.sentAt).Milliseconds(), a.status, a.whole, a.served(), a.fault)
 	c.world.clients.add(a)
+	return a.served()
+}
+
+// pacedReader gives the bytes of a body at a rate.
+type pacedReader struct {
+	body  *bytes.Reader
+	rate  int
+	begun time.Time
+	given int
+}
+
+// newBody returns a reader of the body of a request.
+func newBody(r request) io.Reader {
+	if r.rate == 0 || len(r.body) == 0 {
+		return bytes.NewReader(r.body)
+	}
+	return &pacedReader{body: bytes.NewReader(r.body), rate: r.rate}
+}
+
+// Read implements io.Reader.
+func (p *pacedReader) Read(buffer []byte) (int, error) {
+	if p.begun.IsZero() {
+		p.begun = time.Now()
+	}
+	n, err := p.body.Read(buffer)
+	p.given += n
+	time.Sleep(time.Until(p.begun.Add(time.Duration(p.given) * time.Second / time.Duration(p.rate))))
+	return n, err
 }
 
 // read sends the HTTP request and reads the answer.
--- a/review/rig/entry.go
+++ b/review/rig/entry.go
@@ -99,8 +99,10 @@
 	seeds        []string
 	record       *recorder
 
-	mu      sync.Mutex
-	command *exec.Cmd
+	mu sync.Mutex
+	// killedAt is when the platform first killed the process for its memory; zero before.
+	killedAt time.Time
+	command  *exec.Cmd
 	// exited is closed when the current process has ended.
 	exited chan struct{}
 	// misses is the number of failed readiness checks in a row.
