fix(swap,platform/rank): a rank takes the token of a ballot before its member promises

Cause: the promise of a ballot bound only the process that made it. While an agent is silent, another one reaches its rank through a member of its own; the silent agent, once awake, and an agent that has restarted know nothing of that promise, and the rank had not seen the higher fencing token.

Change: a member answers a Promise only after the rank has taken the ballot's token (track.RankClaimer; "go" before step 0, which changes nothing), and reads the state after that. Orders that rest on a promise made without the agent go the same way as the promise.

--- a/expert.go
+++ b/expert.go
@@ -156,6 +156,15 @@
 	return s
 }
 
+// RankClaimer is implemented by clients of engines that check fencing numbers. Such a rank may be
+// controlled by several processes, which don't know of each other's promises.
+type RankClaimer interface {
+	// Claim makes the rank refuse all orders with a lower fencing number, including those that
+	// arrive late, until it restarts. It changes nothing else. An error of kind Refused means that
+	// the rank has seen a higher number; after any other error the rank may be claimed.
+	Claim(ctx context.Context, fence uint64) error
+}
+
 // RankEngine is the interface through which an agent controls a rank behind it.
 //
 // Each order carries a fencing number. An engine may refuse an order whose number is
--- a/steer/balance.go
+++ b/steer/balance.go
@@ -88,13 +88,20 @@
 	Silent bool
 }
 
-// RemoteRank gives direct access to a rank whose agent is silent. Orders that the
-// silent agent may still send once it resumes carry a lower fencing number.
+// RemoteRank gives direct access to a rank whose agent is silent. The rank refuses orders that the
+// agent may still send once it resumes, as it has been claimed with a higher fencing number; see
+// track.RankClaimer.
 type RemoteRank interface {
 	track.RankEngine
 	track.RankReader
 }
 
+// directRank is direct access to the rank of an agent that is or was silent.
+type directRank struct {
+	*swap.Gateway
+	incarnation track.Incarnation
+}
+
 // BalancerOptions holds the dependencies of a Balancer.
 type BalancerOptions struct {
 	// Self is the ID of this agent.
@@ -139,7 +146,7 @@
 	// nextPlan is the time of the next plan.
 	nextPlan time.Time
 	// directRanks holds direct access to the ranks of silent agents, by address.
-	directRanks map[string]*swap.Gateway
+	directRanks map[string]directRank
 	// lastShares holds the latest state of each rank, by rank number.
 	lastShares map[int]track.RankStatus
 	// incompleteReason is the error of the latest attempt to read the states of all
@@ -175,7 +182,7 @@
 // NewBalancer returns a Balancer and registers its metrics. Run starts it.
 func NewBalancer(options BalancerOptions) *Balancer {
 	b := &Balancer{
-		options: options, pollInterval: rankPollInterval, directRanks: make(map[string]*swap.Gateway), lastShares: make(map[int]track.RankStatus),
+		options: options, pollInterval: rankPollInterval, directRanks: make(map[string]directRank), lastShares: make(map[int]track.RankStatus),
 	}
 	b.runner = swap.Runner{Clock: options.Clock, Send: b.sendOrder, SendAll: b.sendOrders, Timing: swap.Timing{
 		ResendInterval: 25 * time.Millisecond, PhaseTimeout: 500 * time.Millisecond, PrepareTimeout: 3 * time.Second,
@@ -510,12 +517,21 @@
 	switch {
 	case peers[i].Silent && b.options.DirectRank == nil:
 		return track.MapReply{}, errAgentSilent(peers[i])
-	case peers[i].Silent:
+	case peers[i].Silent, b.promisedDirectly(peers[i], o):
 		return b.directRank(peers[i]).Order(ctx, o)
 	}
 	return b.options.SendOrder(ctx, peers[i], o)
 }
 
+// promisedDirectly reports whether the promise that the order rests on was made without the agent. The
+// agent would refuse the order.
+func (b *Balancer) promisedDirectly(peer PeerAgent, o track.MapOrder) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	rank, ok := b.directRanks[peer.RankAddress]
+	return ok && rank.incarnation == o.Incarnation
+}
+
 // errAgentSilent returns the error for a rank that can't be reached since its agent is silent.
 func errAgentSilent(peer PeerAgent) error {
 	return track.Fail("reach rank", track.Unavailable, fmt.Errorf("agent %s of rank %d is silent", peer.Agent, peer.Rank))
@@ -525,14 +541,14 @@
 func (b *Balancer) directRank(peer PeerAgent) *swap.Gateway {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	rank := b.directRanks[peer.RankAddress]
-	if rank == nil {
-		now := b.options.Clock.Now()
+	rank, ok := b.directRanks[peer.RankAddress]
+	if !ok {
+		rank.incarnation = track.Incarnation(b.options.Clock.Now().UnixMilli())
 		engines := []track.RankEngine{b.options.DirectRank(peer.RankAddress)}
-		rank = swap.NewGateway(peer.Agent, track.Incarnation(now.UnixMilli()), engines, nil, b.options.Clock)
+		rank.Gateway = swap.NewGateway(peer.Agent, rank.incarnation, engines, nil, b.options.Clock)
 		b.directRanks[peer.RankAddress] = rank
 		b.options.Logger.Warn("agent silent, its rank is reached directly",
 			zap.String("Agent", string(peer.Agent)), zap.String("Server", peer.RankAddress))
 	}
-	return rank
+	return rank.Gateway
 }
--- a/steer/fanout.go
+++ b/steer/fanout.go
@@ -103,7 +103,7 @@
 	var relayed []PeerAgent
 	if b.options.Relays != nil && sameExceptMember(orders) {
 		for _, peer := range b.options.Peers(own.Group, own.Epoch) {
-			if _, ok := byAgent[peer.Agent]; ok && !peer.Silent {
+			if o, ok := byAgent[peer.Agent]; ok && !peer.Silent && !b.promisedDirectly(peer, o) {
 				relayed = append(relayed, peer)
 			}
 		}
--- a/steer/fanout_test.go
+++ b/steer/fanout_test.go
@@ -164,6 +164,50 @@
 	assert.Equal(t, len(g.direct), maxDirectPeers)
 }
 
+// unreadableRank is a rank that doesn't answer.
+type unreadableRank struct{ RemoteRank }
+
+func (unreadableRank) State(context.Context, bool) (track.RankState, error) {
+	return track.RankState{}, errors.New("no answer")
+}
+
+// An agent that is heard again must not get the orders that rest on a promise made without it: it would refuse
+// them, and the switch would stay undecided.
+func TestOrdersAfterDirectPromiseAreSentDirectly(t *testing.T) {
+	for _, size := range []int{2, largeGroupRanks - 1} {
+		g := newLargeGroup()
+		g.peers = g.peers[:size]
+		b := g.balancer()
+		b.options.DirectRank = func(string) RemoteRank { return unreadableRank{} }
+		peer := &g.peers[0]
+		peer.RankAddress, peer.Silent = "rank-1", true
+		to := track.RankID{Agent: peer.Agent}
+		_, err := b.sendOrder(t.Context(), track.MapOrder{Kind: track.OrderPromise, To: to})
+		assert.Assert(t, track.IsKind(err, swap.EngineFailed), "%v", err)
+
+		peer.Silent = false
+		promised := track.Incarnation(b.options.Clock.Now().UnixMilli())
+		var orders []track.MapOrder
+		for _, p := range g.peers {
+			orders = append(orders, track.MapOrder{Kind: track.OrderCommit, To: track.RankID{Agent: p.Agent}, Incarnation: 7})
+		}
+		orders[0].Incarnation = promised
+		failures := make(chan error, len(orders))
+		b.sendOrders(t.Context(), orders, func(_ track.RankID, _ track.MapReply, err error) { failures <- err })
+		failed := 0
+		for range orders {
+			if track.IsKind(<-failures, swap.EngineFailed) {
+				failed++
+			}
+		}
+		assert.Equal(t, failed, 1, "only the rank itself was asked, %d ranks", size+1)
+		assert.Equal(t, g.direct[peer.Agent], 0)
+		orders[0].Incarnation = 8
+		_, err = b.sendOrder(t.Context(), orders[0])
+		assert.NilError(t, err, "a promise of the agent itself")
+	}
+}
+
 func TestStatesOfLargeGroupAreReadThroughRelays(t *testing.T) {
 	g := newLargeGroup()
 	g.deadRelay, g.deadMember = agentName(3), agentName(1+8*3)
--- a/swap/member.go
+++ b/swap/member.go
@@ -9,7 +9,8 @@
 )
 
 // Member is an agent's participant in changes of the expert map, one for each rank. All
-// orders to the rank pass through it. It is safe for concurrent use.
+// orders to the rank pass through it, or through members of other processes if the engine checks
+// fencing numbers. It is safe for concurrent use.
 type Member struct {
 	id          track.RankID
 	incarnation track.Incarnation
@@ -34,7 +35,8 @@
 }
 
 // Order implements track.MapMember. Orders run one after the other. It returns an error
-// of kind EngineFailed if it can't read the rank's state or claim the rank.
+// of kind EngineFailed if it can't read the rank's state or claim the rank. The state in the
+// reply to a Promise was read after the rank was claimed.
 func (m *Member) Order(ctx context.Context, o track.MapOrder) (track.MapReply, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -44,7 +46,11 @@
 	reply := track.MapReply{Kind: o.Kind, Ballot: o.Ballot, From: m.id, Incarnation: m.incarnation}
 	reply.Refusal = m.checkOrder(o)
 	if reply.Refusal == "" {
-		if err := m.execute(ctx, o); err != nil {
+		err := m.execute(ctx, o)
+		if err != nil && o.Kind == track.OrderPromise && !track.IsKind(err, track.Refused) {
+			return track.MapReply{}, track.Fail("claim rank", EngineFailed, err)
+		}
+		if err != nil {
 			reply.Refusal, reply.RefusalDetail = track.RefusedRank, err.Error()
 			m.takenOver = false
 		}
@@ -115,6 +121,8 @@
 func (m *Member) execute(ctx context.Context, o track.MapOrder) error {
 	fence := o.Ballot.Number
 	switch o.Kind {
+	case track.OrderPromise:
+		return m.claim(ctx, fence)
 	case track.OrderPrepare:
 		if o.StateOnly {
 			return nil
@@ -136,6 +144,16 @@
 	return nil
 }
 
+// claim makes the rank itself keep the promise, if its engine can. The promise of a member binds
+// neither the members of other processes that control the same rank, nor this agent after a
+// restart.
+func (m *Member) claim(ctx context.Context, fence uint64) error {
+	if rank, ok := m.engine.(track.RankClaimer); ok {
+		return rank.Claim(ctx, fence)
+	}
+	return nil
+}
+
 func (m *Member) prepare(ctx context.Context, fence uint64, change *track.MapChange) error {
 	if change == nil {
 		return errIncomplete
