fix(proxy): a stopping entry accepts only what must end before it does

Cause: a request that may be repeated was accepted if the 95th percentile of recent durations ended before the stop. One in twenty takes longer by definition; one long stream in 32 isn't seen at all.

Change: each request whose deadline comes after the stop is refused, also as it leaves the queue and before a further attempt, unless a replica may have run it. Why it works: the proxy ends each request at its deadline, so nothing that was accepted after the signal is left at the end.

Tests, red before: the row "earlier streams were short" of TestStoppingEntryRefusesRequestsThatWouldBeCutOff (200 in place of 503), TestStopMeanwhileKeepsRequestsFromReplicas (200), and the rows of TestRequestsThatComeLateInAStopAreAnswered with less left than the timeout, which hang. These rows demanded a 504 after the request was sent; now it is a 503 before, which promises more, and rows with more time left demand the 504. The row "streams take longer than is left" has a client that waits 8 s: with 1 s the deadline comes first, so it can't be cut off.

--- a/edge/entry.go
+++ b/edge/entry.go
@@ -258,8 +258,8 @@
 }
 
 // StartDraining makes the entry report to peers and readiness checks that it accepts no new
-// connections, and refuse requests that are likely to last beyond the given time, at which
-// those in progress are ended.
+// connections, and refuse requests whose deadline is after the given time, at which those in
+// progress are ended.
 func (e *Entry) StartDraining(stopAt time.Time) {
 	e.leaving.Store(true)
 	e.proxy.StopAt(stopAt)
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -155,19 +155,17 @@
 	return nil
 }
 
-// checkStop refuses the request if the entry stops and is likely to do so before the
-// request could be served. Another entry can serve it.
+// checkStop refuses the request if the entry stops and may do so before the request is over.
 func (x *exchange) checkStop(context.Context) *Refusal {
+	return x.stopRefusal()
+}
+
+// stopRefusal returns a refusal if the entry stops before the deadline of the request, and nil otherwise.
+// Another entry can serve the request. Once a replica has it, only the deadline bounds how long it takes,
+// and a stream that has begun can't be ended with an answer.
+func (x *exchange) stopRefusal() *Refusal {
 	stopAt := x.proxy.stopAt.Load()
-	if stopAt == nil {
-		return nil
-	}
-	expected := x.pool.LongDuration()
-	if expected == 0 || x.route.RetryRule == track.RetryOnlyIfNotRun {
-		// Nobody could tell whether a request that is cut off has run.
-		expected = x.deadline.Sub(x.arrived)
-	}
-	if !x.proxy.options.Clock.Now().Add(expected).After(*stopAt) {
+	if stopAt == nil || !x.deadline.After(*stopAt) {
 		return nil
 	}
 	return &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: stoppingRetryAfter, Reason: "Stopping"}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -123,8 +123,8 @@
 }
 
 // StopAt tells the proxy that the entry stops, and when requests that are still in progress are
-// ended, so that their clients get an answer. Requests that are likely to take longer are refused from
-// then on, also those that must not run twice and may take longer.
+// ended, so that their clients get an answer. Requests with a later deadline are refused from then on,
+// unless they have been sent to a replica before.
 func (p *Proxy) StopAt(t time.Time) {
 	p.stopAt.Store(&t)
 	p.options.Clock.AfterFunc(t.Sub(p.options.Clock.Now()), p.cancelInProgress)
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -360,13 +360,17 @@
 		name string
 		// served is how long earlier streams took; 0 if there were none.
 		served time.Duration
-		left   time.Duration
-		code   int
+		// timeout is how long the client waits, and left the time until the stop.
+		timeout time.Duration
+		left    time.Duration
+		code    int
 	}{
-		{"streams take longer than is left", 5 * time.Second, 4600 * time.Millisecond, http.StatusServiceUnavailable},
-		{"streams end in time", 3 * time.Second, 4600 * time.Millisecond, http.StatusOK},
-		{"unknown durations, less left than the timeout", 0, 900 * time.Millisecond, http.StatusServiceUnavailable},
-		{"unknown durations, more left than the timeout", 0, 1100 * time.Millisecond, http.StatusOK},
+		{"streams take longer than is left", 5 * time.Second, 8 * time.Second, 4600 * time.Millisecond, http.StatusServiceUnavailable},
+		{"streams end in time", 3 * time.Second, time.Second, 4600 * time.Millisecond, http.StatusOK},
+		{"earlier streams were short", 100 * time.Millisecond, 8 * time.Second, 7900 * time.Millisecond, http.StatusServiceUnavailable},
+		{"earlier streams were short, all end in time", 100 * time.Millisecond, 8 * time.Second, 8 * time.Second, http.StatusOK},
+		{"unknown durations, less left than the timeout", 0, time.Second, 900 * time.Millisecond, http.StatusServiceUnavailable},
+		{"unknown durations, more left than the timeout", 0, time.Second, 1100 * time.Millisecond, http.StatusOK},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h := newHarness()
@@ -380,7 +384,9 @@
 				grant.Done(batch.Result{Verdict: batch.Served})
 			}
 			h.proxy.StopAt(h.clock.Now().Add(c.left))
-			got, err := h.post("/notes/1")
+			request := newRequest("/notes/1")
+			request.TimeLeft = c.timeout
+			got, err := h.send(request)
 			assert.NilError(t, err)
 			assert.Equal(t, got.Code, c.code)
 			if c.code != http.StatusOK {
@@ -403,8 +409,10 @@
 	}{
 		{"/book/1", 900 * time.Millisecond, http.StatusServiceUnavailable, 0},
 		{"/book/1", 1100 * time.Millisecond, http.StatusGatewayTimeout, 1},
-		{"/status/1", 900 * time.Millisecond, http.StatusGatewayTimeout, 1},
-		{"/notes/1", 900 * time.Millisecond, http.StatusGatewayTimeout, 1},
+		{"/status/1", 900 * time.Millisecond, http.StatusServiceUnavailable, 0},
+		{"/status/1", 1100 * time.Millisecond, http.StatusGatewayTimeout, 1},
+		{"/notes/1", 900 * time.Millisecond, http.StatusServiceUnavailable, 0},
+		{"/notes/1", 1100 * time.Millisecond, http.StatusGatewayTimeout, 1},
 	} {
 		t.Run(fmt.Sprintf("%s with %s left", c.path, c.left), func(t *testing.T) {
 			h := newHarness(hangsBeforeHead, hangsBeforeHead, hangsBeforeHead)
@@ -439,6 +447,25 @@
 	}
 }
 
+// Guards against a request that is sent to a replica after the stop has begun, since it waited or was declined
+// before, and is cut off.
+func TestStopMeanwhileKeepsRequestsFromReplicas(t *testing.T) {
+	for code, left := range map[int]time.Duration{
+		http.StatusServiceUnavailable: 900 * time.Millisecond,
+		http.StatusOK:                 1100 * time.Millisecond,
+	} {
+		h := newHarness(atCapacity)
+		h.onCall = func() { h.proxy.StopAt(h.clock.Now().Add(left)) }
+		got, err := h.post("/notes/1")
+		assert.NilError(t, err)
+		assert.Equal(t, got.Code, code)
+		if code != http.StatusOK {
+			assert.Equal(t, got.Header().Get("Reason"), "Stopping")
+			assert.Equal(t, len(h.calls), 1)
+		}
+	}
+}
+
 func TestLeavingAndRestingReplicasGetNoRequests(t *testing.T) {
 	for _, b := range []behaviour{leaves, rests} {
 		h := newHarness(b)
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -70,12 +70,9 @@
 			return refusal
 		}
 		x.grant = grant
-		if grant.Waited > 0 {
-			// The request may have been barred meanwhile.
-			if refusal := x.barredRefusal(); refusal != nil {
-				grant.Done(batch.Result{Verdict: batch.Canceled})
-				return refusal
-			}
+		if refusal := x.recheck(grant); refusal != nil {
+			grant.Done(batch.Result{Verdict: batch.Canceled})
+			return refusal
 		}
 		outcome := x.attempt(ctx, grant)
 		grant.Done(outcome.result)
@@ -104,6 +101,20 @@
 	}
 }
 
+// recheck returns a refusal if the request must not be sent any more: it may have been barred while it
+// waited, and the entry may stop by now.
+func (x *exchange) recheck(grant *batch.Grant) *Refusal {
+	if grant.Waited > 0 {
+		if refusal := x.barredRefusal(); refusal != nil {
+			return refusal
+		}
+	}
+	if x.mayHaveRun {
+		return nil
+	}
+	return x.stopRefusal()
+}
+
 // reportAttempt tells the crash tracker if the request ran to completion or broke off on
 // the replica.
 func (x *exchange) reportAttempt(ctx context.Context, grant *batch.Grant, outcome attemptOutcome) {
--- a/proxy/world_test.go
+++ b/proxy/world_test.go
@@ -120,6 +120,8 @@
 	replacedBy map[string]track.ReplicaID
 	// script lists the behaviours of the attempts, in order.
 	script []behaviour
+	// onCall is called with each call that reaches a replica; nil if nobody waits for it.
+	onCall func()
 	// calls lists the attempts so far, and runs counts those that a replica has run.
 	calls []track.ReplicaCall
 	runs  int
@@ -227,10 +229,15 @@
 
 // post sends a POST request with a valid API key and a body through the proxy.
 func (h *harness) post(path string) (*httptest.ResponseRecorder, error) {
-	return h.send(&proxy.Request{
+	return h.send(newRequest(path))
+}
+
+// newRequest returns a POST request with a valid API key and a body.
+func newRequest(path string) *proxy.Request {
+	return &proxy.Request{
 		ID: "r-1", Host: host, Method: http.MethodPost, Target: path, Path: path,
 		Header: http.Header{"Note": {"kept"}}, Body: []byte("bales"), APIKey: "key", TimeLeft: time.Second,
-	})
+	}
 }
 
 func (h *harness) send(r *proxy.Request) (*httptest.ResponseRecorder, error) {
@@ -257,6 +264,9 @@
 		h.crashes++
 	}
 	h.calls = append(h.calls, call)
+	if h.onCall != nil {
+		h.onCall()
+	}
 	if b.ran() {
 		h.runs++
 	}
