fix(keyed,edge): the list of replicas carries its age from entry to entry

Cause: the list passes through a chain - the leader's read, its message, the rule that a leader counts for 1.5 s, the follower's next read - and each part allowed for its own delay only. LogAge was even the time since the log answered any topic. The sum was 0.9 D + 0.4 s, 2.2 s for D = 2 s.

Change: a page from a mirror carries its age, a follower that takes it is that old, and takes none that could reach the drain time before the end of its next read; it reads the log instead. LogAge is the age of the list and grows while no message comes. Reads from a leader that is frozen are given up after 0.25 s.

--- a/edge/agent.go
+++ b/edge/agent.go
@@ -130,7 +130,7 @@
 		service: o.Service, client: a.client, addresses: func() []string { return a.members.entryAddresses(o.Zone) },
 		log: o.Log, topics: o.Topics, decode: o.DecodeConfig, clock: o.Clock, logger: o.Logger,
 	}
-	relay := keyed.NewRelay(o.Log, a.zoneEntry, o.Clock)
+	relay := keyed.NewRelay(o.Log, a.zoneEntry, keyed.RelayLimits{}, o.Clock)
 	followers := followerFactory{
 		clock: o.Clock, logger: o.Logger,
 		peers: func() []track.KeyedLog { return a.members.entryMirrors(a.gossipNode.LiveMessages()) },
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -89,6 +89,33 @@
 	}
 }
 
+// The list that an entry takes from its zone's leader must not reach the drain time before the end of the next read,
+// also if the leader then doesn't answer.
+func TestLeadersListIsReplacedBeforeTheDrainTime(t *testing.T) {
+	for drain := 100 * time.Millisecond; drain <= 10*time.Second; drain += 100 * time.Millisecond {
+		o := Options{DrainTimeout: drain}
+		age := o.maxLeaderAge()
+		assert.Assert(t, age > 0, "0 would be no limit")
+		if age > 1 {
+			assert.Assert(t, age+leaderReadTimeout+o.replicasReadInterval()+leaderReadTimeout < drain, "%s", drain)
+		}
+	}
+}
+
+// The age in a message grows while no further message comes.
+func TestLeaderIsLeftOnceItsLatestMessageIsOld(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	e := newEntry(clock)
+	note := entryNote("front-1", 1)
+	note.LogAge = e.options.maxLeaderAge()
+	e.receiveNew(note)
+	_, ok := e.zoneLeader()
+	assert.Assert(t, ok)
+	clock.Advance(time.Millisecond)
+	_, ok = e.zoneLeader()
+	assert.Assert(t, !ok)
+}
+
 func TestInFlightCountsOfPeers(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	e := newEntry(clock)
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -48,15 +48,16 @@
 	membersReadInterval    = 500 * time.Millisecond
 	membersMaxReadInterval = 30 * time.Second
 	// replicasReadShare is the time between two reads of the replicas, as a share of the time
-	// after which a draining replica must get no request. A change passes through two reads:
-	// that of the zone's leader and that of the entry. minReplicasReadInterval and
+	// after which a draining replica must get no request. minReplicasReadInterval and
 	// maxReplicasReadInterval bound the time.
 	replicasReadShare       = 0.3
 	minReplicasReadInterval = 300 * time.Millisecond
 	maxReplicasReadInterval = 1500 * time.Millisecond
-	// leaderAgeMargin is the time beyond two reads after which the replica list of an entry that
-	// reads it from the log for other entries is out of date.
-	leaderAgeMargin = 300 * time.Millisecond
+	// leaderReadTimeout limits a read of the replicas from the zone's leader. Then the log is read.
+	leaderReadTimeout = 250 * time.Millisecond
+	// logReadMargin is the time left for reading the replicas from the log, and for requests that
+	// are on their way to a replica.
+	logReadMargin = 100 * time.Millisecond
 	// entryMessageInterval is the time between two messages of an entry. It bounds the age
 	// of the counts of requests in flight.
 	entryMessageInterval = 100 * time.Millisecond
@@ -117,6 +118,14 @@
 	return min(max(interval, minReplicasReadInterval), maxReplicasReadInterval)
 }
 
+// maxLeaderAge returns the age beyond which the list of replicas of the zone's leader isn't used. An
+// entry that takes a list of that age needs it until the end of its next read, which may follow a
+// read from the leader that fails; only then does the list reach the age at which a draining replica
+// must get no request. It is at least 1 ns, as 0 would be no limit.
+func (o Options) maxLeaderAge() time.Duration {
+	return max(o.DrainTimeout-o.replicasReadInterval()-2*leaderReadTimeout-logReadMargin, 1)
+}
+
 // Entry is an entry without its listeners: it finds replicas and peers, and proxies
 // requests.
 type Entry struct {
@@ -132,12 +141,10 @@
 	configFollower   *keyed.Follower
 	peerConfigReader *peerConfigReader
 	replicaFollower  *keyed.Follower
-	// relay reads from the leader of the zone or, if there is none, from the log.
-	relay          *keyed.Relay
-	logContact     *logContact
-	memberFollower *keyed.Follower
-	announcer      *announcer
-	leaving        atomic.Bool
+	logContact       *logContact
+	memberFollower   *keyed.Follower
+	announcer        *announcer
+	leaving          atomic.Bool
 	// signs holds what replicas say of themselves.
 	signs     *signs.Book
 	startedAt time.Time
@@ -182,7 +189,6 @@
 	e.partsTracker = parts.New(o.Clock, o.Logger, o.Metrics)
 	e.blameTracker = blame.New(o.Clock, o.Logger, o.Metrics, e.partsTracker)
 	e.barredKeeper = newBarredKeeper(o.Log, o.Clock, e.blameTracker, e.partsTracker, o.Logger)
-	e.relay = keyed.NewRelay(o.Log, e.zoneLeader, o.Clock)
 	followers := followerFactory{
 		clock: o.Clock, logger: o.Logger,
 		peers: e.peerMirrors,
@@ -193,11 +199,12 @@
 		ApplyRestored: applyRestoredConfig(e.configHolder, o.Topics.ConfigKey, e.announcer, e.barredKeeper),
 	})
 	e.peerConfigReader = newPeerConfigReader(e.configHolder, e.members.client, o.Clock, o.Logger)
-	e.replicaFollower = followers.newFollower(e.relay, keyed.Options{
+	replicaLimits := keyed.RelayLimits{MaxAge: o.maxLeaderAge(), Timeout: leaderReadTimeout}
+	e.replicaFollower = followers.newFollower(keyed.NewRelay(o.Log, e.zoneLeader, replicaLimits, o.Clock), keyed.Options{
 		Topic: o.Topics.Replicas, PollInterval: o.replicasReadInterval(), Apply: e.fleet.Apply,
 		ApplyRestored: e.fleet.ApplyRestored,
 	})
-	e.memberFollower = followers.newFollower(e.relay, keyed.Options{
+	e.memberFollower = followers.newFollower(keyed.NewRelay(o.Log, e.zoneLeader, keyed.RelayLimits{}, o.Clock), keyed.Options{
 		Topic: topicMembers, PollInterval: membersReadInterval, MaxPollInterval: membersMaxReadInterval,
 		Apply: e.members.applyRecords,
 	})
@@ -244,10 +251,10 @@
 func (e *Entry) ServePeers(mux *http.ServeMux) {
 	talk.Handle(mux, pathEngine, e.engineSpec)
 	talk.Handle(mux, pathConfig, e.currentConfig)
-	keyed.HandleMirrors(mux, map[string]*keyed.Mirror{
-		e.options.Topics.Config:   e.configFollower.Mirror(),
-		e.options.Topics.Replicas: e.replicaFollower.Mirror(),
-		topicMembers:              e.memberFollower.Mirror(),
+	keyed.HandleMirrors(mux, map[string]*keyed.Follower{
+		e.options.Topics.Config:   e.configFollower,
+		e.options.Topics.Replicas: e.replicaFollower,
+		topicMembers:              e.memberFollower,
 	})
 }
 
@@ -352,8 +359,7 @@
 }
 
 // zoneLeader returns the mirrors of the entry that reads the list of replicas from the log
-// for the others of the zone: the first by name of those that have read it from the log
-// recently. It returns false if that is this entry, or if there is none.
+// for the others of the zone: the first by name of those whose list is recent. It returns false if that is this entry, or if there is none.
 func (e *Entry) zoneLeader() (track.KeyedLog, bool) {
 	note, ok := e.leaderNote()
 	if !ok {
@@ -367,7 +373,7 @@
 func (e *Entry) leaderNote() (gossip.Message, bool) {
 	var first gossip.Message
 	for _, note := range e.gossipNode.LiveMessages() {
-		readRecently := note.LogAge >= 0 && note.LogAge < 2*e.options.replicasReadInterval()+leaderAgeMargin
+		readRecently := note.LogAge >= 0 && note.LogAge <= e.options.maxLeaderAge()
 		if note.Role == track.RoleEntry && note.Zone == e.options.Zone && readRecently && !note.Leaving &&
 			(first.From == "" || note.From < first.From) {
 			first = note
@@ -418,7 +424,7 @@
 	if otherZone {
 		return note
 	}
-	if age, known := e.relay.LogAge(); known {
+	if age, known := e.replicaFollower.Age(); known {
 		note.LogAge = age
 	}
 	note.InFlight = e.inFlight()
@@ -490,7 +496,7 @@
 // tick updates what depends on the passing of time: it removes replicas whose entries have
 // expired, and drops the counts of peers that have fallen silent.
 func (e *Entry) tick() {
-	if age, known := e.relay.LogAge(); known {
+	if age, known := e.replicaFollower.Age(); known {
 		e.logContact.observe(e.options.Clock.Now().Add(-age))
 	}
 	e.fleet.RemoveLapsed()
--- a/edge/gauges.go
+++ b/edge/gauges.go
@@ -21,7 +21,7 @@
 		return 0
 	})
 	set.GetOrCreateGauge("filberttrack_replicas_age_seconds", func() float64 {
-		age, known := e.relay.LogAge()
+		age, known := e.replicaFollower.Age()
 		if !known {
 			return -1
 		}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -65,8 +65,8 @@
 	// ConfigAge is the time since the sender knew that its offset of the configuration's topic was
 	// the end of the topic; nil if it never knew, and for agents.
 	ConfigAge *time.Duration `json:",omitempty"`
-	// LogAge is the time since the sender last got the list of replicas from the log
-	// itself; negative if it never did.
+	// LogAge is the time since the sender's list of replicas is known to have been up to date;
+	// negative if it never was.
 	LogAge time.Duration
 	// InFlight counts the sender's requests in flight on each replica.
 	InFlight map[track.ReplicaID]track.InFlight `json:",omitempty"`
@@ -418,16 +418,22 @@
 }
 
 // LiveMessages returns the latest messages of the peers that sent one within the
-// last PeerTimeout.
+// last PeerTimeout. LogAge includes the time since the message arrived.
 func (n *Node) LiveMessages() []Message {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.options.Clock.Now()
 	var live []Message
 	for _, received := range n.latest {
-		if now.Sub(received.receivedAt) < PeerTimeout {
-			live = append(live, received.message)
+		age := now.Sub(received.receivedAt)
+		if age >= PeerTimeout {
+			continue
+		}
+		message := received.message
+		if message.LogAge >= 0 {
+			message.LogAge += age
 		}
+		live = append(live, message)
 	}
 	return live
 }
--- a/keyed/confirm.go
+++ b/keyed/confirm.go
@@ -23,6 +23,22 @@
 	return f.progress.confirmed()
 }
 
+// Age returns the time since the mirror is known to have held all records of the topic; false if it
+// never was.
+func (f *Follower) Age() (time.Duration, bool) {
+	at := f.progress.confirmed()
+	return f.options.Clock.Since(at), !at.IsZero()
+}
+
+// confirmPage records that the mirror holds all records of the topic as of a page that was requested
+// at the given time.
+func (f *Follower) confirmPage(page track.KeyedPage, sentAt time.Time) {
+	if page.Age != nil {
+		sentAt = sentAt.Add(-*page.Age)
+	}
+	f.progress.confirm(sentAt)
+}
+
 // PendingSince returns when the read that waits for the log's answer was sent; zero if none
 // waits.
 func (f *Follower) PendingSince() time.Time {
@@ -85,7 +101,6 @@
 		f.recordFailure(err, sentAt)
 		return false
 	}
-	f.progress.confirm(sentAt)
 	f.recordAnswer()
 	return true
 }
--- a/keyed/follow.go
+++ b/keyed/follow.go
@@ -112,7 +112,6 @@
 		switch {
 		case err == nil:
 			f.recordAnswer()
-			f.progress.confirm(sentAt)
 			readPause = max(readPause, min(2*readPause, f.options.MaxPollInterval))
 			if from != before {
 				pause = max(pause, f.options.GatherTime)
@@ -142,6 +141,7 @@
 // The pages are not a snapshot, so this is the end of the topic at the first page.
 func (f *Follower) load(ctx context.Context) (track.LogPosition, error) {
 	var whole track.KeyedPage
+	sentAt := f.options.Clock.Now()
 	after := ""
 	for first := true; ; first = false {
 		page, err := f.options.Log.Newest(ctx, f.options.Topic, after)
@@ -149,7 +149,7 @@
 			return track.LogPosition{}, err
 		}
 		if first {
-			whole.End, whole.Era = page.End, page.Era
+			whole.End, whole.Era, whole.Age = page.End, page.Era, page.Age
 		}
 		if known := f.mirror.Position().Era; page.Era != whole.Era || page.Era < known {
 			return track.LogPosition{}, eraError(track.Unavailable, page.Era, max(whole.Era, known))
@@ -169,6 +169,7 @@
 		after = last
 	}
 	f.replace(whole)
+	f.confirmPage(whole, sentAt)
 	return track.LogPosition{Era: whole.Era, Offset: whole.End}, nil
 }
 
@@ -182,6 +183,7 @@
 // another era.
 func (f *Follower) read(ctx context.Context, from track.LogPosition, wait time.Duration) (track.LogPosition, error) {
 	for {
+		sentAt := f.options.Clock.Now()
 		page, err := f.options.Log.Read(ctx, f.options.Topic, from.Offset, wait)
 		if err != nil {
 			return from, err
@@ -196,6 +198,7 @@
 		f.apply(f.mirror.Add(page))
 		from.Offset = max(from.Offset, page.End)
 		if !page.More {
+			f.confirmPage(page, sentAt)
 			return from, nil
 		}
 	}
--- a/keyed/serve.go
+++ b/keyed/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"time"
 
@@ -25,21 +26,36 @@
 	Newest bool
 }
 
-// HandleMirrors registers the handler through which peers read the mirrors. Mirrors maps the name
-// of each topic to its mirror.
-func HandleMirrors(mux *http.ServeMux, mirrors map[string]*Mirror) {
+// unknownAge is the age of a mirror that was never confirmed, or whose peer doesn't tell.
+const unknownAge time.Duration = math.MaxInt64
+
+// HandleMirrors registers the handler through which peers read the mirrors of the followers, which
+// are given by the names of their topics.
+func HandleMirrors(mux *http.ServeMux, followers map[string]*Follower) {
 	talk.Handle(mux, mirrorPath, func(_ context.Context, req mirrorRequest) (track.KeyedPage, error) {
-		mirror := mirrors[req.Topic]
-		switch {
-		case mirror == nil:
+		follower := followers[req.Topic]
+		if follower == nil {
 			return track.KeyedPage{}, track.Fail("read mirror", track.Invalid, fmt.Errorf("topic %q isn't mirrored", req.Topic))
-		case req.Newest:
-			return mirror.Newest()
 		}
-		return mirror.Since(req.From)
+		return follower.servePeer(req)
 	})
 }
 
+// servePeer returns the records of the mirror that a peer asks for, with the mirror's age.
+func (f *Follower) servePeer(req mirrorRequest) (track.KeyedPage, error) {
+	// The records are read later than the age: they may be newer, never older.
+	age, known := f.Age()
+	if !known {
+		age = unknownAge
+	}
+	page, err := f.mirror.Since(req.From)
+	if req.Newest {
+		page, err = f.mirror.Newest()
+	}
+	page.Age = &age
+	return page, err
+}
+
 // PeerClient is a client that reads the mirrors of one peer.
 type PeerClient struct {
 	client  *talk.Client
@@ -66,7 +82,12 @@
 func (p *PeerClient) call(ctx context.Context, req mirrorRequest) (track.KeyedPage, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	return talk.Call[mirrorRequest, track.KeyedPage](ctx, p.client, p.address, mirrorPath, req)
+	page, err := talk.Call[mirrorRequest, track.KeyedPage](ctx, p.client, p.address, mirrorPath, req)
+	if page.Age == nil {
+		age := unknownAge
+		page.Age = &age
+	}
+	return page, err
 }
 
 var errReadOnly = errors.New("mirrors are read-only")
--- a/keyedlog.go
+++ b/keyedlog.go
@@ -24,6 +24,9 @@
 	// older copy of itself, which lacks the latest records and gives out their offsets
 	// again. Offsets are comparable within an era only. It is 0 if the log doesn't say.
 	Era uint64 `json:",omitempty"`
+	// Age is the time since the page is known to have been up to date, if it comes from the mirror
+	// of a peer; nil if it comes from the log itself.
+	Age *time.Duration `json:",omitempty"`
 }
 
 // LogPosition is a position in a topic of the platform's log.
