fix(proxy): judge by the deadline once refused clients reach another entry

Cause: the platform takes an entry out after two readiness checks a second apart. Until then a client that is refused may come back to the same entry, with the only retry that it has.

--- a/batch/pool.go
+++ b/batch/pool.go
@@ -176,6 +176,7 @@
 	candidates []*replica
 	// meanGrantTime is the moving mean of the time from a grant to its Done.
 	meanGrantTime time.Duration
+	durations     durationWindow
 	// nextReturn is when the next client should retry that is refused while all replicas rest
 	// or name limits.
 	nextReturn time.Time
@@ -586,6 +587,7 @@
 
 // recordGrantTime adds the duration of a served attempt to the moving mean.
 func (p *Pool) recordGrantTime(held time.Duration) {
+	p.durations.add(held)
 	if p.meanGrantTime == 0 {
 		p.meanGrantTime = held
 		return
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -265,11 +265,10 @@
 }
 
 // StartDraining makes the entry report to peers and readiness checks that it accepts no new
-// connections, and refuse requests whose deadline is after the given time, at which those in
-// progress are ended.
-func (e *Entry) StartDraining(stopAt time.Time) {
+// connections, and refuse requests that may not be over when those in progress are ended.
+func (e *Entry) StartDraining(stop proxy.Stop) {
 	e.leaving.Store(true)
-	e.proxy.StopAt(stopAt)
+	e.proxy.Stop(stop)
 	e.gossipNode.SendToAllNow()
 }
 
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -160,17 +160,27 @@
 	return x.stopRefusal()
 }
 
-// stopRefusal returns a refusal if the entry stops before the deadline of the request, and nil otherwise.
-// Another entry can serve the request. Once a replica has it, only the deadline bounds how long it takes,
-// and a stream that has begun can't be ended with an answer.
+// stopRefusal returns a refusal if the entry stops before the request is over, and nil otherwise.
 func (x *exchange) stopRefusal() *Refusal {
-	stopAt := x.proxy.stopAt.Load()
-	if stopAt == nil || !x.deadline.After(*stopAt) {
+	stop := x.proxy.stop.Load()
+	if stop == nil || !x.expectedEnd(*stop).After(stop.EndAt) {
 		return nil
 	}
 	return &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: stoppingRetryAfter, Reason: "Stopping"}
 }
 
+// expectedEnd returns the time at which the request is over. That is the deadline, as a stream that has begun
+// can't be ended with an answer, and nobody could tell whether another request that is cut off has run. As
+// long as a refused client may come back to this entry, a request that may be repeated is expected to take no
+// longer than nearly all others.
+func (x *exchange) expectedEnd(stop Stop) time.Time {
+	now, long := x.proxy.options.Clock.Now(), x.pool.LongDuration()
+	if long == 0 || x.route.RetryRule == track.RetryOnlyIfNotRun || !now.Before(stop.ReroutedAt) {
+		return x.deadline
+	}
+	return now.Add(long)
+}
+
 // checkBarred refuses a request that is barred because it crashes the replicas that run
 // it.
 func (x *exchange) checkBarred(context.Context) *Refusal {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -108,9 +108,9 @@
 // Proxy forwards clients' requests to replicas. It is safe for concurrent use.
 type Proxy struct {
 	options Options
-	// stopAt is when requests in progress are ended; nil unless the entry stops.
-	stopAt atomic.Pointer[time.Time]
-	// stopping ends at stopAt.
+	// stop is nil unless the entry stops.
+	stop atomic.Pointer[Stop]
+	// stopping ends as requests in progress do.
 	stopping         context.Context
 	cancelInProgress context.CancelFunc
 }
@@ -122,12 +122,20 @@
 	return p
 }
 
-// StopAt tells the proxy that the entry stops, and when requests that are still in progress are
-// ended, so that their clients get an answer. Requests with a later deadline are refused from then on,
-// unless they have been sent to a replica before.
-func (p *Proxy) StopAt(t time.Time) {
-	p.stopAt.Store(&t)
-	p.options.Clock.AfterFunc(t.Sub(p.options.Clock.Now()), p.cancelInProgress)
+// Stop holds the times of a planned stop.
+type Stop struct {
+	// ReroutedAt is when the platform sends no more clients to this entry: those that are refused then
+	// reach another one.
+	ReroutedAt time.Time
+	// EndAt is when requests that are still in progress are ended, so that their clients get an answer.
+	EndAt time.Time
+}
+
+// Stop tells the proxy that the entry stops. Requests that may take longer than until EndAt are refused
+// from then on, unless they have been sent to a replica before.
+func (p *Proxy) Stop(s Stop) {
+	p.stop.Store(&s)
+	p.options.Clock.AfterFunc(s.EndAt.Sub(p.options.Clock.Now()), p.cancelInProgress)
 }
 
 // onStop registers a function that ends a request in progress at the stop. The result unregisters it.
