fix(steer): a promise made without the agent waits until the rank's reports are recent

The coordinator claimed a rank that had just woken and been armed, read a report from before that, and released it without disarming it.

Change: a direct promise is given once the reports show all that the rank did before it was claimed: the lag that the engines name (ExpertSpec.ReportLag, from report_lag_ms) and 0.1 s. While it isn't known, there is none.

Test: TestDirectPromiseShowsWhatTheRankDidJustBefore, red without the wait.

--- a/edge/agent.go
+++ b/edge/agent.go
@@ -85,7 +85,7 @@
 	Topics       Topics
 	DecodeConfig latest.DecodeFunc
 	// Rank is the rank beside the agent.
-	Rank steer.RemoteRank
+	Rank steer.Rank
 	// DirectRank returns direct access to the rank with the given address. It is nil if the
 	// engines don't check fencing tokens.
 	DirectRank func(server string) steer.RemoteRank
--- a/expert.go
+++ b/expert.go
@@ -160,8 +160,9 @@
 // controlled by several processes, which don't know of each other's promises.
 type RankClaimer interface {
 	// Claim makes the rank refuse all orders with a lower fencing number, including those that
-	// arrive late, until it restarts. It changes nothing else. An error of kind Refused means that
-	// the rank has seen a higher number; after any other error the rank may be claimed.
+	// arrive late, until it restarts. It changes nothing else. A state that is read afterwards shows
+	// all orders that were carried out before. An error of kind Refused means that the rank has seen
+	// a higher number; after any other error the rank may be claimed.
 	Claim(ctx context.Context, fence uint64) error
 }
 
--- a/gateway.go
+++ b/gateway.go
@@ -117,6 +117,9 @@
 	LinkBytesPerSecond float64
 	// ExpertTimeShare is the share of the time of a pass that is spent in experts, 0 to 1.
 	ExpertTimeShare float64
+	// ReportLag is the age of the states that a rank reports to other machines than its own; 0 if
+	// unknown.
+	ReportLag time.Duration
 }
 
 // RequestLimits holds the bounds on requests and connections of clients.
--- a/steer/balance_test.go
+++ b/steer/balance_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -20,7 +21,8 @@
 // directly. Each rank starts with two of six experts and has three slots.
 type balancedGroup struct {
 	t         *testing.T
-	clock     *clockwork.FakeClock
+	clock     clockwork.Clock
+	advance   func(time.Duration)
 	ranks     []*fakeRank
 	balancers []*steer.Balancer
 	silent    map[int]bool
@@ -46,7 +48,15 @@
 }
 
 func newBalancedGroup(t *testing.T, options ...func(*steer.BalancerOptions)) *balancedGroup {
-	g := &balancedGroup{t: t, clock: clockwork.NewFakeClock(), silent: map[int]bool{}}
+	clock := clockwork.NewFakeClock()
+	return newBalancedGroupWithClock(t, clock, clock.Advance, options...)
+}
+
+// newBalancedGroupWithClock returns a group whose time passes by calls of advance.
+func newBalancedGroupWithClock(
+	t *testing.T, clock clockwork.Clock, advance func(time.Duration), options ...func(*steer.BalancerOptions),
+) *balancedGroup {
+	g := &balancedGroup{t: t, clock: clock, advance: advance, silent: map[int]bool{}}
 	for i := range numRanks {
 		g.ranks = append(g.ranks, &fakeRank{
 			index: i, counts: make([]float64, numExperts), slowdown: 1, held: [][]int32{{int32(2 * i), int32(2*i + 1)}},
@@ -124,7 +134,7 @@
 		for _, r := range g.ranks {
 			r.beginPass()
 		}
-		g.clock.Advance(100 * time.Millisecond)
+		g.advance(100 * time.Millisecond)
 	}
 }
 
@@ -212,6 +222,9 @@
 	return nil
 }
 
+// Claim implements track.RankClaimer.
+func (r *fakeRank) Claim(context.Context, uint64) error { return nil }
+
 // Restore implements track.RankEngine.
 func (r *fakeRank) Restore(context.Context, uint64, track.RankState) error { return nil }
 
@@ -278,12 +291,15 @@
 }
 
 func TestNextBalancerTakesOverFromSilentAgent(t *testing.T) {
-	g := newBalancedGroup(t)
-	g.serve(firstExpertHot, 20)
-	g.silent[0] = true
-	g.serve(lastExpertHot, 30)
-	assert.Assert(t, g.skew(lastExpertHot) < 1.6,
-		"skew %.2f: the rank of the silent agent must take part in changes", g.skew(lastExpertHot))
+	// The takeover waits until the reports of the silent agent's rank are recent.
+	synctest.Test(t, func(t *testing.T) {
+		g := newBalancedGroupWithClock(t, clockwork.NewRealClock(), time.Sleep)
+		g.serve(firstExpertHot, 20)
+		g.silent[0] = true
+		g.serve(lastExpertHot, 30)
+		assert.Assert(t, g.skew(lastExpertHot) < 1.6,
+			"skew %.2f: the rank of the silent agent must take part in changes", g.skew(lastExpertHot))
+	})
 }
 
 // A large group has thousands of counts. They change with the steps of the rank only, so they aren't
--- a/steer/fanout_test.go
+++ b/steer/fanout_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
@@ -164,9 +166,49 @@
 	assert.Equal(t, len(g.direct), maxDirectPeers)
 }
 
+// laggingReports is a rank that was armed just before it is claimed, and reports that with a lag.
+type laggingReports struct {
+	RemoteRank
+	armedAt time.Time
+	lag     time.Duration
+}
+
+func (laggingReports) Claim(context.Context, uint64) error { return nil }
+
+func (r laggingReports) State(context.Context, bool) (track.RankState, error) {
+	if time.Since(r.armedAt) < r.lag {
+		return track.RankState{}, nil
+	}
+	return track.RankState{Armed: &track.MapSwitch{Step: 7}}, nil
+}
+
+// A rank is reported to other machines with a lag. A coordinator that decides by such a report must not miss that
+// the rank was armed, or disarmed, just before it promised: the ranks would begin a pass with two maps.
+func TestDirectPromiseShowsWhatTheRankDidJustBefore(t *testing.T) {
+	for _, reported := range []time.Duration{0, 200 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			g := newLargeGroup()
+			b := g.balancer()
+			b.options.Clock = clockwork.NewRealClock()
+			b.options.Spec = func() (track.ExpertSpec, bool) { return track.ExpertSpec{ReportLag: reported}, true }
+			rank := laggingReports{armedAt: time.Now(), lag: 200 * time.Millisecond}
+			b.options.DirectRank = func(string) RemoteRank { return rank }
+			g.peers[0].Silent = true
+			reply, err := b.sendOrder(t.Context(), track.MapOrder{Kind: track.OrderPromise, To: track.RankID{Agent: g.peers[0].Agent}})
+			assert.NilError(t, err)
+			assert.Assert(t, reply.State.Armed != nil)
+			b.options.Spec = func() (track.ExpertSpec, bool) { return track.ExpertSpec{}, false }
+			_, err = b.sendOrder(t.Context(), track.MapOrder{Kind: track.OrderPromise, To: track.RankID{Agent: g.peers[0].Agent}})
+			assert.Assert(t, track.IsKind(err, swap.EngineFailed), "the lag isn't known: %v", err)
+		})
+	}
+}
+
 // unreadableRank is a rank that doesn't answer.
 type unreadableRank struct{ RemoteRank }
 
+func (unreadableRank) Claim(context.Context, uint64) error { return errors.New("no answer") }
+
 func (unreadableRank) State(context.Context, bool) (track.RankState, error) {
 	return track.RankState{}, errors.New("no answer")
 }
