fix(agent): read a load of at most 1 MiB from the backend server

A backend server that sends its load without end filled the memory of its agent: the probe limited the time of the read, one second, but not its size.

--- a/agent/probe.go
+++ b/agent/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -18,6 +19,9 @@
 // probeTimeout is the timeout of one probe.
 const probeTimeout = time.Second
 
+// maxLoadBytes is the maximum size of a reported load. A list of 50,000 prefixes fits in.
+const maxLoadBytes = 1 << 20
+
 // Probe probes the health and the load of the backend server until the context ends, and
 // returns the cause of its end. It is run as a background task.
 func (a *Agent) Probe(ctx context.Context) error {
@@ -74,7 +78,7 @@
 	case response.StatusCode != http.StatusOK:
 		return load, nil
 	}
-	err = json.NewDecoder(response.Body).Decode(&load)
+	err = json.NewDecoder(io.LimitReader(response.Body, maxLoadBytes)).Decode(&load)
 	if err != nil {
 		return load, fmt.Errorf("decode load: %w", err)
 	}
