--- a/edge/entry.go
+++ b/edge/entry.go
@@ -358,7 +358,8 @@
 }
 
 // zoneLeader returns the mirrors of the entry that reads the list of replicas from the log
-// for the others of the zone: the first by name of those whose list is recent. It returns false if that is this entry, or if there is none.
+// for the others of the zone: the first by name of those whose list is recent. It returns false if
+// that is this entry, or if there is none.
 func (e *Entry) zoneLeader() (track.KeyedLog, bool) {
 	note, ok := e.leaderNote()
 	if !ok {
