feat(batch): divide the slots of engines among the entries

Cause: under three times the usual load, replicas hold 4 requests more than the entry that sent the last one knows of (8 in one of ten cases), since the counts of other entries are up to 0.25 s old. These requests wait inside the engine and are late: the first event takes over 1 s from 15 requests on. Besides, a request with less time left than its route's timeout was taken for one that had been refused before, which 19 of 20 clients here are not.

Change: where there are more entries than slots on a replica, each entry owns a part of the slots in proportion to its demand (permit.Share). It uses slots of others only as far as what it can't know yet leaves room. There, a request counts as new whatever its time left.

--- a/batch/pool.go
+++ b/batch/pool.go
@@ -172,8 +172,8 @@
 	// the latest request.
 	paces  map[string]*groupPace
 	maxGap time.Duration
-	// candidates is scratch space of chooseReplica.
-	candidates []*replica
+	// ownCandidates, candidates and idle are scratch space of collectCandidates.
+	ownCandidates, candidates, idle []*replica
 	// meanGrantTime is the moving mean of the time from a grant to its Done.
 	meanGrantTime time.Duration
 	durations     durationWindow
@@ -182,8 +182,12 @@
 	nextReturn time.Time
 	// share is this entry's part of the limits that replicas name: an even one until SetShare.
 	share permit.Share
+	// shareKnown is set once SetShare has set a share: those of all entries don't overlap then.
+	shareKnown bool
 	// demand is the rate of the requests that this entry would send.
 	demand demandRate
+	// plan divides the slots among the entries; nil if it has to be built anew.
+	plan *slotPlan
 }
 
 // waiter is a queued request.
@@ -215,7 +219,7 @@
 func (p *Pool) Update(replicas []track.Replica) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.byAddress = nil
+	p.byAddress, p.plan = nil, nil
 	present := make(map[track.ReplicaID]bool, len(replicas))
 	for _, r := range replicas {
 		if r.Service != p.options.Service {
@@ -393,7 +397,9 @@
 	// Of the capacity that becomes free, this entry gets about the share that it uses
 	// now.
 	share := 1.0
-	if all > 0 {
+	if p.dividesSlots() {
+		share = p.share.Width
+	} else if all > 0 {
 		share = max(float64(own)/float64(all), minCapacityShare)
 	}
 	sum := 0.0
@@ -484,25 +490,58 @@
 // because the requests in flight from other entries are known with a delay: if all
 // entries sent to the least loaded replica in the meantime, it would be overloaded.
 func (p *Pool) chooseReplica(request AdmissionRequest, now time.Time) (*replica, int) {
-	p.candidates = p.candidates[:0]
+	p.collectCandidates(request, now)
+	count := len(p.ownCandidates) + len(p.candidates)
+	best, bestScore := p.leastLoaded(p.ownCandidates)
+	other, otherScore := p.leastLoaded(p.candidates[:p.sampleCandidates()])
+	if best == nil || other != nil && otherScore*lentAdvantage <= bestScore {
+		best = other
+	}
+	return best, count
+}
+
+// leastLoaded returns the replica with the lowest score, and its score; nil if there is none.
+func (p *Pool) leastLoaded(replicas []*replica) (best *replica, bestScore float64) {
+	for _, r := range replicas {
+		if score := p.score(r); best == nil || score < bestScore {
+			best, bestScore = r, score
+		}
+	}
+	return best, bestScore
+}
+
+// collectCandidates collects the replicas that the request may be sent to now. If the entries divide the slots,
+// ownCandidates are those with a free slot of this entry, and candidates others that have room for certain. Idle
+// replicas are left to the owners of their first slots unless there is no other one.
+func (p *Pool) collectCandidates(request AdmissionRequest, now time.Time) {
+	p.ownCandidates, p.candidates = p.ownCandidates[:0], p.candidates[:0]
 	avoidSlow := p.anyHealthyRank(now)
+	p.idle = p.idle[:0]
+	divided, unseen := p.dividesSlots(), 0
+	if divided {
+		unseen = p.unseenRequests(now)
+	}
 	for _, r := range p.replicas {
 		if !r.available(now) || slices.Contains(request.Excluded, r.ID) ||
-			!p.hasCapacity(r) || avoidSlow && r.slow() || !r.permits.Available(p.share, now) {
+			avoidSlow && r.slow() || !r.permits.Available(p.share, now) || p.engine != nil && r.starting() >= maxStarting {
 			continue
 		}
-		p.candidates = append(p.candidates, r)
-	}
-	count := len(p.candidates)
-	sampled := p.sampleCandidates()
-	var best *replica
-	bestScore := 0.0
-	for _, r := range p.candidates[:sampled] {
-		if score := p.score(r); best == nil || score < bestScore {
-			best, bestScore = r, score
+		switch {
+		case divided && p.hasOwnSlot(r):
+			p.ownCandidates = append(p.ownCandidates, r)
+		case r.load()+unseen >= p.limit(r):
+		case divided && r.load() == 0:
+			p.idle = append(p.idle, r)
+		default:
+			p.candidates = append(p.candidates, r)
 		}
 	}
-	return best, count
+	if len(p.ownCandidates)+len(p.candidates) == 0 {
+		p.candidates = append(p.candidates, p.idle...)
+	}
+	// The iteration order of a map varies.
+	slices.SortFunc(p.ownCandidates, func(a, b *replica) int { return cmp.Compare(a.ID, b.ID) })
+	shuffle(p.ownCandidates, 0, len(p.ownCandidates), len(p.ownCandidates), p.options.Random)
 }
 
 // sampleCandidates moves a random sample to the front of the candidates and returns its
@@ -520,7 +559,7 @@
 		return cmp.Or(cmp.Compare(zoneOrder(a), zoneOrder(b)), cmp.Compare(a.ID, b.ID))
 	})
 	if len(p.candidates) <= maxUnsampled {
-		p.shuffleRange(0, len(p.candidates), len(p.candidates))
+		shuffle(p.candidates, 0, len(p.candidates), len(p.candidates), p.options.Random)
 		return len(p.candidates)
 	}
 	local := slices.IndexFunc(p.candidates, func(r *replica) bool { return zoneOrder(r) == 1 })
@@ -528,17 +567,17 @@
 		local = len(p.candidates)
 	}
 	localSample := min(local, localSampleSize)
-	p.shuffleRange(0, localSample, local)
-	p.shuffleRange(localSample, localSample+sampleSize, len(p.candidates))
+	shuffle(p.candidates, 0, localSample, local, p.options.Random)
+	shuffle(p.candidates, localSample, localSample+sampleSize, len(p.candidates), p.options.Random)
 	return localSample + sampleSize
 }
 
-// shuffleRange fills the positions [first, end) with candidates that are drawn at random
-// from those at [first, last).
-func (p *Pool) shuffleRange(first, end, last int) {
+// shuffle fills the positions [first, end) with replicas that are drawn at random from those at
+// [first, last).
+func shuffle(replicas []*replica, first, end, last int, random func() float64) {
 	for i := first; i < end; i++ {
-		j := i + int(p.options.Random()*float64(last-i))
-		p.candidates[i], p.candidates[j] = p.candidates[j], p.candidates[i]
+		j := i + int(random()*float64(last-i))
+		replicas[i], replicas[j] = replicas[j], replicas[i]
 	}
 }
 
--- a/batch/pool_test.go
+++ b/batch/pool_test.go
@@ -14,6 +14,7 @@
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/batch"
+	"filberttrack.example/track/permit"
 	"filberttrack.example/track/signs"
 )
 
@@ -409,6 +410,7 @@
 				Random: rng.Float64, Signs: signs.New(clock, zap.NewNop()), Entries: func() int { return entries },
 			})
 			p.Configure(engine)
+			p.SetShare(shareByZone(entry, entries, zones))
 			p.Update(list[:known])
 			p.SetOtherInFlight(load)
 			p.Update(list)
@@ -426,6 +428,18 @@
 	}
 }
 
+// shareByZone returns the share of an entry, of those that are dealt out to the zones in turn and have equal
+// demand. Entries set such shares, in the order of zones by name, from what they know of each other's demand.
+func shareByZone(entry, entries int, zones []track.AvailabilityZone) permit.Share {
+	before := entry / len(zones)
+	for i, zone := range zones {
+		if zone < zones[entry%len(zones)] {
+			before += (entries - i + len(zones) - 1) / len(zones)
+		}
+	}
+	return permit.Share{From: float64(before) / float64(entries), Width: 1 / float64(entries)}
+}
+
 // One of two groups has a slow rank, and its passes take three times as long. Requests there are answered later and run
 // longer.
 func TestSlowGroupGetsFewerRequests(t *testing.T) {
--- a/batch/replica.go
+++ b/batch/replica.go
@@ -112,14 +112,6 @@
 	return r.ownInFlight.Starting + r.otherInFlight.Starting
 }
 
-// hasCapacity reports whether the replica may get another request.
-func (p *Pool) hasCapacity(r *replica) bool {
-	if p.engine != nil && r.starting() >= maxStarting {
-		return false
-	}
-	return r.load() < p.limit(r)
-}
-
 // slow reports whether the replica's rank is so slow that its own requests would make
 // the passes of all ranks of its group longer.
 func (r *replica) slow() bool {
--- a/batch/signs.go
+++ b/batch/signs.go
@@ -27,7 +27,11 @@
 
 func (p *Pool) refreshSigns(id track.ReplicaID) {
 	if r := p.replicas[id]; r != nil {
+		wasUsable := r.usable()
 		r.signs = p.options.Signs.Of(r.Replica)
+		if r.usable() != wasUsable {
+			p.plan = nil
+		}
 		r.permits.SetLimit(r.signs.Limit, p.options.Clock.Now())
 	}
 }
@@ -36,7 +40,7 @@
 func (p *Pool) SetShare(share permit.Share) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.share = share
+	p.share, p.shareKnown = share, share.Width > 0
 }
 
 // limitedRate returns the requests a second that this entry may send under the limits that replicas name,
--- a/edge/shares.go
+++ b/edge/shares.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/batch"
 	"filberttrack.example/track/gossip"
 	"filberttrack.example/track/permit"
 )
@@ -71,13 +72,15 @@
 
 // updateShares sets this entry's share of the limits of replicas in each pool, if there are limits.
 func (e *Entry) updateShares() {
-	if !e.signs.AnyLimit() {
-		return
-	}
+	limited := e.signs.AnyLimit()
 	e.mu.Lock()
 	pools := maps.Clone(e.pools)
 	zones := maps.Clone(e.zones)
 	e.mu.Unlock()
+	maps.DeleteFunc(pools, func(_ string, p *batch.Pool) bool { return !limited && !p.NeedsShare() })
+	if len(pools) == 0 {
+		return
+	}
 	messages, members := e.zoneEntryMessages(), e.members.entriesByZone()
 	for service, p := range pools {
 		p.SetShare(ownShare(e.demands(service, p.Demand(), members, messages, zones)))
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -192,7 +192,7 @@
 // inferred from the request: a client that retries after a refusal has less time left than
 // the route's timeout.
 func (x *exchange) timeBeforeArrival() time.Duration {
-	if x.request.TimeLeft <= 0 {
+	if x.request.TimeLeft <= 0 || x.pool.DividesSlots() {
 		return 0
 	}
 	return max(x.route.Timeout-x.request.TimeLeft, 0)
