feat(batch,limit): competing accounts share by fair queueing; lend slots with care

Change: limit.Fair, taken out of limit.Queue, tags requests while any wait; batch orders by start tags among requests that are equally urgent and on time. What entries may have sent unseen is estimated from the demand of the last 0.4 s, too, over the replicas that have room, with two standard deviations.

--- a/batch/demand.go
+++ b/batch/demand.go
@@ -6,8 +6,10 @@
 )
 
 const (
-	// demandWindow is the time constant of the mean demand.
+	// demandWindow is the time constant of the mean demand that entries tell each other, and surgeWindow that of the
+	// latest demand: within half a second of a jump it has most of it.
 	demandWindow = 3 * time.Second
+	surgeWindow  = 400 * time.Millisecond
 	// minDemandAge is the least time over which the demand is averaged.
 	minDemandAge = 500 * time.Millisecond
 )
@@ -22,6 +24,8 @@
 
 // demandRate is a mean rate in which newer requests weigh more.
 type demandRate struct {
+	// window is the time constant of the mean.
+	window           time.Duration
 	since, updatedAt time.Time
 	// sum is the number of requests, each weighed down with its age.
 	sum float64
@@ -33,7 +37,7 @@
 }
 
 func (d *demandRate) decay(now time.Time) {
-	d.sum *= math.Exp(-float64(now.Sub(d.updatedAt)) / float64(demandWindow))
+	d.sum *= math.Exp(-float64(now.Sub(d.updatedAt)) / float64(d.window))
 	d.updatedAt = now
 }
 
@@ -41,5 +45,5 @@
 func (d *demandRate) at(now time.Time) float64 {
 	d.decay(now)
 	age := max(now.Sub(d.since), minDemandAge)
-	return d.sum / (demandWindow.Seconds() * (1 - math.Exp(-float64(age)/float64(demandWindow))))
+	return d.sum / (d.window.Seconds() * (1 - math.Exp(-float64(age)/float64(d.window))))
 }
--- a/batch/pool.go
+++ b/batch/pool.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/limit"
 	"filberttrack.example/track/permit"
 	"filberttrack.example/track/signs"
 )
@@ -55,6 +56,8 @@
 // AdmissionRequest describes a request to be admitted.
 type AdmissionRequest struct {
 	RequestID track.RequestID
+	// Account is the name of the client account; empty if the request has none.
+	Account string
 	// Priority orders the queue; lower values are admitted first.
 	Priority int
 	// Tokens estimates the tokens that the request holds while it runs.
@@ -172,8 +175,8 @@
 	// the latest request.
 	paces  map[string]*groupPace
 	maxGap time.Duration
-	// ownCandidates, candidates and idle are scratch space of collectCandidates.
-	ownCandidates, candidates, idle []*replica
+	// ownCandidates and candidates are scratch space of collectCandidates.
+	ownCandidates, candidates []*replica
 	// meanGrantTime is the moving mean of the time from a grant to its Done.
 	meanGrantTime time.Duration
 	durations     durationWindow
@@ -184,8 +187,10 @@
 	share permit.Share
 	// shareKnown is set once SetShare has set a share: those of all entries don't overlap then.
 	shareKnown bool
-	// demand is the rate of the requests that this entry would send.
-	demand demandRate
+	// demand is the rate of the requests that this entry would send, and surge the same over a shorter time.
+	demand, surge demandRate
+	// fair divides the capacity among accounts while requests wait for it.
+	fair limit.Fair
 	// plan divides the slots among the entries; nil if it has to be built anew.
 	plan *slotPlan
 }
@@ -195,13 +200,22 @@
 	request AdmissionRequest
 	arrived time.Time
 	granted chan *Grant
+	// tag is the request's place among those of other accounts; zero if accounts don't compete.
+	tag limit.Tag
+}
+
+func (w *waiter) flow() limit.Flow {
+	return limit.Flow{Level: w.request.Priority, Account: w.request.Account}
 }
 
 // New returns a pool without replicas.
 func New(options Options) *Pool {
 	now := options.Clock.Now()
 	return &Pool{
-		options: options, createdAt: now, demand: demandRate{since: now, updatedAt: now},
+		options: options, createdAt: now,
+		demand: demandRate{window: demandWindow, since: now, updatedAt: now},
+		surge:  demandRate{window: surgeWindow, since: now, updatedAt: now},
+
 		share:    permit.Share{Width: 1 / float64(max(options.Entries(), 1))},
 		replicas: make(map[track.ReplicaID]*replica), passTimes: make(map[string]time.Duration),
 		paces: make(map[string]*groupPace),
@@ -271,6 +285,7 @@
 	defer p.mu.Unlock()
 	now := p.options.Clock.Now()
 	p.demand.add(now)
+	p.surge.add(now)
 	if request.MaxGap > 0 {
 		p.maxGap = request.MaxGap
 	}
@@ -285,6 +300,9 @@
 		request.WaitUntil = latestStart
 	}
 	w := &waiter{request: request, arrived: now, granted: make(chan *Grant, 1)}
+	if p.dividesSlots() {
+		w.tag = p.fair.Tag(w.flow(), float64(max(request.Tokens, 1)))
+	}
 	p.queue = append(p.queue, w)
 	p.dispatch()
 	select {
@@ -328,6 +346,7 @@
 func (p *Pool) dequeue(w *waiter) {
 	if i := slices.Index(p.queue, w); i >= 0 {
 		p.queue = slices.Delete(p.queue, i, i+1)
+		p.fair.Refund(w.flow(), w.tag)
 	}
 }
 
@@ -457,6 +476,7 @@
 			continue
 		}
 		p.queue = slices.Delete(p.queue, i, i+1)
+		p.fair.Serve(w.flow(), w.tag.Start)
 		r.permits.Use()
 		r.ownInFlight.Running++
 		r.ownInFlight.Starting++
@@ -466,11 +486,14 @@
 			pool: p, tokens: w.request.Tokens, granted: now, starting: true,
 		}
 	}
+	if len(p.queue) == 0 {
+		p.fair.Reset()
+	}
 }
 
 // compareWaiters orders the queue by priority. Among equal priorities, requests that can
-// still be served on time go before those that can't, then the earliest arrival goes
-// first.
+// still be served on time go before those that can't. Then accounts that compete take
+// turns, and at last the earliest arrival goes first.
 func compareWaiters(a, b *waiter, now time.Time) int {
 	if a.request.Priority != b.request.Priority {
 		return a.request.Priority - b.request.Priority
@@ -482,7 +505,7 @@
 	case lateB && !lateA:
 		return -1
 	}
-	return a.arrived.Compare(b.arrived)
+	return cmp.Or(cmp.Compare(a.tag.Start, b.tag.Start), a.arrived.Compare(b.arrived))
 }
 
 // chooseReplica returns the least loaded replica of a small random sample of the available
@@ -511,16 +534,11 @@
 }
 
 // collectCandidates collects the replicas that the request may be sent to now. If the entries divide the slots,
-// ownCandidates are those with a free slot of this entry, and candidates others that have room for certain. Idle
-// replicas are left to the owners of their first slots unless there is no other one.
+// ownCandidates are those with a free slot of this entry, and candidates others that have room.
 func (p *Pool) collectCandidates(request AdmissionRequest, now time.Time) {
 	p.ownCandidates, p.candidates = p.ownCandidates[:0], p.candidates[:0]
 	avoidSlow := p.anyHealthyRank(now)
-	p.idle = p.idle[:0]
-	divided, unseen := p.dividesSlots(), 0
-	if divided {
-		unseen = p.unseenRequests(now)
-	}
+	divided := p.dividesSlots()
 	for _, r := range p.replicas {
 		if !r.available(now) || slices.Contains(request.Excluded, r.ID) ||
 			avoidSlow && r.slow() || !r.permits.Available(p.share, now) || p.engine != nil && r.starting() >= maxStarting {
@@ -529,15 +547,12 @@
 		switch {
 		case divided && p.hasOwnSlot(r):
 			p.ownCandidates = append(p.ownCandidates, r)
-		case r.load()+unseen >= p.limit(r):
-		case divided && r.load() == 0:
-			p.idle = append(p.idle, r)
-		default:
+		case r.load() < p.limit(r):
 			p.candidates = append(p.candidates, r)
 		}
 	}
-	if len(p.ownCandidates)+len(p.candidates) == 0 {
-		p.candidates = append(p.candidates, p.idle...)
+	if divided {
+		p.keepLendable(now)
 	}
 	// The iteration order of a map varies.
 	slices.SortFunc(p.ownCandidates, func(a, b *replica) int { return cmp.Compare(a.ID, b.ID) })
--- a/batch/slots.go
+++ b/batch/slots.go
@@ -164,17 +164,23 @@
 	return used < min(own.count, limit) && r.load() < limit+maxOverfill && r.load() > own.first+used-maxStarting
 }
 
-// unseenRequests estimates the requests on one replica that other entries have sent and of which this one
-// doesn't know yet: the mean, and a standard deviation more.
-func (p *Pool) unseenRequests(now time.Time) int {
-	if p.plan == nil {
-		p.plan = p.layOutSlots()
-	}
-	others := p.demand.at(now) * (1 - p.share.Width) / p.share.Width
-	replicas := 0
-	for _, z := range p.plan.zones {
-		replicas += len(z.replicas)
+// keepLendable keeps those candidates that have room for certain. Idle replicas are left to the owners of their
+// first slots, unless there is no other one.
+func (p *Pool) keepLendable(now time.Time) {
+	unseen := p.unseenRequests(len(p.candidates), now)
+	isFull := func(r *replica) bool { return r.load()+unseen >= p.limit(r) }
+	isIdle := func(r *replica) bool { return r.load() == 0 }
+	p.candidates = slices.DeleteFunc(p.candidates, isFull)
+	if len(p.ownCandidates) > 0 || slices.ContainsFunc(p.candidates, func(r *replica) bool { return !isIdle(r) }) {
+		p.candidates = slices.DeleteFunc(p.candidates, isIdle)
 	}
+}
+
+// unseenRequests estimates the requests on one replica that other entries have sent and of which this one
+// doesn't know yet: the mean, and two standard deviations more. The given number of replicas have room, and all
+// entries send to these.
+func (p *Pool) unseenRequests(replicas int, now time.Time) int {
+	others := max(p.demand.at(now), p.surge.at(now)) * (1 - p.share.Width) / p.share.Width
 	mean := others * countsDelay.Seconds() / float64(max(replicas, 1))
-	return int(math.Ceil(mean + math.Sqrt(mean)))
+	return int(math.Ceil(mean + 2*math.Sqrt(mean)))
 }
--- a/limit/queue.go
+++ b/limit/queue.go
@@ -23,33 +23,27 @@
 	// Cost is the work of the request, in any unit that all requests share.
 	Cost float64
 
-	// start and finish are the request's tags in the virtual time of its level.
-	start, finish float64
-	sequence      uint64
+	tag      Tag
+	sequence uint64
 }
 
-// flow identifies the requests of one account at one level.
-type flow struct {
-	level   int
-	account string
+func (i *Item[T]) flow() Flow {
+	return Flow{Level: i.Priority, Account: i.Account}
 }
 
 // Queue orders requests by level and, within a level, by weighted fair queueing across
 // accounts. The queueing is self-clocked: virtual time is the finish tag of the request
 // served last. It is not safe for concurrent use.
 type Queue[T any] struct {
-	items []*Item[T]
-	// virtualTime is the virtual time of each level.
-	virtualTime map[int]float64
-	// lastFinish is the finish tag of the newest request of each flow.
-	lastFinish map[flow]float64
-	sequence   uint64
-	pops       uint64
+	items    []*Item[T]
+	fair     Fair
+	sequence uint64
+	pops     uint64
 }
 
 // NewQueue returns an empty queue.
 func NewQueue[T any]() *Queue[T] {
-	return &Queue[T]{virtualTime: make(map[int]float64), lastFinish: make(map[flow]float64)}
+	return &Queue[T]{}
 }
 
 // Len returns the number of waiting requests.
@@ -59,14 +53,11 @@
 
 // Push adds a request.
 func (q *Queue[T]) Push(item *Item[T]) {
-	f := flow{item.Priority, item.Account}
 	weight := item.Weight
 	if weight <= 0 {
 		weight = 1
 	}
-	item.start = max(q.virtualTime[item.Priority], q.lastFinish[f])
-	item.finish = item.start + item.Cost/weight
-	q.lastFinish[f] = item.finish
+	item.tag = q.fair.Tag(item.flow(), item.Cost/weight)
 	q.sequence++
 	item.sequence = q.sequence
 	index, _ := slices.BinarySearchFunc(q.items, item, compareItems)
@@ -76,7 +67,7 @@
 // compareItems orders by level, highest first, then by finish tag, then by arrival.
 func compareItems[T any](a, b *Item[T]) int {
 	return cmp.Or(
-		cmp.Compare(b.Priority, a.Priority), cmp.Compare(a.finish, b.finish), cmp.Compare(a.sequence, b.sequence),
+		cmp.Compare(b.Priority, a.Priority), cmp.Compare(a.tag.Finish, b.tag.Finish), cmp.Compare(a.sequence, b.sequence),
 	)
 }
 
@@ -92,8 +83,7 @@
 	}
 	item := q.items[index]
 	q.items = slices.Delete(q.items, index, index+1)
-	q.virtualTime[item.Priority] = max(q.virtualTime[item.Priority], item.finish)
-	q.dropPassedTag(item)
+	q.fair.Serve(item.flow(), item.tag.Finish)
 	return item
 }
 
@@ -129,7 +119,7 @@
 	clear(q.items[len(kept):])
 	q.items = kept
 	for _, item := range slices.Backward(shed) {
-		q.refund(item)
+		q.fair.Refund(item.flow(), item.tag)
 	}
 	return shed
 }
@@ -142,24 +132,6 @@
 		return false
 	}
 	q.items = slices.Delete(q.items, index, index+1)
-	q.refund(item)
+	q.fair.Refund(item.flow(), item.tag)
 	return true
 }
-
-// refund undoes the charge to the account for a request that was never served, if it was
-// the newest of its flow.
-func (q *Queue[T]) refund(item *Item[T]) {
-	f := flow{item.Priority, item.Account}
-	if q.lastFinish[f] == item.finish {
-		q.lastFinish[f] = item.start
-	}
-	q.dropPassedTag(item)
-}
-
-// dropPassedTag deletes the finish tag of the item's flow once virtual time has reached it.
-func (q *Queue[T]) dropPassedTag(item *Item[T]) {
-	f := flow{item.Priority, item.Account}
-	if q.lastFinish[f] <= q.virtualTime[item.Priority] {
-		delete(q.lastFinish, f)
-	}
-}
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -155,6 +155,7 @@
 	onTimeUntil := x.arrived.Add(time.Duration(queueObjectiveShare*float64(x.route.Objective)) - x.timeBeforeArrival())
 	grant, err := x.pool.Acquire(ctx, batch.AdmissionRequest{
 		RequestID:   x.request.ID,
+		Account:     x.account.Name,
 		Priority:    x.priority,
 		Tokens:      x.request.PromptTokens + x.estimateAnswerTokens(),
 		MaxGap:      x.route.MaxGap,
