fix(batch): a service whose group is broken is not taken for a busy one

Cause: in a cut between zones, ranks of the cut zone are silent and hold requests that hang.

Change: where entries divide slots, a group is broken for all its replicas while most ranks that have reported in the last 1.5 s say so.

--- a/batch/groups.go
+++ b/batch/groups.go
@@ -84,6 +84,18 @@
 	State   RankState
 }
 
+// rankReportTime is the time for which the report of a rank counts in the state of its group. Agents report
+// several times in that time.
+const rankReportTime = 1500 * time.Millisecond
+
+// inBrokenGroup reports whether most ranks of the replica's group have reported lately that the group doesn't
+// work. A group needs all its ranks, so that replicas that say nothing, since they are cut off, serve nothing
+// either. Requests that run there still take their slots; a request that waited for these would be refused
+// as if the replicas were busy, and its client come back before the group does.
+func (p *Pool) inBrokenGroup(r *replica) bool {
+	return p.brokenGroups[r.rank.Group] && p.dividesSlots()
+}
+
 // SetRank records a report on one rank.
 func (p *Pool) SetRank(address string, state RankState) {
 	p.SetRanks([]RankReport{{Address: address, State: state}})
@@ -117,7 +129,7 @@
 		r.broken, r.backoffUntil = false, now
 	}
 	old := r.rank
-	r.rank = state
+	r.rank, r.rankReportedAt = state, now
 	if old.PassDuration = state.PassDuration; old != state {
 		p.options.Logger.Info("rank of replica", zap.String("Replica", string(r.ID)), zap.String("Group", state.Group),
 			zap.Bool("Open", state.Working), zap.Float64("Pace", state.Slowdown))
@@ -144,6 +156,8 @@
 	// passes is the sum of the pass durations that the ranks report, and reported their number.
 	passes   time.Duration
 	reported int
+	// working and broken are the numbers of ranks that have reported lately that the group works, or doesn't.
+	working, broken int
 	// running is the number of requests on the listed ranks.
 	running int
 	listed  int
@@ -162,6 +176,13 @@
 			t.passes += r.rank.PassDuration
 			t.reported++
 		}
+		if now.Sub(r.rankReportedAt) < rankReportTime {
+			if r.rank.Working {
+				t.working++
+			} else {
+				t.broken++
+			}
+		}
 		if r.listed {
 			t.running += r.load()
 			t.listed++
@@ -169,6 +190,7 @@
 		totals[r.rank.Group] = t
 	}
 	for group, t := range totals {
+		p.brokenGroups[group] = t.broken > t.working
 		p.passTimes[group] = t.passes / time.Duration(max(t.reported, 1))
 		p.observePass(group, t, now)
 	}
--- a/batch/pool.go
+++ b/batch/pool.go
@@ -171,6 +171,8 @@
 	queue     []*waiter
 	// passTimes holds the mean pass duration by group, as its ranks report it.
 	passTimes map[string]time.Duration
+	// brokenGroups holds the groups most of whose ranks have reported lately that the group doesn't work.
+	brokenGroups map[string]bool
 	// paces holds the pace of each group, and maxGap the longest pause between two events of
 	// the latest request.
 	paces  map[string]*groupPace
@@ -218,7 +220,7 @@
 
 		share:    permit.Share{Width: 1 / float64(max(options.Entries(), 1))},
 		replicas: make(map[track.ReplicaID]*replica), passTimes: make(map[string]time.Duration),
-		paces: make(map[string]*groupPace),
+		paces: make(map[string]*groupPace), brokenGroups: make(map[string]bool),
 	}
 }
 
@@ -359,10 +361,11 @@
 		if !r.usable() || slices.Contains(request.Excluded, r.ID) {
 			continue
 		}
-		if r.remainingBackoff(now) <= 0 {
+		inBrokenGroup := p.inBrokenGroup(r)
+		if r.remainingBackoff(now) <= 0 && !inBrokenGroup {
 			return "", 0
 		}
-		broken = broken || r.broken
+		broken = broken || r.broken || inBrokenGroup
 		if until := r.signs.RestUntil; until.After(now) && (restUntil.IsZero() || until.Before(restUntil)) {
 			restUntil = until
 		}
@@ -540,7 +543,7 @@
 	avoidSlow := p.anyHealthyRank(now)
 	divided := p.dividesSlots()
 	for _, r := range p.replicas {
-		if !r.available(now) || slices.Contains(request.Excluded, r.ID) ||
+		if !r.available(now) || p.inBrokenGroup(r) || slices.Contains(request.Excluded, r.ID) ||
 			avoidSlow && r.slow() || !r.permits.Available(p.share, now) || p.engine != nil && r.starting() >= maxStarting {
 			continue
 		}
--- a/batch/replica.go
+++ b/batch/replica.go
@@ -92,6 +92,8 @@
 	tokens int
 	// rank is the state of the rank as the replica's agent reports it.
 	rank RankState
+	// rankReportedAt is when the agent last reported it.
+	rankReportedAt time.Time
 	// broken is set while the replica's group is broken.
 	broken bool
 	// backoffUntil is the time until which the replica gets no requests.
