--- a/hosts/hosts.go
+++ b/hosts/hosts.go
@@ -30,7 +30,7 @@
 		servicesByName: make(map[string]track.RouteService, len(config.Services)),
 	}
 	for _, r := range config.Routes {
-		host := normalizeHost(r.Host)
+		host := NormalizeHost(r.Host)
 		t.routesByHost[host] = append(t.routesByHost[host], r)
 	}
 	for _, routes := range t.routesByHost {
@@ -71,7 +71,7 @@
 // Route returns the route of a host with the longest path prefix that matches, and
 // whether there is one. Letter case and the port of the host are ignored.
 func (t *Table) Route(host, path string) (track.Route, bool) {
-	for _, r := range t.routesByHost[normalizeHost(host)] {
+	for _, r := range t.routesByHost[NormalizeHost(host)] {
 		if strings.HasPrefix(path, r.PathPrefix) {
 			return r, true
 		}
@@ -92,8 +92,8 @@
 	return a, ok
 }
 
-// normalizeHost returns the host in lower case and without its port.
-func normalizeHost(host string) string {
+// NormalizeHost returns the host in lower case and without its port, as routes are looked up.
+func NormalizeHost(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
