--- a/cmd/trackd/main.go
+++ b/cmd/trackd/main.go
@@ -36,6 +36,7 @@
 			{Name: "entry", Usage: "accept and route client requests", Action: daemonAction(launch.RunEntry)},
 			{Name: "agent", Usage: "balance the expert placement of a rank group", Action: daemonAction(launch.RunAgent)},
 			checkCommand(),
+			checkConfigCommand(),
 			traceCommand(),
 		},
 	}
