--- a/permit/permit.go
+++ b/permit/permit.go
@@ -17,9 +17,9 @@
 	"filberttrack.example/track"
 )
 
-// keepFor is the time for which a permit can be used, beside the time between two of them. A replica
+// defaultKeep is the time for which a permit can be used, beside the time between two of them. A replica
 // that was idle gets no more than the permits of that time at once.
-const keepFor = time.Second
+const defaultKeep = time.Second
 
 // goldenStep is the golden ratio as a part of the range of uint64.
 const goldenStep = 0x9E3779B97F4A7C15
@@ -42,6 +42,8 @@
 	offset uint64
 	// limit is the number of permits a second of all entries; 0 if no permit is needed.
 	limit float64
+	// keep is the time for which a permit can be used.
+	keep time.Duration
 	// next is the first permit that has neither been used nor skipped.
 	next int64
 }
@@ -50,12 +52,20 @@
 func New(replica track.ReplicaID) *Schedule {
 	hash := fnv.New64a()
 	hash.Write([]byte(replica))
-	return &Schedule{offset: hash.Sum64()}
+	return &Schedule{offset: hash.Sum64(), keep: defaultKeep}
 }
 
 // SetLimit sets the number of permits a second. After a change, permits that fell due before can't be
 // used any more.
 func (s *Schedule) SetLimit(limit float64, now time.Time) {
+	s.SetLimitAndKeep(limit, defaultKeep, now)
+}
+
+// SetLimitAndKeep is like SetLimit and also sets the time for which a permit can be used. In any one
+// second, all entries together use at most the permits that fall due in it, limit x keep that were
+// kept before, and two.
+func (s *Schedule) SetLimitAndKeep(limit float64, keep time.Duration, now time.Time) {
+	s.keep = keep
 	if limit == s.limit {
 		return
 	}
@@ -71,7 +81,7 @@
 		return true
 	}
 	latest := s.due(now)
-	kept := int64(s.limit*keepFor.Seconds()) + 1
+	kept := int64(s.limit*s.keep.Seconds()) + 1
 	if s.next > latest+kept {
 		// The clock was set back.
 		s.next = latest + 1
