--- a/gateway.go
+++ b/gateway.go
@@ -72,6 +72,16 @@
 	MaxConnections int
 	// Engine is set for a service whose replicas are model engines.
 	Engine *EngineSpec
+	// Cold describes how replicas run after their start.
+	Cold ColdSpec
+}
+
+// ColdSpec describes the replicas of a service while they are cold.
+type ColdSpec struct {
+	// StartTime is the time for which a replica is cold after a start during traffic.
+	StartTime time.Duration
+	// PerSecond is the number of requests a second that a cold replica can handle; 0 if replicas are never cold.
+	PerSecond float64
 }
 
 // EngineSpec describes the model engines of a service.
