feat(fleet): pass on each report of a replica that is cold

A report that differs from the one before in its number only isn't passed on, so that pools can't tell a replica that still says that it is cold from one whose record is old. Each report with a warm-up time counts as a change now.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -168,10 +168,11 @@
 	return true
 }
 
-// sameState reports whether two reports of a replica differ in their numbers at most.
+// sameState reports whether two reports of a replica differ in their numbers at most. Each report that the replica is
+// still cold is news: without a new one, the replica counts as warm after a while.
 func sameState(a, b track.Replica) bool {
 	a.Heartbeat = b.Heartbeat
-	return a == b
+	return a == b && b.WarmupTime == 0
 }
 
 // handleDeletion handles the deletion of an entry, and reports whether the list changed.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -24,6 +24,8 @@
 	logReturned time.Time
 	// usable is the number of usable replicas that the ReplicaList reported last.
 	usable int
+	// changes is the number of lists that it reported.
+	changes int
 }
 
 func newFixture() *fixture {
@@ -31,7 +33,7 @@
 	f.ReplicaList = fleet.New(fleet.Options{
 		Decode: decode, Clock: f.clock, Logger: zap.NewNop(),
 		LogOutage: func() (time.Time, time.Time) { return time.Time{}, f.logReturned },
-		OnChange:  func(replicas []track.Replica) { f.usable = len(replicas) },
+		OnChange:  func(replicas []track.Replica) { f.usable, f.changes = len(replicas), f.changes+1 },
 	})
 	return f
 }
@@ -42,6 +44,9 @@
 	if n, err := strconv.ParseUint(number, 10, 64); err == nil {
 		r.Heartbeat = n
 	}
+	if state == "cold" {
+		r.WarmupTime = time.Second
+	}
 	if string(data) == "broken" {
 		return r, errors.New("unreadable")
 	}
@@ -64,6 +69,17 @@
 	assert.Equal(t, f.usable, 0, "a replica that left gets no more requests")
 }
 
+// Guards against a replica that counts as warm because its records say the same again, for example while it is idle.
+func TestEachReportOfAColdReplicaIsNews(t *testing.T) {
+	f := newFixture()
+	f.apply("a", "cold 1")
+	f.apply("a", "cold 2")
+	assert.Equal(t, f.changes, 2)
+	f.apply("a", "ready 3")
+	f.apply("a", "ready 4")
+	assert.Equal(t, f.changes, 3)
+}
+
 func TestUndecodableEntryRemovesReplica(t *testing.T) {
 	f := newFixture()
 	f.apply("a", "ready")
