feat(batch): send to possibly cold replicas with permits only

After all groups of a service had broken, entries with queues sent to all replicas at the same moment, and a cold one got 38 requests in one second.

A pool with a cold rate sends to a replica with permits at the lower of that rate and the limit that it names: after its first sighting, while its record says that it is cold, after its group broke and after its zone was taken back (SuspectCold). Permits aren't bound to the division of the slots, as an entry has few of both on each replica and would rarely have them on the same one. Refused clients return at the rate of the permits, and of the slots once the replicas are warm.

Services without a cold rate are unaffected.

--- a/batch/groups.go
+++ b/batch/groups.go
@@ -110,10 +110,14 @@
 
 // setRank records the state of a replica's rank.
 func (p *Pool) setRank(r *replica, state RankState, now time.Time) {
+	if state.Working == r.broken {
+		p.suspectGroup(state.Group, now)
+	}
 	switch {
 	case !state.Working:
 		r.markBroken(now, brokenGroupBackoff)
 	case r.broken:
+		r.suspectCold(now)
 		r.broken, r.backoffUntil = false, now
 	}
 	old := r.rank
--- a/batch/pool.go
+++ b/batch/pool.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/cold"
 	"filberttrack.example/track/permit"
 	"filberttrack.example/track/signs"
 )
@@ -184,6 +185,9 @@
 	share permit.Share
 	// shareKnown is set once SetShare has set a share: those of all entries don't overlap then.
 	shareKnown bool
+	// cold describes the service's cold replicas. coldShare is this entry's part of the requests to them; nil for share.
+	cold      cold.Spec
+	coldShare *permit.Share
 	// demand is the rate of the requests that this entry would send.
 	demand demandRate
 	// plan divides the slots among the entries; nil if it has to be built anew.
@@ -228,9 +232,10 @@
 		present[r.ID] = true
 		old := p.replicas[r.ID]
 		if old == nil {
-			old = &replica{movable: make(map[*Grant]struct{}), permits: permit.New(r.ID)}
+			old = &replica{movable: make(map[*Grant]struct{}), permits: permit.New(r.ID), firstSeen: p.options.Clock.Now()}
 			p.replicas[r.ID] = old
 		}
+		p.updateCold(old, r)
 		old.Replica, old.listed = r, true
 		p.refreshSigns(r.ID)
 	}
@@ -320,7 +325,7 @@
 // busyRefusal returns the refusal of a request that would have to wait for too long.
 func (p *Pool) busyRefusal(wait time.Duration, now time.Time) *RefusalError {
 	if rate, all := p.limitedRate(now); all {
-		return &RefusalError{Reason: ReasonLimited, RetryAfter: p.nextReturnAfter(now.Add(wait), now, intervalAt(rate))}
+		return &RefusalError{Reason: ReasonLimited, RetryAfter: p.nextReturnAfter(now.Add(wait), now, intervalAt(p.rateAtReturn(rate, now.Add(wait), now)))}
 	}
 	return &RefusalError{Reason: ReasonBusy, RetryAfter: p.retryAfter(wait)}
 }
@@ -414,6 +419,9 @@
 		if r.signs.Limit > 0 {
 			rate = min(rate, r.signs.Limit*p.share.Width)
 		}
+		if coldRate, isCold := p.coldRate(r, now); isCold {
+			rate = min(rate, coldRate)
+		}
 		sum += rate
 	}
 	if math.IsInf(sum, 1) {
@@ -522,15 +530,18 @@
 		unseen = p.unseenRequests(now)
 	}
 	for _, r := range p.replicas {
-		if !r.available(now) || slices.Contains(request.Excluded, r.ID) ||
-			avoidSlow && r.slow() || !r.permits.Available(p.share, now) || p.engine != nil && r.starting() >= maxStarting {
+		if !r.mayTake(request, now) {
+			continue
+		}
+		share, others, isCold := p.coldTerms(r, unseen, now)
+		if avoidSlow && r.slow() || !r.permits.Available(share, now) || p.engine != nil && r.starting() >= maxStarting {
 			continue
 		}
 		switch {
 		case divided && p.hasOwnSlot(r):
 			p.ownCandidates = append(p.ownCandidates, r)
-		case r.load()+unseen >= p.limit(r):
-		case divided && r.load() == 0:
+		case r.load()+others >= p.limit(r):
+		case divided && r.load() == 0 && !isCold:
 			p.idle = append(p.idle, r)
 		default:
 			p.candidates = append(p.candidates, r)
@@ -544,6 +555,11 @@
 	shuffle(p.ownCandidates, 0, len(p.ownCandidates), len(p.ownCandidates), p.options.Random)
 }
 
+// mayTake reports whether the replica is available and has not failed the request.
+func (r *replica) mayTake(request AdmissionRequest, now time.Time) bool {
+	return r.available(now) && !slices.Contains(request.Excluded, r.ID)
+}
+
 // sampleCandidates moves a random sample to the front of the candidates and returns its
 // size: some of the local zone and some of all zones, or all candidates if they are few.
 // The order of the sample is random, too, because it decides among equal scores.
@@ -654,6 +670,7 @@
 	for id, r := range p.replicas {
 		r.otherInFlight = counts[id]
 	}
+	p.refreshCold()
 	p.dispatch()
 }
 
--- a/batch/replica.go
+++ b/batch/replica.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/cold"
 	"filberttrack.example/track/permit"
 	"filberttrack.example/track/signs"
 )
@@ -97,11 +98,17 @@
 	// backoffUntil is the time until which the replica gets no requests.
 	backoffUntil time.Time
 	// signs is what the replica has said of itself, and permits are this entry's permits under the limit among them.
-	signs     signs.Signs
-	permits   *permit.Schedule
-	failures  int
-	errorRate float64
-	latency   time.Duration
+	signs   signs.Signs
+	permits *permit.Schedule
+	// firstSeen is when the replica was listed first, and recordSeen when its latest record arrived.
+	firstSeen, recordSeen time.Time
+	// cold knows when the replica is possibly cold; nil if the service's replicas never are. permitsCold is set while the
+	// permits have the rate of cold replicas, and loggedCold after the log line that says that the replica is cold.
+	cold                    *cold.Guard
+	permitsCold, loggedCold bool
+	failures                int
+	errorRate               float64
+	latency                 time.Duration
 }
 
 func (r *replica) load() int {
@@ -218,6 +225,7 @@
 // given time.
 func (r *replica) markBroken(now time.Time, backoff time.Duration) {
 	r.broken = true
+	r.suspectCold(now)
 	r.backoffUntil = now.Add(backoff)
 }
 
--- a/batch/signs.go
+++ b/batch/signs.go
@@ -32,7 +32,7 @@
 		if r.usable() != wasUsable {
 			p.plan = nil
 		}
-		r.permits.SetLimit(r.signs.Limit, p.options.Clock.Now())
+		p.setPermitLimit(r, p.options.Clock.Now())
 	}
 }
 
@@ -43,14 +43,19 @@
 	p.share, p.shareKnown = share, share.Width > 0
 }
 
-// limitedRate returns the requests a second that this entry may send under the limits that replicas name,
-// and whether all available replicas name one.
+// limitedRate returns the requests a second that this entry may send under the limits that replicas name or that apply
+// to cold ones, and whether there is a limit for all available replicas.
 func (p *Pool) limitedRate(now time.Time) (float64, bool) {
 	sum, found := 0.0, false
 	for _, r := range p.replicas {
 		if !r.available(now) {
 			continue
 		}
+		if rate, isCold := p.coldRate(r, now); isCold {
+			sum += rate
+			found = true
+			continue
+		}
 		if r.signs.Limit == 0 {
 			return 0, false
 		}
--- a/batch/slots.go
+++ b/batch/slots.go
@@ -80,7 +80,7 @@
 func (p *Pool) NeedsShare() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.needsSlotPlan()
+	return p.needsSlotPlan() || p.coldReplicas(p.options.Clock.Now()) > 0
 }
 
 // layOutSlots orders the slots of all replicas that may get requests.
