feat(edge): share the requests to cold replicas evenly among the entries

Shares in proportion to demand add up to far more than one when the demand rises at all entries at the same moment, as each knows only its own new demand, and on both sides of a cut. Requests to cold replicas have a share of their own, which is the same for all entries, and empty until the entry has known its peers for 1 s.

--- a/edge/entry.go
+++ b/edge/entry.go
@@ -104,6 +104,8 @@
 	// MaxEventDelay is the longest time for which an event of a stream is delayed to even out
 	// the pauses between events.
 	MaxEventDelay time.Duration
+	// ColdOvershoot and ColdSlack are the bounds of cold.Spec.
+	ColdOvershoot, ColdSlack float64
 
 	Clock clockwork.Clock
 	// Random returns random numbers that are uniform in [0, 1).
@@ -298,7 +300,9 @@
 // onConfig applies a new configuration.
 func (e *Entry) onConfig(table *hosts.Table) {
 	for _, s := range table.Services() {
-		e.Pool(s.Name).Configure(s.Engine)
+		p := e.Pool(s.Name)
+		p.Configure(s.Engine)
+		p.ConfigureCold(e.coldSpec(s.Cold))
 	}
 	e.gossipNode.SendToAllNow()
 }
@@ -328,6 +332,7 @@
 		p.Update(e.replicas)
 		// The next tick sets the share; an even one could overlap with those of other entries.
 		p.SetShare(permit.Share{})
+		p.SetColdShare(permit.Share{})
 		e.pools[service] = p
 		e.registerPool(service, p)
 	}
--- a/edge/gauges.go
+++ b/edge/gauges.go
@@ -82,6 +82,9 @@
 		return float64(pool.Usage().InFlight)
 	})
 	registerCondition(e.options.Metrics, fmt.Sprintf("filberttrack_group_broken{service=%q}", service), pool.HasBrokenGroup)
+	e.options.Metrics.GetOrCreateGauge(fmt.Sprintf("filberttrack_cold_replicas{service=%q}", service), func() float64 {
+		return float64(pool.ColdReplicas())
+	})
 }
 
 // registerCondition registers a gauge that is 1 while the condition holds, else 0.
--- a/edge/shares.go
+++ b/edge/shares.go
@@ -83,7 +83,9 @@
 	}
 	messages, members := e.zoneEntryMessages(), e.members.entriesByZone()
 	for service, p := range pools {
-		p.SetShare(ownShare(e.demands(service, p.Demand(), members, messages, zones)))
+		demands := e.demands(service, p.Demand(), members, messages, zones)
+		p.SetShare(ownShare(demands))
+		p.SetColdShare(e.coldShare(demands))
 	}
 }
 
