--- a/batch/slots.go
+++ b/batch/slots.go
@@ -80,7 +80,7 @@
 func (p *Pool) NeedsShare() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.needsSlotPlan()
+	return p.needsSlotPlan() || p.coldReplicas(p.options.Clock.Now()) > 0
 }
 
 // layOutSlots orders the slots of all replicas that may get requests.
@@ -168,8 +168,8 @@
 // first slots, unless there is no other one.
 func (p *Pool) keepLendable(now time.Time) {
 	unseen := p.unseenRequests(len(p.candidates), now)
-	isFull := func(r *replica) bool { return r.load()+unseen >= p.limit(r) }
-	isIdle := func(r *replica) bool { return r.load() == 0 }
+	isFull := func(r *replica) bool { return r.load()+p.unseenAt(r, unseen) >= p.limit(r) }
+	isIdle := func(r *replica) bool { return r.load() == 0 && !r.permitsCold }
 	p.candidates = slices.DeleteFunc(p.candidates, isFull)
 	if len(p.ownCandidates) > 0 || slices.ContainsFunc(p.candidates, func(r *replica) bool { return !isIdle(r) }) {
 		p.candidates = slices.DeleteFunc(p.candidates, isIdle)
