refactor(batch): functions about slow ranks are named after them

Cause: batch names what moves requests away from a slow rank "evacuate", and the evacuation of a zone is something else. Change: OnEvacuate is OnLeaveSlowRank, and so are the names around it. The log line "replica evacuated" stays, as operators match it. Result: no change in behavior.

--- a/batch/groups.go
+++ b/batch/groups.go
@@ -8,13 +8,13 @@
 	"filberttrack.example/track"
 )
 
-// OnEvacuate registers a function that is called if the replica's rank becomes so slow that
+// OnLeaveSlowRank registers a function that is called if the replica's rank becomes so slow that
 // its own requests delay those of its whole group, while a replica that isn't slow is
 // available. The function is called at most once, and never after Done.
-func (g *Grant) OnEvacuate(onEvacuate func()) {
+func (g *Grant) OnLeaveSlowRank(onLeaveSlowRank func()) {
 	g.pool.mu.Lock()
 	defer g.pool.mu.Unlock()
-	g.onEvacuate = onEvacuate
+	g.onLeaveSlowRank = onLeaveSlowRank
 	if r := g.pool.replicas[g.Replica.ID]; r != nil {
 		r.movable[g] = struct{}{}
 	}
@@ -122,8 +122,8 @@
 		p.options.Logger.Info("rank of replica", zap.String("Replica", string(r.ID)), zap.String("Group", state.Group),
 			zap.Bool("Open", state.Working), zap.Float64("Pace", state.Slowdown))
 	}
-	if state.Slowdown >= evacuateThreshold && p.anyHealthyRank(now) {
-		p.evacuate(r)
+	if state.Slowdown >= leaveSlowRankThreshold && p.anyHealthyRank(now) {
+		p.leaveSlowRank(r)
 	}
 }
 
@@ -174,15 +174,15 @@
 	}
 }
 
-// evacuate aborts the attempts at a replica that can continue on another one.
-func (p *Pool) evacuate(r *replica) {
+// leaveSlowRank aborts the attempts at a replica that can continue on another one.
+func (p *Pool) leaveSlowRank(r *replica) {
 	if len(r.movable) == 0 {
 		return
 	}
 	p.options.Logger.Info("replica evacuated", zap.String("Replica", string(r.ID)),
 		zap.Float64("Pace", r.rank.Slowdown), zap.Int("Requests", len(r.movable)))
 	for g := range r.movable {
-		g.onEvacuate()
+		g.onLeaveSlowRank()
 	}
 	clear(r.movable)
 }
--- a/batch/pool.go
+++ b/batch/pool.go
@@ -117,12 +117,12 @@
 	Candidates int
 
 	pool *Pool
-	// onEvacuate aborts the attempt so that it can continue on another replica; nil if
+	// onLeaveSlowRank aborts the attempt so that it can continue on another replica; nil if
 	// it can't.
-	onEvacuate func()
-	tokens     int
-	granted    time.Time
-	starting   bool
+	onLeaveSlowRank func()
+	tokens          int
+	granted         time.Time
+	starting        bool
 }
 
 // Started records that the replica has begun to answer, which means that it has finished
--- a/batch/replica.go
+++ b/batch/replica.go
@@ -48,9 +48,9 @@
 	localSampleSize = 2
 	// maxUnsampled is the number of replicas up to which all are compared.
 	maxUnsampled = 4
-	// evacuateThreshold is the slowdown from which on requests that can continue elsewhere are
+	// leaveSlowRankThreshold is the slowdown from which on requests that can continue elsewhere are
 	// moved off a rank: its own part of a pass then takes longer than that of all others together.
-	evacuateThreshold = 3.0
+	leaveSlowRankThreshold = 3.0
 	// defaultSlots is assumed for a replica that reports no slots.
 	defaultSlots = 4
 
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -50,8 +50,8 @@
 	unreachable int
 	// excluded lists the replicas that were already tried.
 	excluded []track.ReplicaID
-	// evacuated is set if the current attempt was canceled because its rank is slow.
-	evacuated atomic.Bool
+	// leftSlowRank is set if the current attempt was canceled because its rank is slow.
+	leftSlowRank atomic.Bool
 	// mayHaveRun is set once a replica may have run the request.
 	mayHaveRun bool
 	// committed is set once the status and headers of an answer were written to the
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -250,12 +250,12 @@
 	clock := x.proxy.options.Clock
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	x.evacuated.Store(false)
+	x.leftSlowRank.Store(false)
 	x.firstEventAt, x.soundRun = time.Time{}, false
 	if x.route.RetryRule != track.RetryOnlyIfNotRun && x.attempts+1 < x.route.MaxAttempts {
-		grant.OnEvacuate(func() {
+		grant.OnLeaveSlowRank(func() {
 			if x.budget.Remaining() > 1 {
-				x.evacuated.Store(true)
+				x.leftSlowRank.Store(true)
 				cancel()
 			}
 		})
@@ -338,7 +338,7 @@
 		return attemptOutcome{result: batch.Result{Verdict: batch.Canceled}, refusal: x.endedRefusal()}
 	}
 	result := batch.Result{Verdict: batch.Interrupted}
-	if x.evacuated.Swap(false) {
+	if x.leftSlowRank.Swap(false) {
 		// This entry canceled the attempt, which says nothing about the replica's health.
 		result.Verdict, reason = batch.Canceled, "LeftSlowRank"
 	}
