feat(batch): evacuated zones and zones that a request may run in

Cause: nothing may be sent to the replicas of an evacuated zone, and requests with home regions run only there. AdmissionRequest.Zones filters the candidates, the expected wait and the ranks to which a request may move from a slow one.

--- a/batch/groups.go
+++ b/batch/groups.go
@@ -46,10 +46,10 @@
 	return p.addJitter(brokenGroupRetryAfter)
 }
 
-// anyHealthyRank reports whether a replica is available whose rank isn't slow.
-func (p *Pool) anyHealthyRank(now time.Time) bool {
+// anyHealthyRank reports whether a replica in the given zones is available whose rank isn't slow.
+func (p *Pool) anyHealthyRank(now time.Time, zones func(track.AvailabilityZone) bool) bool {
 	for _, r := range p.replicas {
-		if r.available(now) && !r.slow() {
+		if r.available(now) && !r.slow() && allows(zones, r.Zone) {
 			return true
 		}
 	}
@@ -122,8 +122,8 @@
 		p.options.Logger.Info("rank of replica", zap.String("Replica", string(r.ID)), zap.String("Group", state.Group),
 			zap.Bool("Open", state.Working), zap.Float64("Pace", state.Slowdown))
 	}
-	if state.Slowdown >= leaveSlowRankThreshold && p.anyHealthyRank(now) {
-		p.leaveSlowRank(r)
+	if state.Slowdown >= leaveSlowRankThreshold {
+		p.leaveSlowRank(r, now)
 	}
 }
 
@@ -174,17 +174,23 @@
 	}
 }
 
-// leaveSlowRank aborts the attempts at a replica that can continue on another one.
-func (p *Pool) leaveSlowRank(r *replica) {
-	if len(r.movable) == 0 {
+// leaveSlowRank aborts the attempts at a replica that can continue on another one whose rank isn't slow.
+func (p *Pool) leaveSlowRank(r *replica, now time.Time) {
+	var leaving []*Grant
+	for g := range r.movable {
+		if p.anyHealthyRank(now, g.zones) {
+			leaving = append(leaving, g)
+			delete(r.movable, g)
+		}
+	}
+	if len(leaving) == 0 {
 		return
 	}
 	p.options.Logger.Info("replica evacuated", zap.String("Replica", string(r.ID)),
-		zap.Float64("Pace", r.rank.Slowdown), zap.Int("Requests", len(r.movable)))
-	for g := range r.movable {
+		zap.Float64("Pace", r.rank.Slowdown), zap.Int("Requests", len(leaving)))
+	for _, g := range leaving {
 		g.onLeaveSlowRank()
 	}
-	clear(r.movable)
 }
 
 // HasBrokenGroup reports whether a rank group of the service is known to be broken.
--- a/batch/pool.go
+++ b/batch/pool.go
@@ -34,6 +34,11 @@
 	// ReasonLimited means that all replicas of the service name limits, and that these allow
 	// no request in time.
 	ReasonLimited Reason = "Limited"
+	// ReasonEvacuated means that all replicas that the request may be sent to are in evacuated zones.
+	ReasonEvacuated Reason = "Evacuated"
+	// ReasonNoReplicaInHomeRegion means that no replica of the service is in a zone in which the
+	// request may run.
+	ReasonNoReplicaInHomeRegion Reason = "NoReplicaInHomeRegion"
 	// ReasonBusy means that no replica will have free capacity in time.
 	ReasonBusy Reason = "Busy"
 	// ReasonClientGone means that the client left while its request was queued.
@@ -70,6 +75,8 @@
 	Deadline    time.Time
 	// Excluded lists replicas that have already failed the request.
 	Excluded []track.ReplicaID
+	// Zones reports whether the request may run in a zone; nil allows all zones.
+	Zones func(track.AvailabilityZone) bool
 }
 
 // Result describes how an attempt ended.
@@ -120,9 +127,11 @@
 	// onLeaveSlowRank aborts the attempt so that it can continue on another replica; nil if
 	// it can't.
 	onLeaveSlowRank func()
-	tokens          int
-	granted         time.Time
-	starting        bool
+	// zones reports whether the request may run in a zone; nil allows all zones.
+	zones    func(track.AvailabilityZone) bool
+	tokens   int
+	granted  time.Time
+	starting bool
 }
 
 // Started records that the replica has begun to answer, which means that it has finished
@@ -188,6 +197,8 @@
 	demand demandRate
 	// plan divides the slots among the entries; nil if it has to be built anew.
 	plan *slotPlan
+	// evacuated holds the evacuated zones.
+	evacuated map[track.AvailabilityZone]bool
 }
 
 // waiter is a queued request.
@@ -195,6 +206,8 @@
 	request AdmissionRequest
 	arrived time.Time
 	granted chan *Grant
+	// refused gets the refusal of a request that can no longer be served.
+	refused chan *RefusalError
 }
 
 // New returns a pool without replicas.
@@ -231,7 +244,7 @@
 			old = &replica{movable: make(map[*Grant]struct{}), permits: permit.New(r.ID)}
 			p.replicas[r.ID] = old
 		}
-		old.Replica, old.listed = r, true
+		old.Replica, old.listed, old.evacuated = r, true, p.evacuated[r.Zone]
 		p.refreshSigns(r.ID)
 	}
 	for id, r := range p.replicas {
@@ -258,6 +271,8 @@
 	select {
 	case g := <-w.granted:
 		return g, nil
+	case refusal := <-w.refused:
+		return nil, refusal
 	case <-timer.Chan():
 		return p.cancelWait(w, ReasonBusy)
 	case <-ctx.Done():
@@ -284,7 +299,7 @@
 		// A late request that is admitted after this time can't be answered by its deadline.
 		request.WaitUntil = latestStart
 	}
-	w := &waiter{request: request, arrived: now, granted: make(chan *Grant, 1)}
+	w := &waiter{request: request, arrived: now, granted: make(chan *Grant, 1), refused: make(chan *RefusalError, 1)}
 	p.queue = append(p.queue, w)
 	p.dispatch()
 	select {
@@ -308,6 +323,8 @@
 	select {
 	case g := <-w.granted:
 		return g, nil
+	case refusal := <-w.refused:
+		return nil, refusal
 	default:
 	}
 	p.dequeue(w)
@@ -337,7 +354,7 @@
 	broken := false
 	var restUntil time.Time
 	for _, r := range p.replicas {
-		if !r.usable() || slices.Contains(request.Excluded, r.ID) {
+		if !r.usable() || slices.Contains(request.Excluded, r.ID) || !allows(request.Zones, r.Zone) {
 			continue
 		}
 		if r.remainingBackoff(now) <= 0 {
@@ -354,7 +371,7 @@
 	case !restUntil.IsZero():
 		return ReasonResting, p.restRetryAfter(restUntil, now)
 	}
-	return ReasonNoReplica, noReplicaRetryAfter
+	return cmp.Or(p.noZoneReason(request), ReasonNoReplica), noReplicaRetryAfter
 }
 
 // maxWaitingForGroup returns the number of late requests that this entry queues while a
@@ -384,11 +401,11 @@
 			position++
 		}
 	}
-	return time.Duration(float64(position) * float64(intervalAt(p.throughput(now))))
+	return time.Duration(float64(position) * float64(intervalAt(p.throughput(now, w.request.Zones))))
 }
 
-// throughput estimates the requests a second that this entry may send; 0 if that isn't known.
-func (p *Pool) throughput(now time.Time) float64 {
+// throughput estimates the requests a second that this entry may send to the given zones; 0 if that isn't known.
+func (p *Pool) throughput(now time.Time, zones func(track.AvailabilityZone) bool) float64 {
 	own, all := 0, 0
 	for _, r := range p.replicas {
 		own += r.ownInFlight.Running
@@ -404,7 +421,7 @@
 	}
 	sum := 0.0
 	for _, r := range p.replicas {
-		if !r.available(now) {
+		if !r.available(now) || !allows(zones, r.Zone) {
 			continue
 		}
 		rate := math.Inf(1)
@@ -452,6 +469,9 @@
 	for i := 0; i < len(p.queue); {
 		w := p.queue[i]
 		r, candidates := p.chooseReplica(w.request, now)
+		if r == nil && p.refuseWithoutZone(w) {
+			continue
+		}
 		if r == nil {
 			i++
 			continue
@@ -463,7 +483,7 @@
 		r.tokens += w.request.Tokens
 		w.granted <- &Grant{
 			Replica: r.Replica, Waited: now.Sub(w.arrived), Load: r.load(), Starting: r.starting(), Candidates: candidates,
-			pool: p, tokens: w.request.Tokens, granted: now, starting: true,
+			pool: p, zones: w.request.Zones, tokens: w.request.Tokens, granted: now, starting: true,
 		}
 	}
 }
@@ -515,14 +535,14 @@
 // replicas are left to the owners of their first slots unless there is no other one.
 func (p *Pool) collectCandidates(request AdmissionRequest, now time.Time) {
 	p.ownCandidates, p.candidates = p.ownCandidates[:0], p.candidates[:0]
-	avoidSlow := p.anyHealthyRank(now)
+	avoidSlow := p.anyHealthyRank(now, request.Zones)
 	p.idle = p.idle[:0]
 	divided, unseen := p.dividesSlots(), 0
 	if divided {
 		unseen = p.unseenRequests(now)
 	}
 	for _, r := range p.replicas {
-		if !r.available(now) || slices.Contains(request.Excluded, r.ID) ||
+		if !r.available(now) || slices.Contains(request.Excluded, r.ID) || !allows(request.Zones, r.Zone) ||
 			avoidSlow && r.slow() || !r.permits.Available(p.share, now) || p.engine != nil && r.starting() >= maxStarting {
 			continue
 		}
--- a/batch/replica.go
+++ b/batch/replica.go
@@ -83,6 +83,8 @@
 	track.Replica
 	// listed is unset once the replica is draining or gone.
 	listed bool
+	// evacuated is set while the replica's zone is evacuated.
+	evacuated bool
 	// ownInFlight counts the requests of this entry, otherInFlight those of all others.
 	ownInFlight   track.InFlight
 	otherInFlight track.InFlight
@@ -131,7 +133,7 @@
 
 // usable reports whether the replica may get requests, now or after its backoff.
 func (r *replica) usable() bool {
-	return r.listed && !r.signs.Leaving
+	return r.listed && !r.signs.Leaving && !r.evacuated
 }
 
 // remainingBackoff returns the time for which the replica gets no requests yet; 0 or less
