--- a/gateway.go
+++ b/gateway.go
@@ -44,6 +44,8 @@
 	MaxAttempts int
 	// Anonymous is set if clients need no key.
 	Anonymous bool
+	// HomeRegions lists the regions in which the route's requests may run; empty for all regions.
+	HomeRegions []string
 }
 
 // RouteTarget is a service that receives a share of a route's requests.
@@ -137,6 +139,8 @@
 	Keys []string
 	// Priority, if set, replaces the priority of the route.
 	Priority *int
+	// HomeRegions lists the regions in which the account's requests may run; empty for all regions.
+	HomeRegions []string
 }
 
 // ReplicaID identifies one start of a replica of a service. Replica.StartID tells apart
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -98,7 +98,9 @@
 	// MaxEventDelay is the longest time for which an event of a stream is delayed to even out
 	// the pauses between events; 0 delays none.
 	MaxEventDelay time.Duration
-	Clock         clockwork.Clock
+	// ZoneRegions holds the region of each availability zone, for routes and accounts with home regions.
+	ZoneRegions map[track.AvailabilityZone]string
+	Clock       clockwork.Clock
 	// Random returns random numbers that are uniform in [0, 1).
 	Random  func() float64
 	Logger  *zap.Logger
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -162,6 +162,7 @@
 		WaitUntil:   x.waitUntil(onTimeUntil),
 		Deadline:    x.deadline,
 		Excluded:    x.excluded,
+		Zones:       x.homeZones(),
 	})
 	if err == nil {
 		return grant, nil
--- a/proxy/world_test.go
+++ b/proxy/world_test.go
@@ -189,7 +189,8 @@
 	h.proxy = proxy.New(proxy.Options{
 		RoutingTable: func() *hosts.Table { return h.table }, ConfigConfirmed: func() bool { return !h.unconfirmed }, Services: h, Caller: h, WriteRefusal: refuse,
 		Prober: h, CrashTracker: h.blameTracker, PartsTracker: partsTracker,
-		Clock: h.clock, Random: func() float64 { return 0 },
+		ZoneRegions: map[track.AvailabilityZone]string{"rivera": "norte", "artigas": "sur"},
+		Clock:       h.clock, Random: func() float64 { return 0 },
 		Logger: logger, Metrics: proxy.NewMetrics(metrics.NewSet()),
 	})
 	return h
