feat(vacate,edge): evacuated zones follow the records evacuate/ZONE

Cause: the operator evacuates a zone by a record in the topic of the configuration, and takes it back by deleting it. Change: package vacate tracks the zones. The follower of the configuration delivers the records; edge passes the set to all pools, new ones too. The tracker reads the whole mirror after each change, since the follower's tasks may deliver a record and its deletion in the wrong order.

--- a/edge/dark_test.go
+++ b/edge/dark_test.go
@@ -162,7 +162,7 @@
 // newDarkEntry returns an entry that reads the log in real time, which a synctest bubble makes its own.
 func newDarkEntry(self track.InstanceID, log track.KeyedLog, member Member, conn net.PacketConn) *Entry {
 	return NewEntry(Options{
-		Self: self, Zone: member.Zone, Member: member, Log: log, Topics: Topics{Config: "op", Replicas: "servers", ConfigKey: "config"},
+		Self: self, Zone: member.Zone, Member: member, Log: log, Topics: Topics{Config: "op", Replicas: "servers", ConfigKey: "config", EvacuatedPrefix: "evacuate/"},
 		DecodeConfig: func(data []byte) (track.RouteConfig, error) {
 			version, err := strconv.ParseUint(string(data), 10, 64)
 			return track.RouteConfig{Version: version}, err
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -40,7 +40,7 @@
 func newEntry(clock clockwork.Clock) *Entry {
 	return NewEntry(Options{
 		Self: "front-2", Zone: "rivera", Member: Member{Role: track.RoleEntry, Zone: "rivera"},
-		Log: unavailableLog{}, Topics: Topics{Config: "op", Replicas: "servers", ConfigKey: "config"},
+		Log: unavailableLog{}, Topics: Topics{Config: "op", Replicas: "servers", ConfigKey: "config", EvacuatedPrefix: "evacuate/"},
 		DecodeConfig: decodeConfig, DecodeReplica: decodeReplica,
 		RetryLimit: retry.ServiceLimit{Share: 0.2, Slack: 60, Window: 10 * time.Second}, DrainTimeout: 2 * time.Second,
 		Clock: clock, Random: func() float64 { return 0 }, Logger: zap.NewNop(), Metrics: metrics.NewSet(),
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -33,6 +33,7 @@
 	"filberttrack.example/track/retry"
 	"filberttrack.example/track/signs"
 	"filberttrack.example/track/talk"
+	"filberttrack.example/track/vacate"
 )
 
 const (
@@ -71,6 +72,8 @@
 	Replicas string
 	// ConfigKey is the key of the configuration record in the topic Config.
 	ConfigKey string
+	// EvacuatedPrefix is the prefix of the keys of the records in the topic Config that name evacuated zones.
+	EvacuatedPrefix string
 }
 
 // Options holds the settings and dependencies of an Entry.
@@ -104,6 +107,8 @@
 	// MaxEventDelay is the longest time for which an event of a stream is delayed to even out
 	// the pauses between events.
 	MaxEventDelay time.Duration
+	// ZoneRegions holds the region of each availability zone.
+	ZoneRegions map[track.AvailabilityZone]string
 
 	Clock clockwork.Clock
 	// Random returns random numbers that are uniform in [0, 1).
@@ -160,6 +165,12 @@
 	budgets map[string]*retry.ServiceBudget
 	// replicas is the latest list of replicas.
 	replicas []track.Replica
+	// evacuated holds the evacuated zones.
+	evacuated vacate.Zones
+
+	vacateTracker *vacate.Tracker
+	// evacuation is held while vacateTracker is brought up to date.
+	evacuation sync.Mutex
 }
 
 // NewEntry returns an entry without a configuration or replicas. Start makes it read them.
@@ -189,14 +200,16 @@
 	e.partsTracker = parts.New(o.Clock, o.Logger, o.Metrics)
 	e.blameTracker = blame.New(o.Clock, o.Logger, o.Metrics, e.partsTracker)
 	e.barredKeeper = newBarredKeeper(o.Log, o.Clock, e.blameTracker, e.partsTracker, o.Logger)
+	e.vacateTracker = vacate.New(o.Topics.EvacuatedPrefix, e.onEvacuated, o.Logger)
 	followers := followerFactory{
 		clock: o.Clock, logger: o.Logger,
 		peers: e.peerMirrors,
 	}
 	e.configFollower = followers.newFollower(o.Log, keyed.Options{
-		Topic: o.Topics.Config, LongPollTimeout: configReadWait, GatherTime: configGatherTime, Apply: applyConfig(e.configHolder, o.Topics.ConfigKey),
+		Topic: o.Topics.Config, LongPollTimeout: configReadWait, GatherTime: configGatherTime,
+		Apply:         e.applyEvacuationFirst(applyConfig(e.configHolder, o.Topics.ConfigKey)),
 		ConfirmAfter:  e.confirmConfigAfter,
-		ApplyRestored: applyRestoredConfig(e.configHolder, o.Topics.ConfigKey, e.announcer, e.barredKeeper),
+		ApplyRestored: e.applyEvacuationFirst(applyRestoredConfig(e.configHolder, o.Topics.ConfigKey, e.announcer, e.barredKeeper)),
 	})
 	e.peerConfigReader = newPeerConfigReader(e.configHolder, e.members.client, o.Clock, o.Logger)
 	replicaLimits := keyed.RelayLimits{MaxAge: o.maxLeaderAge(), Timeout: leaderReadTimeout}
@@ -216,6 +229,7 @@
 	e.proxy = proxy.New(proxy.Options{
 		RoutingTable: e.configHolder.Table, ConfigConfirmed: e.configConfirmed, Services: e, Caller: o.Caller, WriteRefusal: o.WriteRefusal,
 		Prober: o.Prober, CrashTracker: e.blameTracker, PartsTracker: e.partsTracker,
+		ZoneRegions:   o.ZoneRegions,
 		MaxEventDelay: o.MaxEventDelay, Clock: o.Clock, Random: o.Random, Logger: o.Logger,
 		Metrics: proxy.NewMetrics(o.Metrics),
 	})
@@ -325,6 +339,7 @@
 			Service: service, Zone: o.Zone, Entries: e.members.entryCount, Signs: e.signs,
 			Clock: o.Clock, Random: o.Random, Logger: o.Logger,
 		})
+		p.SetEvacuated(e.evacuated)
 		p.Update(e.replicas)
 		// The next tick sets the share; an even one could overlap with those of other entries.
 		p.SetShare(permit.Share{})
--- a/edge/peerconfig_test.go
+++ b/edge/peerconfig_test.go
@@ -48,7 +48,7 @@
 	assert.NilError(t, err)
 	return NewEntry(Options{
 		Self: self, Zone: "rivera", Member: Member{Role: track.RoleEntry, Zone: "rivera"},
-		Log: log, Topics: Topics{Config: "op", Replicas: "servers", ConfigKey: "config"},
+		Log: log, Topics: Topics{Config: "op", Replicas: "servers", ConfigKey: "config", EvacuatedPrefix: "evacuate/"},
 		DecodeConfig: func(data []byte) (track.RouteConfig, error) {
 			version, err := strconv.ParseUint(string(data), 10, 64)
 			decoded <- version
