--- a/batch/replica.go
+++ b/batch/replica.go
@@ -49,9 +49,9 @@
 	localSampleSize = 2
 	// maxUnsampled is the number of replicas up to which all are compared.
 	maxUnsampled = 4
-	// evacuateThreshold is the slowdown from which on requests that can continue elsewhere are
+	// leaveSlowRankThreshold is the slowdown from which on requests that can continue elsewhere are
 	// moved off a rank: its own part of a pass then takes longer than that of all others together.
-	evacuateThreshold = 3.0
+	leaveSlowRankThreshold = 3.0
 	// defaultSlots is assumed for a replica that reports no slots.
 	defaultSlots = 4
 
@@ -84,6 +84,8 @@
 	track.Replica
 	// listed is unset once the replica is draining or gone.
 	listed bool
+	// evacuated is set while the replica's zone is evacuated.
+	evacuated bool
 	// ownInFlight counts the requests of this entry, otherInFlight those of all others.
 	ownInFlight   track.InFlight
 	otherInFlight track.InFlight
@@ -140,7 +142,7 @@
 
 // usable reports whether the replica may get requests, now or after its backoff.
 func (r *replica) usable() bool {
-	return r.listed && !r.signs.Leaving
+	return r.listed && !r.signs.Leaving && !r.evacuated
 }
 
 // remainingBackoff returns the time for which the replica gets no requests yet; 0 or less
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -163,6 +163,7 @@
 		WaitUntil:   x.waitUntil(onTimeUntil),
 		Deadline:    x.deadline,
 		Excluded:    x.excluded,
+		Zones:       x.homeZones(),
 	})
 	if err == nil {
 		return grant, nil
@@ -251,12 +252,12 @@
 	clock := x.proxy.options.Clock
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	x.evacuated.Store(false)
+	x.leftSlowRank.Store(false)
 	x.firstEventAt, x.soundRun = time.Time{}, false
 	if x.route.RetryRule != track.RetryOnlyIfNotRun && x.attempts+1 < x.route.MaxAttempts {
-		grant.OnEvacuate(func() {
+		grant.OnLeaveSlowRank(func() {
 			if x.budget.Remaining() > 1 {
-				x.evacuated.Store(true)
+				x.leftSlowRank.Store(true)
 				cancel()
 			}
 		})
@@ -339,7 +340,7 @@
 		return attemptOutcome{result: batch.Result{Verdict: batch.Canceled}, refusal: x.endedRefusal()}
 	}
 	result := batch.Result{Verdict: batch.Interrupted}
-	if x.evacuated.Swap(false) {
+	if x.leftSlowRank.Swap(false) {
 		// This entry canceled the attempt, which says nothing about the replica's health.
 		result.Verdict, reason = batch.Canceled, "LeftSlowRank"
 	}
