feat(batch): late requests that return when told come first

Cause: among late requests, a client that retries at once got ahead of those that wait as they were told. On-time requests and the order of priorities are as before.

--- a/batch/pool.go
+++ b/batch/pool.go
@@ -68,6 +68,8 @@
 	OnTimeUntil time.Time
 	WaitUntil   time.Time
 	Deadline    time.Time
+	// Return says whether the client was told to return, and whether it came as it was told.
+	Return Return
 	// Excluded lists replicas that have already failed the request.
 	Excluded []track.ReplicaID
 }
@@ -469,8 +471,8 @@
 }
 
 // compareWaiters orders the queue by priority. Among equal priorities, requests that can
-// still be served on time go before those that can't, then the earliest arrival goes
-// first.
+// still be served on time go before those that can't. Late ones that return when they were
+// told to go before other late ones. Then the earliest arrival goes first.
 func compareWaiters(a, b *waiter, now time.Time) int {
 	if a.request.Priority != b.request.Priority {
 		return a.request.Priority - b.request.Priority
@@ -482,6 +484,9 @@
 	case lateB && !lateA:
 		return -1
 	}
+	if order := a.request.Return.lateOrder() - b.request.Return.lateOrder(); lateA && order != 0 {
+		return order
+	}
 	return a.arrived.Compare(b.arrived)
 }
 
