feat(proxy,edge,gossip): tickets of refused requests

Cause: where the entries divide the slots, each request counted as new, so that repeats competed with requests that can still be on time. Change: an entry issues a ticket with a 503 and a delay by admission or a stop, tells the entries of its zone (Message.Tickets), and takes the time of the first attempt from it. Step recognize computes the fingerprint before the stop check, which issues tickets as well. Log field Return, metrics filberttrack_tickets and filberttrack_returns_total.

--- a/edge/entry.go
+++ b/edge/entry.go
@@ -33,6 +33,7 @@
 	"filberttrack.example/track/retry"
 	"filberttrack.example/track/signs"
 	"filberttrack.example/track/talk"
+	"filberttrack.example/track/ticket"
 )
 
 const (
@@ -146,7 +147,9 @@
 	announcer        *announcer
 	leaving          atomic.Bool
 	// signs holds what replicas say of themselves.
-	signs     *signs.Book
+	signs *signs.Book
+	// tickets holds the tickets of requests that this zone's entries have refused.
+	tickets   *ticket.Book
 	startedAt time.Time
 
 	mu sync.Mutex
@@ -175,6 +178,7 @@
 		announcer:  newAnnouncer(o.Log, o.Clock, o.Self, o.Member, o.Logger),
 		logContact: newLogContact(o.Clock.Now()),
 		signs:      signs.New(o.Clock, o.Logger),
+		tickets:    ticket.New(o.Clock),
 		startedAt:  o.Clock.Now(),
 		pools:      make(map[string]*batch.Pool),
 		zones:      make(map[track.AvailabilityZone]zoneSummary),
@@ -215,7 +219,7 @@
 	})
 	e.proxy = proxy.New(proxy.Options{
 		RoutingTable: e.configHolder.Table, ConfigConfirmed: e.configConfirmed, Services: e, Caller: o.Caller, WriteRefusal: o.WriteRefusal,
-		Prober: o.Prober, CrashTracker: e.blameTracker, PartsTracker: e.partsTracker,
+		Prober: o.Prober, CrashTracker: e.blameTracker, PartsTracker: e.partsTracker, Tickets: e.tickets,
 		MaxEventDelay: o.MaxEventDelay, Clock: o.Clock, Random: o.Random, Logger: o.Logger,
 		Metrics: proxy.NewMetrics(o.Metrics),
 	})
@@ -429,6 +433,7 @@
 	}
 	note.InFlight = e.inFlight()
 	note.Demand = e.ownDemand()
+	note.Tickets = e.tickets.Share()
 	return note
 }
 
@@ -464,6 +469,9 @@
 	e.blameTracker.Merge(note.Charges)
 	e.partsTracker.Merge(note.Parts)
 	e.mergeSigns(note)
+	if note.Zone == e.options.Zone {
+		e.tickets.Merge(note.Tickets)
+	}
 	e.configFollower.NotifyPeerPosition(track.LogPosition{Era: note.Era, Offset: note.Offsets[e.options.Topics.Config]})
 	e.confirmConfigByPeer(note)
 	e.peerConfigReader.Notify(note.API, note.ConfigVersion)
--- a/edge/gauges.go
+++ b/edge/gauges.go
@@ -38,6 +38,7 @@
 		_, sum := e.limitedReplicas()
 		return sum
 	})
+	set.GetOrCreateGauge("filberttrack_tickets", func() float64 { return float64(e.tickets.Len()) })
 	set.GetOrCreateGauge("filberttrack_peers_heard", func() float64 { return float64(len(e.gossipNode.LiveMessages())) })
 }
 
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -20,6 +20,7 @@
 	"filberttrack.example/track/blame"
 	"filberttrack.example/track/parts"
 	"filberttrack.example/track/talk"
+	"filberttrack.example/track/ticket"
 )
 
 const (
@@ -86,6 +87,8 @@
 	Charges []blame.Charge `json:",omitempty"`
 	// Parts holds the parts of prompts that are suspected of crashing replicas.
 	Parts []parts.Charge `json:",omitempty"`
+	// Tickets holds the tickets of requests that the sender has refused lately; within the zone only.
+	Tickets ticket.Reports `json:",omitempty"`
 }
 
 // ZoneSummary sums up the messages of the entries and agents of an availability zone.
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -70,6 +70,8 @@
 	// pacedWriter delivers the events of a stream to the client.
 	pacedWriter *smooth.PacedWriter
 
+	// returning is what the ticket of the request says.
+	returning returning
 	// grant is the admission of the latest attempt.
 	grant *batch.Grant
 	// timeToFirstByte is the time from the arrival of the request to the first byte of the
@@ -155,6 +157,15 @@
 	return nil
 }
 
+// recognize finds out whether the request has come before.
+func (x *exchange) recognize(context.Context) *Refusal {
+	r := x.request
+	x.fingerprint = blame.FingerprintOf(
+		[]byte(r.Method), []byte(r.Host), []byte(r.Target), []byte(x.account.Name), r.Body)
+	x.redeemTicket()
+	return nil
+}
+
 // checkStop refuses the request if the entry stops and may do so before the request is over.
 func (x *exchange) checkStop(context.Context) *Refusal {
 	return x.stopRefusal()
@@ -166,7 +177,9 @@
 	if stop == nil || !x.expectedEnd(*stop).After(stop.EndAt) {
 		return nil
 	}
-	return &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: stoppingRetryAfter, Reason: "Stopping"}
+	return x.withTicket(&Refusal{
+		Status: http.StatusServiceUnavailable, RetryAfter: stoppingRetryAfter, Reason: "Stopping",
+	})
 }
 
 // expectedEnd returns the time at which the request is over. That is the deadline, as a stream that has begun
@@ -184,10 +197,7 @@
 // checkBarred refuses a request that is barred because it crashes the replicas that run
 // it.
 func (x *exchange) checkBarred(context.Context) *Refusal {
-	r := x.request
-	x.fingerprint = blame.FingerprintOf(
-		[]byte(r.Method), []byte(r.Host), []byte(r.Target), []byte(x.account.Name), r.Body)
-	for _, id := range r.PromptParts {
+	for _, id := range x.request.PromptParts {
 		x.parts = append(x.parts, parts.IDOf(x.service, id))
 	}
 	return x.barredRefusal()
@@ -275,5 +285,8 @@
 		zap.Bool("CutOff", x.committed),
 		zap.Bool("MayHaveRun", x.mayHaveRun),
 		zap.Int64("RetryAfterMs", refusal.RetryAfter.Milliseconds()))
+	if x.returning.known {
+		fields = append(fields, zap.Stringer("Return", x.returning.kind))
+	}
 	x.proxy.options.Logger.Warn("request failed", fields...)
 }
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -6,12 +6,16 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"filberttrack.example/track/batch"
 )
 
 // Metrics records the outcomes and durations of requests by service. It is safe for
 // concurrent use.
 type Metrics struct {
 	set *metrics.Set
+	// returns counts the requests of clients that were told to return, by kind.
+	returns map[batch.Return]*metrics.Counter
 
 	mu       sync.Mutex
 	services map[string]*serviceMetrics
@@ -30,7 +34,11 @@
 
 // NewMetrics returns a Metrics that registers its metrics in the given set.
 func NewMetrics(set *metrics.Set) *Metrics {
-	return &Metrics{set: set, services: make(map[string]*serviceMetrics)}
+	returns := make(map[batch.Return]*metrics.Counter)
+	for _, kind := range []batch.Return{batch.Booked, batch.Early} {
+		returns[kind] = set.GetOrCreateCounter(fmt.Sprintf("filberttrack_returns_total{kind=%q}", kind))
+	}
+	return &Metrics{set: set, returns: returns, services: make(map[string]*serviceMetrics)}
 }
 
 // observe records the end of a request, which was refused if refusal isn't nil.
@@ -41,6 +49,9 @@
 	}
 	s, counter := m.forService(x.service, outcome)
 	counter.Inc()
+	if returned := m.returns[x.returning.kind]; returned != nil {
+		returned.Inc()
+	}
 	s.retries.Add(max(x.attempts-1, 0))
 	s.queueTime.Update(x.queueTime().Seconds())
 	if refusal == nil {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -20,6 +20,7 @@
 	"filberttrack.example/track/hosts"
 	"filberttrack.example/track/parts"
 	"filberttrack.example/track/retry"
+	"filberttrack.example/track/ticket"
 )
 
 // Request is a client's request as the HTTP listener decoded it.
@@ -93,6 +94,8 @@
 	CrashTracker *blame.Tracker
 	// PartsTracker detects parts of prompts that crash replicas.
 	PartsTracker *parts.Tracker
+	// Tickets holds what is known of clients that were told to return; nil if the proxy keeps no tickets.
+	Tickets *ticket.Book
 	// WriteRefusal writes a refusal to the client.
 	WriteRefusal func(w http.ResponseWriter, r Refusal)
 	// MaxEventDelay is the longest time for which an event of a stream is delayed to even out
@@ -170,6 +173,7 @@
 	{"find route", (*exchange).findRoute},
 	{"identify client account", (*exchange).identifyAccount},
 	{"choose service", (*exchange).chooseService},
+	{"recognize", (*exchange).recognize},
 	{"check stop", (*exchange).checkStop},
 	{"screen", (*exchange).checkBarred},
 	{"send", (*exchange).sendWithRetries},
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -161,6 +161,7 @@
 		OnTimeUntil: onTimeUntil,
 		WaitUntil:   x.waitUntil(onTimeUntil),
 		Deadline:    x.deadline,
+		Return:      x.returning.kind,
 		Excluded:    x.excluded,
 	})
 	if err == nil {
@@ -177,7 +178,7 @@
 	if refusal.Status == http.StatusServiceUnavailable {
 		refusal.RetryAfter = refused.RetryAfter
 	}
-	return nil, refusal
+	return nil, x.withTicket(refusal)
 }
 
 // estimateAnswerTokens estimates the length of the answer in tokens.
@@ -188,10 +189,13 @@
 	return x.request.MaxTokens
 }
 
-// timeBeforeArrival returns how long before this request the client started to try. It is
-// inferred from the request: a client that retries after a refusal has less time left than
-// the route's timeout.
+// timeBeforeArrival returns how long before this request the client started to try. Tickets
+// tell where they are used. Elsewhere it is inferred from the request: a client that retries
+// after a refusal has less time left than the route's timeout.
 func (x *exchange) timeBeforeArrival() time.Duration {
+	if x.returning.known {
+		return x.arrived.Sub(x.returning.firstSeen)
+	}
 	if x.request.TimeLeft <= 0 || x.pool.DividesSlots() {
 		return 0
 	}
@@ -242,7 +246,11 @@
 	if x.mayHaveRun {
 		return &Refusal{Status: http.StatusGatewayTimeout, Reason: reason}
 	}
-	return &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryAfter, Reason: reason}
+	refusal := &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryAfter, Reason: reason}
+	if reason == "Stopping" {
+		return x.withTicket(refusal)
+	}
+	return refusal
 }
 
 // attempt sends the request to the granted replica and relays the answer.
--- a/proxy/world_test.go
+++ b/proxy/world_test.go
@@ -26,6 +26,7 @@
 	"filberttrack.example/track/proxy"
 	"filberttrack.example/track/retry"
 	"filberttrack.example/track/signs"
+	"filberttrack.example/track/ticket"
 )
 
 const (
@@ -101,6 +102,8 @@
 	pools        map[string]*batch.Pool
 	budget       *retry.ServiceBudget
 	blameTracker *blame.Tracker
+	tickets      *ticket.Book
+	metrics      *metrics.Set
 	replicas     []track.Replica
 	table        *hosts.Table
 
@@ -186,11 +189,12 @@
 	h.blameTracker.SetReplicas(replicas)
 	h.budget = retry.NewServiceBudget(retry.ServiceLimit{Share: 0.2, Slack: 50, Window: 10 * time.Second}, h.clock,
 		func() int { return 1 })
+	h.tickets, h.metrics = ticket.New(h.clock), metrics.NewSet()
 	h.proxy = proxy.New(proxy.Options{
 		RoutingTable: func() *hosts.Table { return h.table }, ConfigConfirmed: func() bool { return !h.unconfirmed }, Services: h, Caller: h, WriteRefusal: refuse,
-		Prober: h, CrashTracker: h.blameTracker, PartsTracker: partsTracker,
+		Prober: h, CrashTracker: h.blameTracker, PartsTracker: partsTracker, Tickets: h.tickets,
 		Clock: h.clock, Random: func() float64 { return 0 },
-		Logger: logger, Metrics: proxy.NewMetrics(metrics.NewSet()),
+		Logger: logger, Metrics: proxy.NewMetrics(h.metrics),
 	})
 	return h
 }
