--- a/batch/pool.go
+++ b/batch/pool.go
@@ -77,6 +77,8 @@
 	OnTimeUntil time.Time
 	WaitUntil   time.Time
 	Deadline    time.Time
+	// Return says whether the client was told to return, and whether it came as it was told.
+	Return Return
 	// Excluded lists replicas that have already failed the request.
 	Excluded []track.ReplicaID
 	// Zones reports whether the request may run in a zone; nil allows all zones.
@@ -523,8 +525,9 @@
 }
 
 // compareWaiters orders the queue by priority. Among equal priorities, requests that can
-// still be served on time go before those that can't. Then accounts that compete take
-// turns, and at last the earliest arrival goes first.
+// still be served on time go before those that can't, and late ones that return when they
+// were told to before other late ones. Then accounts that compete take turns, and at last
+// the earliest arrival goes first.
 func compareWaiters(a, b *waiter, now time.Time) int {
 	if a.request.Priority != b.request.Priority {
 		return a.request.Priority - b.request.Priority
@@ -536,6 +539,9 @@
 	case lateB && !lateA:
 		return -1
 	}
+	if order := a.request.Return.lateOrder() - b.request.Return.lateOrder(); lateA && order != 0 {
+		return order
+	}
 	return cmp.Or(cmp.Compare(a.tag.Start, b.tag.Start), a.arrived.Compare(b.arrived))
 }
 
--- a/edge/gauges.go
+++ b/edge/gauges.go
@@ -39,6 +39,7 @@
 		return sum
 	})
 	set.GetOrCreateGauge("filberttrack_evacuated_zones", func() float64 { return float64(e.evacuatedZones()) })
+	set.GetOrCreateGauge("filberttrack_tickets", func() float64 { return float64(e.tickets.Len()) })
 	set.GetOrCreateGauge("filberttrack_peers_heard", func() float64 { return float64(len(e.gossipNode.LiveMessages())) })
 }
 
