feat(retry): one decision on hedges for both programs

ShouldHedge decided inside the Retrier, so trackd could not use it. DecideHedge is a pure function over a description of the slow attempt; ShouldHedge now calls it and spends the budget.

--- a/retry/budget.go
+++ b/retry/budget.go
@@ -84,6 +84,12 @@
 	b.balance = min(b.balance+share, maxBalance)
 }
 
+// hasRetry reports whether withdraw would succeed.
+func (b *budget) hasRetry(now time.Time) bool {
+	b.refill(now)
+	return b.balance >= 1 || b.healthy() && b.floor >= 1
+}
+
 // withdraw takes one retry from the balance or, while the target is healthy, from
 // the floor. It reports whether there was one.
 func (b *budget) withdraw(now time.Time) bool {
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -150,27 +150,16 @@
 // first byte for the given time. attempts is the number of attempts started so far.
 // A hedge is paid for by the budget.
 func (r *Retrier) ShouldHedge(call *track.Call, attempts int, waited time.Duration) (bool, Reason) {
-	after := call.Profile.Hedge.After
-	switch {
-	case after <= 0:
-		return false, ReasonHedgingOff
-	case call.NonIdempotent:
-		return false, ReasonMayHaveRun
-	case waited < after:
-		return false, ReasonTooEarly
-	case attempts >= call.Profile.Retry.MaxAttempts:
-		return false, ReasonNoAttemptsLeft
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	b := r.budget(call)
-	if !b.healthy() {
-		return false, ReasonTargetUnhealthy
-	}
-	if !b.withdraw(r.clock.Now()) {
-		return false, ReasonNoBudgetLeft
-	}
-	return true, ReasonHedge
+	b, now := r.budget(call), r.clock.Now()
+	reason := DecideHedge(SlowAttempt{
+		Enabled: call.Profile.Hedge.After > 0, Repeatable: !call.NonIdempotent,
+		Waited: waited, After: call.Profile.Hedge.After,
+		Attempts: attempts, MaxAttempts: call.Profile.Retry.MaxAttempts,
+		Unhealthy: !b.healthy(), NoBudgetLeft: !b.hasRetry(now),
+	})
+	return reason == ReasonHedge && b.withdraw(now), reason
 }
 
 // reroute allows an immediate attempt at another replica if it is expected to end
