--- a/batch/pool.go
+++ b/batch/pool.go
@@ -76,7 +76,8 @@
 type Result struct {
 	// Verdict says what the attempt showed about the replica.
 	Verdict Verdict
-	// FirstByte is the time to the first byte of the answer; 0 if there was none.
+	// FirstByte is the time to the first byte of the answer; 0 if there was none. For an attempt that was canceled
+	// because its hedge won, it is the time for which the attempt had waited.
 	FirstByte time.Duration
 	// AtFault names the replica that broke the group, if any.
 	AtFault string
@@ -177,6 +178,8 @@
 	// meanGrantTime is the moving mean of the time from a grant to its Done.
 	meanGrantTime time.Duration
 	durations     durationWindow
+	// firstBytes holds the times to first byte.
+	firstBytes durationWindow
 	// nextReturn is when the next client should retry that is refused while all replicas rest
 	// or name limits.
 	nextReturn time.Time
@@ -595,6 +598,7 @@
 		r.ownInFlight.Starting--
 	}
 	r.tokens -= g.tokens
+	p.recordFirstByte(result)
 	if result.Verdict == Served {
 		p.recordGrantTime(now.Sub(g.granted))
 	}
