--- a/retry/hedge.go
+++ b/retry/hedge.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// MaxHedgeShare is the greatest share of second sends that an operator may allow. Beyond it, hedges take
-	// capacity from first attempts even while less than batch.TryAcquire's part of the capacity is in use.
+	// MaxHedgeShare is the greatest share of second sends that an operator may allow. Hedges are sent while under
+	// 0.8 of the capacity is in use: with a fifth more requests, none of which can be canceled, 0.96 is.
 	MaxHedgeShare = 0.2
 	// hedgeWindow is the time over which the operator's share is kept.
 	hedgeWindow = 10 * time.Second
