feat(proxy): send slow repeatable requests to a second replica

A single replica that is slow but answers delays its requests although others have room. With HedgeShare set, an attempt whose answer has not begun within the service's 95th percentile gets a second attempt beside it; the first usable answer wins and the other is canceled as Canceled. An attempt that fails while the other runs is recorded as before, and the other continues as its retry. A goroutine only fetches the answer up to the point where it can win; the state of the request and all relaying stay on the request's goroutine.

The state of one attempt moves from exchange to a type of its own. Without HedgeShare, calls are made on the request's goroutine as before; a test with random faults compares calls, answers and log lines with hedging and without.

--- a/edge/entry.go
+++ b/edge/entry.go
@@ -104,6 +104,8 @@
 	// MaxEventDelay is the longest time for which an event of a stream is delayed to even out
 	// the pauses between events.
 	MaxEventDelay time.Duration
+	// HedgeShare is the greatest number of hedges for each request of a service; 0 sends none.
+	HedgeShare float64
 
 	Clock clockwork.Clock
 	// Random returns random numbers that are uniform in [0, 1).
@@ -216,7 +218,7 @@
 	e.proxy = proxy.New(proxy.Options{
 		RoutingTable: e.configHolder.Table, ConfigConfirmed: e.configConfirmed, Services: e, Caller: o.Caller, WriteRefusal: o.WriteRefusal,
 		Prober: o.Prober, CrashTracker: e.blameTracker, PartsTracker: e.partsTracker,
-		MaxEventDelay: o.MaxEventDelay, Clock: o.Clock, Random: o.Random, Logger: o.Logger,
+		MaxEventDelay: o.MaxEventDelay, HedgeShare: o.HedgeShare, Clock: o.Clock, Random: o.Random, Logger: o.Logger,
 		Metrics: proxy.NewMetrics(o.Metrics),
 	})
 	e.registerGauges()
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -50,16 +49,15 @@
 	unreachable int
 	// excluded lists the replicas that were already tried.
 	excluded []track.ReplicaID
-	// evacuated is set if the current attempt was canceled because its rank is slow.
-	evacuated atomic.Bool
+	// current is the attempt whose outcome is handled, and hedged is set once the request has been hedged.
+	current *attempt
+	hedged  bool
 	// mayHaveRun is set once a replica may have run the request.
 	mayHaveRun bool
 	// committed is set once the status and headers of an answer were written to the
 	// client.
 	committed bool
-	// sentAt is when the latest attempt was sent, and firstEventAt when it got its first event;
-	// zero before.
-	sentAt       time.Time
+	// firstEventAt is when the latest attempt got its first event; zero before.
 	firstEventAt time.Time
 	// soundRun is set once the latest attempt has shown that the parts are sound.
 	soundRun bool
@@ -152,6 +150,7 @@
 	x.pool = x.proxy.options.Services.Pool(x.service)
 	x.budget = x.proxy.options.Services.Budget(x.service)
 	x.budget.RecordRequest()
+	x.proxy.hedges.recordRequest(x.service)
 	return nil
 }
 
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -77,6 +77,11 @@
 	return s, counter
 }
 
+// countHedge counts a result of hedging: that a hedge was sent, won or lost, or the reason why none was sent.
+func (m *Metrics) countHedge(service, result string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("filberttrack_hedges_total{service=%q,result=%q}", service, result)).Inc()
+}
+
 // queueTime returns the time that the latest attempt spent in the queue.
 func (x *exchange) queueTime() time.Duration {
 	if x.grant == nil {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -98,7 +98,9 @@
 	// MaxEventDelay is the longest time for which an event of a stream is delayed to even out
 	// the pauses between events; 0 delays none.
 	MaxEventDelay time.Duration
-	Clock         clockwork.Clock
+	// HedgeShare is the greatest number of hedges for each request of a service; 0 sends none.
+	HedgeShare float64
+	Clock      clockwork.Clock
 	// Random returns random numbers that are uniform in [0, 1).
 	Random  func() float64
 	Logger  *zap.Logger
@@ -113,11 +115,13 @@
 	// stopping ends as requests in progress do.
 	stopping         context.Context
 	cancelInProgress context.CancelFunc
+	// hedges holds the shares of hedges; nil if hedging is off.
+	hedges *hedgeShares
 }
 
 // New returns a Proxy.
 func New(options Options) *Proxy {
-	p := &Proxy{options: options}
+	p := &Proxy{options: options, hedges: newHedgeShares(options.HedgeShare, options.Clock)}
 	p.stopping, p.cancelInProgress = context.WithCancel(context.Background())
 	return p
 }
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
 	"filberttrack.example/track"
@@ -75,6 +74,7 @@
 			return refusal
 		}
 		outcome := x.attempt(ctx, grant)
+		grant = x.grant // A hedge has a grant of its own.
 		grant.Done(outcome.result)
 		x.reportAttempt(ctx, grant, outcome)
 		if outcome.refusal == nil {
@@ -128,7 +128,7 @@
 			zap.Uint64("Fingerprint", uint64(x.fingerprint)), zap.String("Fault", x.lastFailure),
 			zap.Strings("PromptParts", x.request.PromptParts), zap.Bool("Started", x.startedWriting()))
 		attempt := blame.Attempt{
-			RequestID: x.request.ID, Fingerprint: x.fingerprint, Replica: grant.Replica, Trial: x.trial, SentAt: x.sentAt,
+			RequestID: x.request.ID, Fingerprint: x.fingerprint, Replica: grant.Replica, Trial: x.trial, SentAt: x.current.startedAt,
 		}
 		if !x.soundRun {
 			attempt.Parts = x.parts
@@ -153,16 +153,7 @@
 // admit queues the request until a replica has free capacity.
 func (x *exchange) admit(ctx context.Context) (*batch.Grant, *Refusal) {
 	onTimeUntil := x.arrived.Add(time.Duration(queueObjectiveShare*float64(x.route.Objective)) - x.timeBeforeArrival())
-	grant, err := x.pool.Acquire(ctx, batch.AdmissionRequest{
-		RequestID:   x.request.ID,
-		Priority:    x.priority,
-		Tokens:      x.request.PromptTokens + x.estimateAnswerTokens(),
-		MaxGap:      x.route.MaxGap,
-		OnTimeUntil: onTimeUntil,
-		WaitUntil:   x.waitUntil(onTimeUntil),
-		Deadline:    x.deadline,
-		Excluded:    x.excluded,
-	})
+	grant, err := x.pool.Acquire(ctx, x.admissionRequest(onTimeUntil))
 	if err == nil {
 		return grant, nil
 	}
@@ -180,6 +171,20 @@
 	return nil, refusal
 }
 
+// admissionRequest describes the request to the pool.
+func (x *exchange) admissionRequest(onTimeUntil time.Time) batch.AdmissionRequest {
+	return batch.AdmissionRequest{
+		RequestID:   x.request.ID,
+		Priority:    x.priority,
+		Tokens:      x.request.PromptTokens + x.estimateAnswerTokens(),
+		MaxGap:      x.route.MaxGap,
+		OnTimeUntil: onTimeUntil,
+		WaitUntil:   x.waitUntil(onTimeUntil),
+		Deadline:    x.deadline,
+		Excluded:    x.excluded,
+	}
+}
+
 // estimateAnswerTokens estimates the length of the answer in tokens.
 func (x *exchange) estimateAnswerTokens() int {
 	if x.request.AnswerTokens > 0 {
@@ -247,38 +252,22 @@
 
 // attempt sends the request to the granted replica and relays the answer.
 func (x *exchange) attempt(ctx context.Context, grant *batch.Grant) attemptOutcome {
-	clock := x.proxy.options.Clock
-	attemptCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	x.evacuated.Store(false)
 	x.firstEventAt, x.soundRun = time.Time{}, false
-	if x.route.RetryRule != track.RetryOnlyIfNotRun && x.attempts+1 < x.route.MaxAttempts {
-		grant.OnEvacuate(func() {
-			if x.budget.Remaining() > 1 {
-				x.evacuated.Store(true)
-				cancel()
-			}
-		})
-	}
-	started := clock.Now()
-	x.sentAt = started
-	call := track.ReplicaCall{
-		Replica: grant.Replica, RequestID: x.request.ID, Host: x.request.Host, Method: x.request.Method,
-		Target: x.request.Target, Header: x.request.Header, Body: x.request.Body, Account: x.account.Name,
-		TimeLeft: x.deadline.Sub(started), ResumeAfter: x.resumeAfter(), Urgency: defaultUrgency,
-	}
-	var silenceTimer clockwork.Timer
-	if x.route.Stream {
-		silenceTimer = clock.AfterFunc(x.shareOfPatience(silencePatienceShare), cancel)
-		defer silenceTimer.Stop()
-	}
-	answer, err := x.proxy.options.Caller.Call(attemptCtx, call)
-	if err != nil {
-		return x.handleCallError(ctx, err)
-	}
-	defer answer.Body.Close()
+	attemptCtx, first := x.newAttempt(ctx, grant, x.attempts+1)
+	defer first.end()
+	x.setCurrent(first)
+	if x.proxy.hedges == nil {
+		first.answer, first.err = x.proxy.options.Caller.Call(attemptCtx, first.call)
+	} else if hedge := x.callHedged(ctx, attemptCtx, first); hedge != nil {
+		defer hedge.end()
+	}
+	current := x.current
+	if current.err != nil {
+		return x.handleCallError(ctx, current.err)
+	}
+	answer := current.answer
 	if !answer.WrongReplica {
-		grant.Observe(answer.Signs)
+		current.grant.Observe(answer.Signs)
 	}
 	x.attempts++
 	switch {
@@ -293,9 +282,9 @@
 	}
 	x.mayHaveRun = true
 	if x.route.Stream {
-		return x.relayStream(ctx, answer, silenceTimer, started)
+		return x.relayStream(ctx, answer, current.silenceTimer, current.startedAt)
 	}
-	return x.relayWhole(ctx, answer, started)
+	return x.relayWhole(ctx, answer, current.startedAt)
 }
 
 // resumeAfter returns the ID of the event after which a stream is to be resumed: the last
@@ -338,7 +327,7 @@
 		return attemptOutcome{result: batch.Result{Verdict: batch.Canceled}, refusal: x.endedRefusal()}
 	}
 	result := batch.Result{Verdict: batch.Interrupted}
-	if x.evacuated.Swap(false) {
+	if x.current.evacuated.Swap(false) {
 		// This entry canceled the attempt, which says nothing about the replica's health.
 		result.Verdict, reason = batch.Canceled, "LeftSlowRank"
 	}
--- a/proxy/world_test.go
+++ b/proxy/world_test.go
@@ -97,6 +97,7 @@
 	// unconfirmed is set while there may be a newer configuration than table.
 	unconfirmed  bool
 	clock        *clockwork.FakeClock
+	options      proxy.Options
 	proxy        *proxy.Proxy
 	pools        map[string]*batch.Pool
 	budget       *retry.ServiceBudget
@@ -186,12 +187,13 @@
 	h.blameTracker.SetReplicas(replicas)
 	h.budget = retry.NewServiceBudget(retry.ServiceLimit{Share: 0.2, Slack: 50, Window: 10 * time.Second}, h.clock,
 		func() int { return 1 })
-	h.proxy = proxy.New(proxy.Options{
+	h.options = proxy.Options{
 		RoutingTable: func() *hosts.Table { return h.table }, ConfigConfirmed: func() bool { return !h.unconfirmed }, Services: h, Caller: h, WriteRefusal: refuse,
 		Prober: h, CrashTracker: h.blameTracker, PartsTracker: partsTracker,
 		Clock: h.clock, Random: func() float64 { return 0 },
 		Logger: logger, Metrics: proxy.NewMetrics(metrics.NewSet()),
-	})
+	}
+	h.proxy = proxy.New(h.options)
 	return h
 }
 
