--- a/cmd/trackd/main.go
+++ b/cmd/trackd/main.go
@@ -33,7 +33,7 @@
 		Name:  "trackd",
 		Usage: "daemons of the load balancer on the platform's machines",
 		Commands: []*cli.Command{
-			{Name: "entry", Usage: "accept and route client requests", Action: daemonAction(launch.RunEntry)},
+			entryCommand(launch.RunEntry),
 			{Name: "agent", Usage: "balance the expert placement of a rank group", Action: daemonAction(launch.RunAgent)},
 			checkCommand(),
 			traceCommand(),
