test(hedging): losers end at once, one hedge a request, barred requests, bound with losers

Four changes to the code passed the tests: a loser that runs until the request's end, a second hedge after attempts that reached no replica, a hedge of a barred request, and a percentile without the attempts that lost.

--- a/batch/spare_test.go
+++ b/batch/spare_test.go
@@ -1,6 +1,7 @@
 package batch_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -87,9 +88,8 @@
 	assert.Equal(t, g.Replica.ID, id(2))
 }
 
-// Guards against hedges on too little evidence, and against a bound that falls with each hedge because the attempts
-// that lost don't count: attempts at every twentieth request hang for 2 s and lose.
-func TestSlowFirstByte(t *testing.T) {
+// Guards against hedges on too little evidence.
+func TestSlowFirstByteNeedsSamples(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	p := newPool(clock, 2, nil)
 	serve := func(r batch.Result) { mustAcquire(t, p, newAsk(clock, 0)).Done(r) }
@@ -97,15 +97,31 @@
 		serve(batch.Result{Verdict: batch.Served, FirstByte: time.Millisecond})
 	}
 	serve(batch.Result{Verdict: batch.Canceled})
-	assert.Equal(t, p.SlowFirstByte(), time.Duration(0), "63 samples are too few")
+	assert.Equal(t, p.SlowFirstByte(), time.Duration(0))
 	serve(batch.Result{Verdict: batch.Served, FirstByte: time.Millisecond})
 	assert.Equal(t, p.SlowFirstByte(), 10*time.Millisecond)
-	for i := range 200 {
-		serve(batch.Result{Verdict: batch.Served, FirstByte: time.Duration(100+i%100) * time.Millisecond})
-		if i%20 == 0 {
-			serve(batch.Result{Verdict: batch.Canceled, FirstByte: p.SlowFirstByte() + 100*time.Millisecond})
+}
+
+// Guards against a bound that falls with each hedge, until nearly every request counts as slow, because the attempts that
+// lost are missing from the samples. Attempts take 100 to 900 ms; hedges take 20 ms.
+func TestSlowFirstByteCountsLosers(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	p := newPool(clock, 2, nil)
+	serve := func(r batch.Result) { mustAcquire(t, p, newAsk(clock, 0)).Done(r) }
+	const requests, hedgeTime = 5000, 20 * time.Millisecond
+	rng := rand.New(rand.NewPCG(1, 2))
+	hedges := 0
+	for range requests {
+		first := 100*time.Millisecond + time.Duration(rng.Int64N(int64(800*time.Millisecond)))
+		slow := p.SlowFirstByte()
+		if slow == 0 || first < slow+hedgeTime {
+			serve(batch.Result{Verdict: batch.Served, FirstByte: first})
+			continue
 		}
+		hedges++
+		serve(batch.Result{Verdict: batch.Canceled, FirstByte: slow + hedgeTime})
+		serve(batch.Result{Verdict: batch.Served, FirstByte: hedgeTime})
 	}
-	slow := p.SlowFirstByte()
-	assert.Assert(t, slow >= 190*time.Millisecond, "%s", slow)
+	t.Logf("%d hedges won for %d requests", hedges, requests)
+	assert.Assert(t, hedges > 0 && hedges <= requests/10, "%d hedges", hedges)
 }
--- a/proxy/hedge_test.go
+++ b/proxy/hedge_test.go
@@ -415,8 +415,8 @@
 	assert.Equal(t, hedged, w.counted("Sent"))
 }
 
-// Guards against events of both attempts in one stream: the first attempt has sent its head, and sends events after
-// the hedge has won.
+// Guards against events of both attempts in one stream, and against a loser that goes on while the winner's stream
+// does: the first attempt has sent its head and a part of an event when the hedge wins.
 func TestStreamIsFromOneAttempt(t *testing.T) {
 	w := newHedgeWorld(t, hedgeShare, "/notes/1")
 	ended, first, hedge := w.startHedged(t.Context(), "/notes/1")
@@ -426,13 +426,22 @@
 	first.reply <- head
 	_, err := late.Write([]byte("id: 1\nda"))
 	assert.NilError(t, err)
-	hedge.reply <- text(eventsAfter("", serves))
-	// The loser's connection ends when its context does.
+	winning, rest := io.Pipe()
+	head.answer.Body = winning
+	hedge.reply <- head
+	whole := eventsAfter("", serves)
+	_, err = rest.Write([]byte(whole[:len(whole)/2]))
+	assert.NilError(t, err)
 	<-first.ctx.Done()
+	// The loser's connection ends when its context does.
 	_ = late.CloseWithError(errors.New("connection closed"))
+	await(func() bool { return len(w.pools["llm"].InFlight()) == 1 })
+	_, err = rest.Write([]byte(whole[len(whole)/2:]))
+	assert.NilError(t, err)
+	assert.NilError(t, rest.Close())
 	got := <-ended
 	assert.NilError(t, got.err)
-	assert.Equal(t, got.Body.String(), eventsAfter("", serves))
+	assert.Equal(t, got.Body.String(), whole)
 	w.checkIdle()
 	w.checkNoCrash()
 }
@@ -566,3 +575,35 @@
 		assert.Assert(rt, body == bodies[0] || body == bodies[1] || body == "" && path == "/status/1", "%q", body)
 	})
 }
+
+// Guards against a second hedge of a request whose attempts reached no replica and so don't count.
+func TestRequestIsHedgedOnce(t *testing.T) {
+	w := newHedgeWorld(t, hedgeShare, "/notes/1")
+	ended, first, hedge := w.startHedged(t.Context(), "/notes/1")
+	unreached := reply{err: track.Fail("call", track.Unavailable, errors.New("connection refused"))}
+	first.reply <- unreached
+	hedge.reply <- unreached
+	third := <-w.calls
+	w.clock.Advance(hedgeAfter)
+	third.reply <- text(eventsAfter("", serves))
+	assert.Equal(t, (<-ended).Code, http.StatusOK)
+	assert.Equal(t, len(w.calls), 0)
+	assert.Equal(t, w.counted(string(retry.ReasonHedgedBefore)), 1)
+}
+
+// Guards against a hedge that crashes a further replica: equal requests are barred while the first attempt runs.
+func TestBarredRequestIsNotHedged(t *testing.T) {
+	// A request that was served lately isn't barred, so the warm-up is with another one.
+	w := newHedgeWorld(t, hedgeShare, "/notes/0")
+	calls := w.calls
+	ended := w.start(t.Context(), "/notes/1")
+	first := <-calls
+	w.calls, w.script = nil, []behaviour{crashes, crashes, crashes}
+	_, err := w.post("/notes/1")
+	assert.NilError(t, err)
+	w.clock.Advance(hedgeAfter)
+	await(func() bool { return w.counted(string(retry.ReasonMayCrash)) == 1 })
+	first.reply <- text(eventsAfter("", serves))
+	assert.Equal(t, (<-ended).Code, http.StatusOK)
+	assert.Equal(t, w.counted("Sent"), 0)
+}
