--- a/edge/entry.go
+++ b/edge/entry.go
@@ -112,6 +112,8 @@
 	ColdOvershoot, ColdSlack float64
 	// ZoneRegions holds the region of each availability zone.
 	ZoneRegions map[track.AvailabilityZone]string
+	// HedgeShare is the greatest number of hedges for each request of a service; 0 sends none.
+	HedgeShare float64
 
 	Clock clockwork.Clock
 	// Random returns random numbers that are uniform in [0, 1).
@@ -236,7 +238,7 @@
 		RoutingTable: e.configHolder.Table, ConfigConfirmed: e.configConfirmed, Services: e, Caller: o.Caller, WriteRefusal: o.WriteRefusal,
 		Prober: o.Prober, CrashTracker: e.blameTracker, PartsTracker: e.partsTracker, Tickets: e.tickets,
 		ZoneRegions:   o.ZoneRegions,
-		MaxEventDelay: o.MaxEventDelay, Clock: o.Clock, Random: o.Random, Logger: o.Logger,
+		MaxEventDelay: o.MaxEventDelay, HedgeShare: o.HedgeShare, Clock: o.Clock, Random: o.Random, Logger: o.Logger,
 		Metrics: proxy.NewMetrics(o.Metrics),
 	})
 	e.registerGauges()
--- a/proxy/world_test.go
+++ b/proxy/world_test.go
@@ -98,6 +98,7 @@
 	// unconfirmed is set while there may be a newer configuration than table.
 	unconfirmed  bool
 	clock        *clockwork.FakeClock
+	options      proxy.Options
 	proxy        *proxy.Proxy
 	pools        map[string]*batch.Pool
 	budget       *retry.ServiceBudget
@@ -190,13 +191,14 @@
 	h.budget = retry.NewServiceBudget(retry.ServiceLimit{Share: 0.2, Slack: 50, Window: 10 * time.Second}, h.clock,
 		func() int { return 1 })
 	h.tickets, h.metrics = ticket.New(h.clock), metrics.NewSet()
-	h.proxy = proxy.New(proxy.Options{
+	h.options = proxy.Options{
 		RoutingTable: func() *hosts.Table { return h.table }, ConfigConfirmed: func() bool { return !h.unconfirmed }, Services: h, Caller: h, WriteRefusal: refuse,
 		Prober: h, CrashTracker: h.blameTracker, PartsTracker: partsTracker, Tickets: h.tickets,
 		ZoneRegions: map[track.AvailabilityZone]string{"rivera": "norte", "artigas": "sur"},
 		Clock:       h.clock, Random: func() float64 { return 0 },
 		Logger: logger, Metrics: proxy.NewMetrics(h.metrics),
-	})
+	}
+	h.proxy = proxy.New(h.options)
 	return h
 }
 
--- a/verify/verify_test.go
+++ b/verify/verify_test.go
@@ -100,7 +100,7 @@
 		`PromptTokensPerSecond: 0, MeanPromptTokens: 0, MeanAnswerTokens: 0, Experts: {Layers: 0, Experts: 0, SlotsPerRank: 0, ` +
 		`StagedPerLayer: 0, ExpertBytes: 0, LinkBytesPerSecond: 0, ExpertTimeShare: 0, ReportLag: 0s}, GroupRecoveryTime: 0s}`
 	route := `", Host: "desk.example", PathPrefix: "/book/", RetryRule: "AtMostOnce", Stream: false, Timeout: 2s, Objective: 1s, ` +
-		`MaxGap: 0s, Patience: 0s, Priority: 0, Targets: [{Service: "book", Weight: 1}], MaxAttempts: 1, Anonymous: false}`
+		`MaxGap: 0s, Patience: 0s, Priority: 0, Targets: [{Service: "book", Weight: 1}], MaxAttempts: 1, Anonymous: false, HomeRegions: []}`
 	assert.Equal(t, got, strings.Join([]string{
 		`change: route "new": added: {Name: "new` + route,
 		`change: route "notes": Targets: [{Service: "llm", Weight: 1}] -> [{Service: "llm", Weight: 1}, {Service: "book", Weight: 2}]`,
@@ -111,8 +111,8 @@
 		`change: account "mills": key 2 ("key-...") added`,
 		`change: account "mills": key 1 ("key-...") removed`,
 		`change: account "mills": Priority: none -> 2`,
-		`change: account "all": added: {Name: "all", Keys: ["key-..."], Priority: none}`,
-		`change: account "ames": removed: {Name: "ames", Keys: ["key-..."], Priority: none}`,
+		`change: account "all": added: {Name: "all", Keys: ["key-..."], Priority: none, HomeRegions: []}`,
+		`change: account "ames": removed: {Name: "ames", Keys: ["key-..."], Priority: none, HomeRegions: []}`,
 		`change: limits: MaxBodyBytes: 4096 -> 8192`,
 		"",
 	}, "\n"))
