--- a/batch/pool.go
+++ b/batch/pool.go
@@ -211,6 +211,8 @@
 	demand, surge demandRate
 	// fair divides the capacity among accounts while requests wait for it.
 	fair limit.Fair
+	// lentRequests counts the requests that used a slot of another entry.
+	lentRequests uint64
 	// plan divides the slots among the entries; nil if it has to be built anew.
 	plan *slotPlan
 	// evacuated holds the evacuated zones.
@@ -503,7 +505,7 @@
 	slices.SortStableFunc(p.queue, func(a, b *waiter) int { return compareWaiters(a, b, now) })
 	for i := 0; i < len(p.queue); {
 		w := p.queue[i]
-		r, candidates := p.chooseReplica(w.request, now)
+		r, lent, candidates := p.chooseReplica(w.request, now)
 		if r == nil && p.refuseWithoutZone(w) {
 			continue
 		}
@@ -513,6 +515,9 @@
 		}
 		p.queue = slices.Delete(p.queue, i, i+1)
 		p.fair.Serve(w.flow(), w.tag.Start)
+		if lent {
+			p.lentRequests++
+		}
 		r.permits.Use()
 		r.ownInFlight.Running++
 		r.ownInFlight.Starting++
@@ -549,18 +554,18 @@
 }
 
 // chooseReplica returns the least loaded replica of a small random sample of the available
-// ones with free capacity, and the number of these; nil if there is none. It samples
+// ones with free capacity, whether it uses a slot of another entry, and the number of candidates; nil if there is none. It samples
 // because the requests in flight from other entries are known with a delay: if all
 // entries sent to the least loaded replica in the meantime, it would be overloaded.
-func (p *Pool) chooseReplica(request AdmissionRequest, now time.Time) (*replica, int) {
+func (p *Pool) chooseReplica(request AdmissionRequest, now time.Time) (r *replica, lent bool, candidates int) {
 	p.collectCandidates(request, now)
 	count := len(p.ownCandidates) + len(p.candidates)
 	best, bestScore := p.leastLoaded(p.ownCandidates)
 	other, otherScore := p.leastLoaded(p.candidates[:p.sampleCandidates()])
 	if best == nil || other != nil && otherScore*lentAdvantage <= bestScore {
-		best = other
+		return other, p.dividesSlots(), count
 	}
-	return best, count
+	return best, false, count
 }
 
 // leastLoaded returns the replica with the lowest score, and its score; nil if there is none.
--- a/batch/slots.go
+++ b/batch/slots.go
@@ -83,6 +83,25 @@
 	return p.needsSlotPlan() || p.coldReplicas(p.options.Clock.Now()) > 0
 }
 
+// SlotUse is an entry's use of the slots that the entries divide.
+type SlotUse struct {
+	// Owned is the number of slots that this entry owns; 0 while the slots aren't divided.
+	Owned int
+	// LentRequests is the number of requests so far that used a slot of another entry.
+	LentRequests uint64
+}
+
+// SlotUse returns this entry's use of the slots.
+func (p *Pool) SlotUse() SlotUse {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	use := SlotUse{LentRequests: p.lentRequests}
+	if p.dividesSlots() && p.plan != nil {
+		use.Owned = max(p.plan.end-p.plan.first, 0)
+	}
+	return use
+}
+
 // layOutSlots orders the slots of all replicas that may get requests.
 func (p *Pool) layOutSlots() *slotPlan {
 	plan := &slotPlan{first: -1}
--- a/edge/gauges.go
+++ b/edge/gauges.go
@@ -83,6 +83,12 @@
 	e.options.Metrics.GetOrCreateGauge(fmt.Sprintf("filberttrack_places_taken{service=%q}", service), func() float64 {
 		return float64(pool.Usage().InFlight)
 	})
+	e.options.Metrics.GetOrCreateGauge(fmt.Sprintf("filberttrack_owned_slots{service=%q}", service), func() float64 {
+		return float64(pool.SlotUse().Owned)
+	})
+	e.options.Metrics.GetOrCreateGauge(fmt.Sprintf("filberttrack_lent_requests_total{service=%q}", service), func() float64 {
+		return float64(pool.SlotUse().LentRequests)
+	})
 	registerCondition(e.options.Metrics, fmt.Sprintf("filberttrack_group_broken{service=%q}", service), pool.HasBrokenGroup)
 	e.options.Metrics.GetOrCreateGauge(fmt.Sprintf("filberttrack_cold_replicas{service=%q}", service), func() float64 {
 		return float64(pool.ColdReplicas())
