fix(proxy,batch,verify): findings of the review of hedging and tickets

Cause, by reading: only admission and stops gave tickets, so a client that a replica declined came back as a new one; a request that becomes the trial of a suspected part could be hedged; capacity of a broken group counted as room for hedges; quick error answers lowered the bound from which on requests count as slow; three warnings of check-config contradicted what entries do.

Change: every refusal with a delay gives a ticket; the order of the two checks; replicas of broken groups and error answers don't count; warnings reworded.

Result: go test of the packages passes; the row "the replica declines" is new.

--- a/batch/pool.go
+++ b/batch/pool.go
@@ -92,6 +92,8 @@
 	// FirstByte is the time to the first byte of the answer; 0 if there was none. For an attempt that was canceled
 	// because its hedge won, it is the time for which the attempt had waited.
 	FirstByte time.Duration
+	// ErrorAnswer is set if the answer had an error status.
+	ErrorAnswer bool
 	// AtFault names the replica that broke the group, if any.
 	AtFault string
 }
--- a/batch/spare.go
+++ b/batch/spare.go
@@ -41,7 +41,8 @@
 	excluded := append(slices.Clone(request.Excluded), beside)
 	for _, r := range p.replicas {
 		switch {
-		case slices.Contains(excluded, r.ID) || !r.available(now) || !allows(request.Zones, r.Zone):
+		case slices.Contains(excluded, r.ID) || !r.available(now) || p.inBrokenGroup(r) ||
+			!allows(request.Zones, r.Zone):
 		case p.maySharePasses(r, p.replicas[beside]):
 			excluded = append(excluded, r.ID)
 			if reason == ReasonNoOtherReplica {
@@ -71,7 +72,7 @@
 func (p *Pool) hasSpareCapacity(now time.Time) bool {
 	capacity, used := 0, 0
 	for _, r := range p.replicas {
-		if r.available(now) {
+		if r.available(now) && !p.inBrokenGroup(r) {
 			capacity += p.limit(r)
 			used += r.load()
 		}
@@ -88,9 +89,10 @@
 }
 
 // recordFirstByte adds the time to first byte of a served attempt. An attempt that was canceled because its hedge won
-// counts with the time for which it had waited: without the slow ones, the quantile would fall with each hedge.
+// counts with the time for which it had waited: without the slow ones, the quantile would fall with each hedge. Answers
+// with an error status are quick and say nothing about slow ones.
 func (p *Pool) recordFirstByte(result Result) {
-	if result.Verdict == Served || result.Verdict == Canceled && result.FirstByte > 0 {
+	if result.Verdict == Served && !result.ErrorAnswer || result.Verdict == Canceled && result.FirstByte > 0 {
 		p.firstBytes.add(result.FirstByte)
 	}
 }
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -176,9 +176,9 @@
 	if stop == nil || !x.expectedEnd(*stop).After(stop.EndAt) {
 		return nil
 	}
-	return x.withTicket(&Refusal{
+	return &Refusal{
 		Status: http.StatusServiceUnavailable, RetryAfter: stoppingRetryAfter, Reason: "Stopping",
-	})
+	}
 }
 
 // expectedEnd returns the time at which the request is over. That is the deadline, as a stream that has begun
--- a/proxy/hedge.go
+++ b/proxy/hedge.go
@@ -138,7 +138,8 @@
 	share := x.proxy.hedges.forService(x.service)
 	candidate := x.slowAttempt(after)
 	candidate.Waited = x.proxy.options.Clock.Since(first.startedAt)
-	candidate.MayCrash = x.trial || x.barredRefusal() != nil
+	barred := x.barredRefusal() != nil // This may make the request the trial of a part.
+	candidate.MayCrash = barred || x.trial
 	candidate.NoShareLeft = share.Remaining() < 1
 	candidate.NoBudgetLeft = x.budget.Remaining() < 1
 	if reason := retry.DecideHedge(candidate); reason != retry.ReasonHedge {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -164,6 +164,7 @@
 	case x.committed:
 		err = ErrIncompleteAnswer
 	default:
+		x.issueTicket(*refusal)
 		p.options.WriteRefusal(w, *refusal)
 	}
 	x.logResult(refusal)
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -168,7 +168,7 @@
 	if refusal.Status == http.StatusServiceUnavailable {
 		refusal.RetryAfter = refused.RetryAfter
 	}
-	return nil, x.withTicket(refusal)
+	return nil, refusal
 }
 
 // admissionRequest describes the request to the pool.
@@ -203,7 +203,7 @@
 	if x.returning.known {
 		return x.arrived.Sub(x.returning.firstSeen)
 	}
-	if x.request.TimeLeft <= 0 || x.pool.DividesSlots() {
+	if x.request.TimeLeft <= 0 {
 		return 0
 	}
 	return max(x.route.Timeout-x.request.TimeLeft, 0)
@@ -253,11 +253,7 @@
 	if x.mayHaveRun {
 		return &Refusal{Status: http.StatusGatewayTimeout, Reason: reason}
 	}
-	refusal := &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryAfter, Reason: reason}
-	if reason == "Stopping" {
-		return x.withTicket(refusal)
-	}
-	return refusal
+	return &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryAfter, Reason: reason}
 }
 
 // attempt sends the request to the granted replica and relays the answer.
@@ -389,6 +385,7 @@
 		return outcome
 	}
 	outcome := x.relayWhole(ctx, answer, x.proxy.options.Clock.Now())
+	outcome.result.ErrorAnswer = true
 	if answer.Status >= http.StatusInternalServerError {
 		outcome.result.Verdict = batch.Failed
 	}
--- a/proxy/tickets.go
+++ b/proxy/tickets.go
@@ -46,9 +46,9 @@
 	return returning{known: true, kind: kind, firstSeen: t.FirstSeen}
 }
 
-// withTicket issues a ticket if the refusal tells the client to return, and returns the refusal. A client that has left
-// or whose deadline has passed won't return.
-func (x *exchange) withTicket(refusal *Refusal) *Refusal {
+// issueTicket records that the refusal tells the client to return, whatever its reason. A client that has left or
+// whose deadline has passed won't return.
+func (x *exchange) issueTicket(refusal Refusal) {
 	now := x.proxy.options.Clock.Now()
 	toldToReturn := refusal.Status == http.StatusServiceUnavailable && refusal.RetryAfter > 0
 	if x.returning.known && toldToReturn && x.clientCtx.Err() == nil && now.Before(x.deadline) {
@@ -56,5 +56,4 @@
 			ID: x.fingerprint, FirstSeen: x.returning.firstSeen, ReturnAt: now.Add(refusal.RetryAfter),
 		})
 	}
-	return refusal
 }
--- a/proxy/tickets_test.go
+++ b/proxy/tickets_test.go
@@ -115,6 +115,10 @@
 		{"the entry stops", "/notes/1", 1, func(h *harness, _ context.CancelFunc) {
 			h.proxy.Stop(proxy.Stop{EndAt: h.clock.Now().Add(time.Millisecond)})
 		}},
+		{"the replica declines", "/notes/1", 1, func(h *harness, _ context.CancelFunc) {
+			h.pools["llm"].Update([]track.Replica{{ID: "llm-0", Service: "llm", Address: replicaAddress("llm", 0), Slots: 8}})
+			h.script = []behaviour{atCapacity}
+		}},
 		{"the client has left", "/notes/1", 0, func(_ *harness, cancel context.CancelFunc) { cancel() }},
 		{"plain service", "/book/1", 0, func(h *harness, _ context.CancelFunc) { h.pools["desk"].Update(nil) }},
 		{"no route", "/other/1", 0, func(*harness, context.CancelFunc) {}},
--- a/verify/verify.go
+++ b/verify/verify.go
@@ -150,7 +150,7 @@
 
 func (p place) checkLimits(r track.Route) []Finding {
 	var findings []Finding
-	if r.Timeout < r.Objective {
+	if r.Timeout > 0 && r.Timeout < r.Objective {
 		findings = append(findings, p.warn("the timeout of %v is below the objective of %v", r.Timeout, r.Objective))
 	}
 	if r.RetryRule == track.RetryOnlyIfNotRun && r.MaxAttempts > 1 {
@@ -162,7 +162,7 @@
 	case r.Stream:
 		findings = append(findings, p.warn("the gap target of %v is above the clients' patience of %v", r.MaxGap, r.Patience))
 	default:
-		findings = append(findings, p.warn("the gap target of %v has no effect: responses aren't streams", r.MaxGap))
+		findings = append(findings, p.warn("the gap target of %v doesn't apply: responses aren't streams", r.MaxGap))
 	}
 	return findings
 }
--- a/verify/verify_test.go
+++ b/verify/verify_test.go
@@ -71,7 +71,7 @@
 			c.Routes[0].MaxAttempts = 2
 		},
 		`warning: route "notes": the gap target of 9s is above the clients' patience of 8s`: func(c *track.RouteConfig) { c.Routes[1].MaxGap = 9 * time.Second },
-		`warning: route "book": the gap target of 1s has no effect: responses aren't streams`: func(c *track.RouteConfig) {
+		`warning: route "book": the gap target of 1s doesn't apply: responses aren't streams`: func(c *track.RouteConfig) {
 			c.Routes[0].MaxGap = time.Second
 		},
 	} {
