fix(batch): old reports of a broken group refuse no requests

The state of a group was computed only when one of its agents reported. If all agents fell silent after they had reported the group broken, the entry refused every request for its replicas for as long as they were silent, and no request could show that the replicas served again.

--- a/batch/groups.go
+++ b/batch/groups.go
@@ -92,8 +92,8 @@
 // work. A group needs all its ranks, so that replicas that say nothing, since they are cut off, serve nothing
 // either. Requests that run there still take their slots; a request that waited for these would be refused
 // as if the replicas were busy, and its client come back before the group does.
-func (p *Pool) inBrokenGroup(r *replica) bool {
-	return p.brokenGroups[r.rank.Group] && p.dividesSlots()
+func (p *Pool) inBrokenGroup(r *replica, now time.Time) bool {
+	return now.Before(p.brokenGroups[r.rank.Group]) && p.dividesSlots()
 }
 
 // SetRank records a report on one rank.
@@ -162,6 +162,8 @@
 	reported int
 	// working and broken are the numbers of ranks that have reported lately that the group works, or doesn't.
 	working, broken int
+	// brokenUntil is when the latest report counts no more that the group doesn't work.
+	brokenUntil time.Time
 	// running is the number of requests on the listed ranks.
 	running int
 	listed  int
@@ -185,6 +187,9 @@
 				t.working++
 			} else {
 				t.broken++
+				if until := r.rankReportedAt.Add(rankReportTime); until.After(t.brokenUntil) {
+					t.brokenUntil = until
+				}
 			}
 		}
 		if r.listed {
@@ -194,7 +199,9 @@
 		totals[r.rank.Group] = t
 	}
 	for group, t := range totals {
-		p.brokenGroups[group] = t.broken > t.working
+		if delete(p.brokenGroups, group); t.broken > t.working {
+			p.brokenGroups[group] = t.brokenUntil
+		}
 		p.passTimes[group] = t.passes / time.Duration(max(t.reported, 1))
 		p.observePass(group, t, now)
 	}
--- a/batch/groups_test.go
+++ b/batch/groups_test.go
@@ -50,3 +50,27 @@
 	report(true, true)
 	mustAcquire(t, p, newAsk(clock, 0))
 }
+
+// Agents that report a broken group and then fall silent say nothing about its present state. Requests that are
+// refused for as long as the agents are silent would never show that the replicas serve again.
+func TestOldReportsOfBrokenGroupRefuseNothing(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	p := batch.New(batch.Options{
+		Service: service, Zone: "rivera", Clock: clock, Logger: zap.NewNop(), Random: func() float64 { return 0.5 },
+		Signs: signs.New(clock, zap.NewNop()), Entries: func() int { return 2 * slots },
+	})
+	p.Configure(engine)
+	p.Update(replicas(2))
+	p.SetShare(permit.Share{Width: 1})
+	var reports []batch.RankReport
+	for i := range 2 {
+		reports = append(reports, batch.RankReport{Address: address(i), State: batch.RankState{Group: "g"}})
+	}
+	p.SetRanks(reports)
+	_, _, err := p.Admit(newAsk(clock, 0))
+	assert.Equal(t, asRefusal(t, err).Reason, batch.ReasonGroupBroken)
+	clock.Advance(time.Minute)
+	_, grant, err := p.Admit(newAsk(clock, 0))
+	assert.NilError(t, err)
+	assert.Assert(t, grant != nil)
+}
--- a/batch/pool.go
+++ b/batch/pool.go
@@ -184,8 +184,9 @@
 	queue     []*waiter
 	// passTimes holds the mean pass duration by group, as its ranks report it.
 	passTimes map[string]time.Duration
-	// brokenGroups holds the groups most of whose ranks have reported lately that the group doesn't work.
-	brokenGroups map[string]bool
+	// brokenGroups holds the groups most of whose ranks have reported lately that the group doesn't work, and the time
+	// until which these reports count. Agents that fall silent say nothing about the present state.
+	brokenGroups map[string]time.Time
 	// paces holds the pace of each group, and maxGap the longest pause between two events of
 	// the latest request.
 	paces  map[string]*groupPace
@@ -244,7 +245,7 @@
 
 		share:    permit.Share{Width: 1 / float64(max(options.Entries(), 1))},
 		replicas: make(map[track.ReplicaID]*replica), passTimes: make(map[string]time.Duration),
-		paces: make(map[string]*groupPace), brokenGroups: make(map[string]bool),
+		paces: make(map[string]*groupPace), brokenGroups: make(map[string]time.Time),
 	}
 }
 
@@ -390,7 +391,7 @@
 		if !r.usable() || !request.mayUse(r) {
 			continue
 		}
-		inBrokenGroup := p.inBrokenGroup(r)
+		inBrokenGroup := p.inBrokenGroup(r, now)
 		if r.remainingBackoff(now) <= 0 && !inBrokenGroup {
 			return "", 0
 		}
@@ -585,7 +586,7 @@
 	avoidSlow := p.anyHealthyRank(now, request.Zones)
 	divided := p.dividesSlots()
 	for _, r := range p.replicas {
-		if !r.available(now) || !request.mayUse(r) || p.inBrokenGroup(r) || avoidSlow && r.slow() ||
+		if !r.available(now) || !request.mayUse(r) || p.inBrokenGroup(r, now) || avoidSlow && r.slow() ||
 			!r.permits.Available(p.shareAt(r, now), now) || p.engine != nil && r.starting() >= maxStarting {
 			continue
 		}
