fix(batch): an entry without a slot of its own uses idle replicas

With 98 entries and 10 replicas, an entry with little demand owns no slot. It estimates the demand of the other entries from its own demand and its share, and one request raised the estimate above the slots of every replica, so that the entry refused it with all replicas idle. An entry without a request on any replica now uses any replica that has room by the counts it knows. This adds at most one request an entry to what the estimate leaves out.

--- a/batch/overload_test.go
+++ b/batch/overload_test.go
@@ -12,6 +12,7 @@
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/batch"
+	"filberttrack.example/track/permit"
 	"filberttrack.example/track/signs"
 )
 
@@ -225,3 +226,26 @@
 	assert.Assert(t, share["small"] >= 0.9, "%.2f of the small account's requests on time, %.2f of the pressing one's",
 		share["small"], share["pressing"])
 }
+
+// An entry with little demand has a share that is smaller than a slot. Its estimate of the other entries' demand,
+// taken from its own demand and that share, is far too high at its first request, which must not be refused while
+// all replicas are idle.
+func TestEntryWithoutOwnSlotUsesIdleReplicas(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	p := batch.New(batch.Options{
+		Service: service, Zone: "rivera", Clock: clock, Logger: zap.NewNop(), Random: func() float64 { return 0.5 },
+		Signs: signs.New(clock, zap.NewNop()), Entries: func() int { return 98 },
+	})
+	p.Configure(engine)
+	p.Update(replicas(10))
+	p.SetShare(permit.Share{From: 0.5, Width: 0.0017})
+	clock.Advance(time.Minute)
+	assert.Equal(t, p.SlotUse().Owned, 0)
+	for range 3 {
+		_, grant, err := p.Admit(newAsk(clock, 0))
+		assert.NilError(t, err)
+		assert.Assert(t, grant != nil, "the request waits though all replicas are idle")
+		grant.Done(batch.Result{Verdict: batch.Served, FirstByte: 100 * time.Millisecond})
+		clock.Advance(10 * time.Second)
+	}
+}
--- a/batch/slots.go
+++ b/batch/slots.go
@@ -184,8 +184,12 @@
 }
 
 // keepLendable keeps those candidates that have room for certain. Idle replicas are left to the owners of their
-// first slots, unless there is no other one.
+// first slots, unless there is no other one. An entry without a request on any replica may use all candidates: its
+// share may be smaller than a slot, and then its estimate of the other entries' requests is too high to leave any.
 func (p *Pool) keepLendable(now time.Time) {
+	if len(p.ownCandidates) == 0 && !p.anyOwnInFlight() {
+		return
+	}
 	unseen := p.unseenRequests(len(p.candidates), now)
 	isFull := func(r *replica) bool { return r.load()+p.unseenAt(r, unseen) >= p.limit(r) }
 	isIdle := func(r *replica) bool { return r.load() == 0 && !r.permitsCold }
@@ -195,6 +199,16 @@
 	}
 }
 
+// anyOwnInFlight reports whether a request of this entry is on a replica.
+func (p *Pool) anyOwnInFlight() bool {
+	for _, r := range p.replicas {
+		if r.ownInFlight.Running > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // unseenRequests estimates the requests on one replica that other entries have sent and of which this one
 // doesn't know yet: the mean, and two standard deviations more. The given number of replicas have room, and all
 // entries send to these.
