perf(batch): look for a free replica once for requests that may use all

Under overload each end of a request looked through all replicas for each waiting request, although none was free for the first of them. Once no replica is free for a request that may run in all zones and excludes none, none is free for others in all zones either, so that dispatch skips these.

--- a/batch/overload_test.go
+++ b/batch/overload_test.go
@@ -249,3 +249,43 @@
 		clock.Advance(10 * time.Second)
 	}
 }
+
+// Under overload, hundreds of requests wait for 250 replicas, and the queue is looked through at each end of a request.
+// A look at all replicas for each of them would take most of the CPU time.
+func TestFullReplicasAreNotLookedThroughForEachWaitingRequest(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	collections := 0
+	p := batch.New(batch.Options{
+		Service: service, Zone: "rivera", Clock: clock, Logger: zap.NewNop(), Random: func() float64 { return 0.5 },
+		// Each collection of candidates asks for the number of entries.
+		Signs: signs.New(clock, zap.NewNop()), Entries: func() int { collections++; return 2 * slots },
+	})
+	p.Configure(engine)
+	p.Update(replicas(3))
+	p.SetShare(permit.Share{Width: 1})
+	grants := fill(t, p, clock, 3*slots)
+	const waiting = 100
+	var waits []*batch.Wait
+	for range waiting {
+		ask := newAsk(clock, 0)
+		if len(waits)%2 == 1 {
+			ask.Excluded = []track.ReplicaID{id(0)}
+		}
+		wait, _, err := p.Admit(ask)
+		assert.NilError(t, err)
+		waits = append(waits, wait)
+	}
+	collections = 0
+	p.SetOtherInFlight(nil)
+	assert.Assert(t, collections < waiting/5, "looked through %d times", collections)
+	for _, g := range grants {
+		g.Done(batch.Result{Verdict: batch.Canceled})
+	}
+	granted := 0
+	for _, w := range waits {
+		if g, err := w.Result(); err == nil && g != nil {
+			granted++
+		}
+	}
+	assert.Assert(t, granted > 0, "no waiting request was granted a replica that became free")
+}
--- a/batch/pool.go
+++ b/batch/pool.go
@@ -504,9 +504,18 @@
 func (p *Pool) dispatch() {
 	now := p.options.Clock.Now()
 	slices.SortStableFunc(p.queue, func(a, b *waiter) int { return compareWaiters(a, b, now) })
+	// full is set once no replica is free for a request that may run in all zones. Then none is free for the later ones
+	// of these either, whatever replicas they exclude.
+	full := false
 	for i := 0; i < len(p.queue); {
 		w := p.queue[i]
-		r, lent, candidates := p.chooseReplica(w.request, now)
+		var r *replica
+		var lent bool
+		var candidates int
+		if allZones := w.request.Zones == nil; !allZones || !full {
+			r, lent, candidates = p.chooseReplica(w.request, now)
+			full = full || allZones && r == nil && len(w.request.Excluded) == 0
+		}
 		if r == nil && p.refuseWithoutZone(w) {
 			continue
 		}
