fix(batch): assumed slots of replicas have owners

A replica that reports no slots gets as many requests as defaultSlots says, but the slot plan gave it one position and no owned slot. Entries could only lend its slots, by an estimate that leaves nothing under overload. The plan now uses the number of slots that the limit uses.

--- a/batch/overload_test.go
+++ b/batch/overload_test.go
@@ -289,3 +289,24 @@
 	}
 	assert.Assert(t, granted > 0, "no waiting request was granted a replica that became free")
 }
+
+// Replicas that report no slots get as many requests as is assumed for them. If no entry owned these slots, all entries
+// would only lend them from each other, and leave them empty under overload.
+func TestAssumedSlotsHaveOwners(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	p := batch.New(batch.Options{
+		Service: service, Zone: "rivera", Clock: clock, Logger: zap.NewNop(), Random: func() float64 { return 0.5 },
+		Signs: signs.New(clock, zap.NewNop()), Entries: func() int { return 98 },
+	})
+	p.Configure(engine)
+	list := replicas(10)
+	for i := range list {
+		list[i].Slots = 0
+	}
+	p.Update(list)
+	p.SetShare(permit.Share{Width: 0.2})
+	mustAcquire(t, p, newAsk(clock, 0))
+	const assumedSlots = 4
+	assert.Equal(t, p.SlotUse().Owned, assumedSlots*len(list)/5)
+	assert.Equal(t, p.SlotUse().LentRequests, uint64(0), "the request used a slot of another entry")
+}
--- a/batch/replica.go
+++ b/batch/replica.go
@@ -151,12 +151,17 @@
 	return max(r.backoffUntil.Sub(now), r.signs.RestUntil.Sub(now))
 }
 
+// slotCount returns the number of slots that the replica reports, or that is assumed for it.
+func (r *replica) slotCount() int {
+	if r.Slots <= 0 {
+		return defaultSlots
+	}
+	return r.Slots
+}
+
 // limit returns the number of requests that may be on a replica at once.
 func (p *Pool) limit(r *replica) int {
-	slots := r.Slots
-	if slots <= 0 {
-		slots = defaultSlots
-	}
+	slots := r.slotCount()
 	if p.engine != nil {
 		return p.batchLimit(r, slots)
 	}
--- a/batch/slots.go
+++ b/batch/slots.go
@@ -118,7 +118,7 @@
 			names = append(names, r.Zone)
 		}
 		z.replicas = append(z.replicas, r)
-		z.slots = max(z.slots, max(r.Slots, 1))
+		z.slots = max(z.slots, r.slotCount())
 	}
 	slices.Sort(names)
 	for _, name := range names {
@@ -164,7 +164,7 @@
 			if !known {
 				own.first = slot
 			}
-			if slot < r.Slots {
+			if slot < r.slotCount() {
 				own.count++
 			}
 			s.owned[r.ID] = own
