--- a/batch/overload_test.go
+++ b/batch/overload_test.go
@@ -12,6 +12,7 @@
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/batch"
+	"filberttrack.example/track/permit"
 	"filberttrack.example/track/signs"
 )
 
@@ -225,3 +226,87 @@
 	assert.Assert(t, share["small"] >= 0.9, "%.2f of the small account's requests on time, %.2f of the pressing one's",
 		share["small"], share["pressing"])
 }
+
+// An entry with little demand has a share that is smaller than a slot. Its estimate of the other entries' demand,
+// taken from its own demand and that share, is far too high at its first request, which must not be refused while
+// all replicas are idle.
+func TestEntryWithoutOwnSlotUsesIdleReplicas(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	p := batch.New(batch.Options{
+		Service: service, Zone: "rivera", Clock: clock, Logger: zap.NewNop(), Random: func() float64 { return 0.5 },
+		Signs: signs.New(clock, zap.NewNop()), Entries: func() int { return 98 },
+	})
+	p.Configure(engine)
+	p.Update(replicas(10))
+	p.SetShare(permit.Share{From: 0.5, Width: 0.0017})
+	clock.Advance(time.Minute)
+	assert.Equal(t, p.SlotUse().Owned, 0)
+	for range 3 {
+		_, grant, err := p.Admit(newAsk(clock, 0))
+		assert.NilError(t, err)
+		assert.Assert(t, grant != nil, "the request waits though all replicas are idle")
+		grant.Done(batch.Result{Verdict: batch.Served, FirstByte: 100 * time.Millisecond})
+		clock.Advance(10 * time.Second)
+	}
+}
+
+// Under overload, hundreds of requests wait for 250 replicas, and the queue is looked through at each end of a request.
+// A look at all replicas for each of them would take most of the CPU time.
+func TestFullReplicasAreNotLookedThroughForEachWaitingRequest(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	collections := 0
+	p := batch.New(batch.Options{
+		Service: service, Zone: "rivera", Clock: clock, Logger: zap.NewNop(), Random: func() float64 { return 0.5 },
+		// Each collection of candidates asks for the number of entries.
+		Signs: signs.New(clock, zap.NewNop()), Entries: func() int { collections++; return 2 * slots },
+	})
+	p.Configure(engine)
+	p.Update(replicas(3))
+	p.SetShare(permit.Share{Width: 1})
+	grants := fill(t, p, clock, 3*slots)
+	const waiting = 100
+	var waits []*batch.Wait
+	for range waiting {
+		ask := newAsk(clock, 0)
+		if len(waits)%2 == 1 {
+			ask.Excluded = []track.ReplicaID{id(0)}
+		}
+		wait, _, err := p.Admit(ask)
+		assert.NilError(t, err)
+		waits = append(waits, wait)
+	}
+	collections = 0
+	p.SetOtherInFlight(nil)
+	assert.Assert(t, collections < waiting/5, "looked through %d times", collections)
+	for _, g := range grants {
+		g.Done(batch.Result{Verdict: batch.Canceled})
+	}
+	granted := 0
+	for _, w := range waits {
+		if g, err := w.Result(); err == nil && g != nil {
+			granted++
+		}
+	}
+	assert.Assert(t, granted > 0, "no waiting request was granted a replica that became free")
+}
+
+// Replicas that report no slots get as many requests as is assumed for them. If no entry owned these slots, all entries
+// would only lend them from each other, and leave them empty under overload.
+func TestAssumedSlotsHaveOwners(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	p := batch.New(batch.Options{
+		Service: service, Zone: "rivera", Clock: clock, Logger: zap.NewNop(), Random: func() float64 { return 0.5 },
+		Signs: signs.New(clock, zap.NewNop()), Entries: func() int { return 98 },
+	})
+	p.Configure(engine)
+	list := replicas(10)
+	for i := range list {
+		list[i].Slots = 0
+	}
+	p.Update(list)
+	p.SetShare(permit.Share{Width: 0.2})
+	mustAcquire(t, p, newAsk(clock, 0))
+	const assumedSlots = 4
+	assert.Equal(t, p.SlotUse().Owned, assumedSlots*len(list)/5)
+	assert.Equal(t, p.SlotUse().LentRequests, uint64(0), "the request used a slot of another entry")
+}
