--- a/batch/replica.go
+++ b/batch/replica.go
@@ -82,6 +82,8 @@
 // replica is the state of a replica as this entry knows it.
 type replica struct {
 	track.Replica
+	// idHash orders the slots of a zone; 0 until it is needed.
+	idHash uint64
 	// listed is unset once the replica is draining or gone.
 	listed bool
 	// evacuated is set while the replica's zone is evacuated.
--- a/batch/slots.go
+++ b/batch/slots.go
@@ -124,7 +124,7 @@
 	for _, name := range names {
 		z := byZone[name]
 		slices.SortFunc(z.replicas, func(a, b *replica) int {
-			return cmp.Or(cmp.Compare(slotOrder(a.ID), slotOrder(b.ID)), cmp.Compare(a.ID, b.ID))
+			return cmp.Or(cmp.Compare(a.slotOrder(), b.slotOrder()), cmp.Compare(a.ID, b.ID))
 		})
 		plan.zones = append(plan.zones, *z)
 		plan.total += z.slots * len(z.replicas)
@@ -132,10 +132,13 @@
 	return plan
 }
 
-// slotOrder returns the hash of a replica's ID by which the slots of a zone are ordered.
-func slotOrder(id track.ReplicaID) uint64 {
-	sum := sha256.Sum256([]byte(id))
-	return binary.BigEndian.Uint64(sum[:])
+// slotOrder returns the hash of the replica's ID by which the slots of a zone are ordered.
+func (r *replica) slotOrder() uint64 {
+	if r.idHash == 0 {
+		sum := sha256.Sum256([]byte(r.ID))
+		r.idHash = binary.BigEndian.Uint64(sum[:])
+	}
+	return r.idHash
 }
 
 // ownSlots returns the slots that this entry owns on the replica.
--- a/batch/spare.go
+++ b/batch/spare.go
@@ -41,7 +41,7 @@
 	excluded := append(slices.Clone(request.Excluded), beside)
 	for _, r := range p.replicas {
 		switch {
-		case slices.Contains(excluded, r.ID) || !r.available(now) || p.inBrokenGroup(r) ||
+		case slices.Contains(excluded, r.ID) || !r.available(now) || p.inBrokenGroup(r, now) ||
 			!allows(request.Zones, r.Zone):
 		case p.maySharePasses(r, p.replicas[beside]):
 			excluded = append(excluded, r.ID)
@@ -72,7 +72,7 @@
 func (p *Pool) hasSpareCapacity(now time.Time) bool {
 	capacity, used := 0, 0
 	for _, r := range p.replicas {
-		if r.available(now) && !p.inBrokenGroup(r) {
+		if r.available(now) && !p.inBrokenGroup(r, now) {
 			capacity += p.limit(r)
 			used += r.load()
 		}
