--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -88,7 +89,7 @@
 		// The HTTP server recovers panics on the request's goroutine only.
 		if p := recover(); p != nil {
 			a.usable = false
-			a.err = track.Fail("call replica", track.Ambiguous, fmt.Errorf("panic: %v", p))
+			a.err = track.Fail("call replica", track.Ambiguous, fmt.Errorf("panic: %v: %s", p, debug.Stack()))
 		}
 	}()
 	a.answer, a.err = caller.Call(ctx, a.call)
--- a/proxy/hedge.go
+++ b/proxy/hedge.go
@@ -130,6 +130,7 @@
 	x.proxy.options.Logger.Info("request hedged", zap.String("RequestID", string(x.request.ID)),
 		zap.String("Service", x.service), zap.String("Replica", string(first.grant.Replica.ID)),
 		zap.String("HedgeReplica", string(grant.Replica.ID)), zap.Int64("AfterMs", after.Milliseconds()))
+	grant.Waited = first.grant.Waited
 	return grant
 }
 
