test(soak): evacuate zones

The soak had no fault for the records of evacuated zones, so nothing checked with real processes that their replicas get nothing. It has random numbers of its own, so the other faults of a seed stay the same.

--- a/soak/check.go
+++ b/soak/check.go
@@ -54,6 +54,11 @@
 	// Crashes holds the crashes of replicas, and CrashArrivals the arrivals of requests that crash
 	// them.
 	Crashes, CrashArrivals []mimic.CrashEvent
+	// Received holds all requests that reached replicas, also those that didn't run, and ReplicaZones the zones
+	// of replicas by ID. Evacuations holds the evacuations that have ended.
+	Received     []mimic.ReceivedRequest
+	ReplicaZones map[string]string
+	Evacuations  []Evacuation
 	// Entries is the number of entries.
 	Entries int
 	// MixedMaps describes a pass in which ranks used different expert maps; empty if there was
@@ -106,6 +111,8 @@
 	DrainTime time.Duration
 	// ApplyTime is the time after which a change of the configuration is in force.
 	ApplyTime time.Duration
+	// EvacuateTime is the time after which the replicas of an evacuated zone get no requests.
+	EvacuateTime time.Duration
 	// RecoveryTime is the time after the last fault from which requests are served again, and
 	// MinRecoveredShare the smallest share of requests that must be served from then on.
 	RecoveryTime      time.Duration
@@ -122,7 +129,7 @@
 		RestGrace: 500 * time.Millisecond, MaxDuringRest: 2,
 		LimitWindow: 4 * time.Second, LimitFactor: 1.5, LimitSlack: 5,
 		MaxCrashesByRequest: 3, MaxCrashesByPart: 5, MaxAfterCrashes: 3, MinSoundRatio: 0.5,
-		DrainTime: 2 * time.Second, ApplyTime: 2 * time.Second,
+		DrainTime: 2 * time.Second, ApplyTime: 2 * time.Second, EvacuateTime: 5 * time.Second,
 		RecoveryTime: 12 * time.Second, MinRecoveredShare: 0.95, MinServedRatio: 0.25,
 	}
 }
@@ -143,6 +150,7 @@
 	{"OwnWholeAnswer", ownWholeAnswer},
 	{"NoPieceLostOrDoubled", noPieceLostOrDoubled},
 	{"LeavingReplicasGetNothing", leavingReplicasGetNothing},
+	{"EvacuatedZonesGetNothing", evacuatedZonesGetNothing},
 	{"RestingReplicasGetNothing", restingReplicasGetNothing},
 	{"LimitsAreKept", limitsAreKept},
 	{"CrashingRequestsAreBarred", crashingRequestsAreBarred},
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -66,6 +66,16 @@
 		{"duplicate event", func(h *History) { h.Requests[2].Response.Body += mimic.Event("c-0", 2) }, "NoPieceLostOrDoubled"},
 		{"truncated stream reported as whole", func(h *History) { h.Requests[2].Response.Body = mimic.Event("c-0", 1) }, "NoPieceLostOrDoubled"},
 		{"request sent to a replica that left", func(h *History) { h.LeftAt["i-1"] = start.Add(17 * time.Second) }, "LeavingReplicasGetNothing"},
+		{"request refused by a replica of an evacuated zone", func(h *History) {
+			h.ReplicaZones = map[string]string{"i-1": "zone-0", "i-2": "zone-1"}
+			h.Evacuations = []Evacuation{{Zone: "zone-0", From: start.Add(10 * time.Second), To: start.Add(18 * time.Second)}}
+			for _, after := range []time.Duration{14 * time.Second, 16 * time.Second, 19 * time.Second} {
+				for _, replica := range []string{"i-1", "i-2"} {
+					h.Received = append(h.Received, mimic.ReceivedRequest{Request: "z", Replica: replica, At: start.Add(after)})
+				}
+			}
+			assert.Equal(t, len(Check(h, DefaultBounds())), 1, "only the request after the bound and before the end counts")
+		}, "EvacuatedZonesGetNothing"},
 		{"requests sent to a resting replica", func(h *History) {
 			h.Entries = 2
 			for i := range 5 {
--- a/soak/disturb.go
+++ b/soak/disturb.go
@@ -14,7 +14,7 @@
 )
 
 // longFaults lists the faults that consist of several steps and are not in faultInjectors.
-var longFaults = []Fault{ReplicaLeaves, ReplicaDies, ReplicaSaysLeaving, CrashingRequest, CrashingPart, ReplicaLimited, ReplicasLimited}
+var longFaults = []Fault{ReplicaLeaves, ReplicaDies, ReplicaSaysLeaving, CrashingRequest, CrashingPart, ReplicaLimited, ReplicasLimited, ZoneEvacuated}
 
 // injectFault injects a planned fault, waits for its duration and ends it.
 func (s *testbed) injectFault(ctx context.Context, e PlannedFault) error {
@@ -25,6 +25,8 @@
 		return s.sendCrashing(ctx, e)
 	case ReplicaLimited, ReplicasLimited:
 		return s.limitReplicas(ctx, e)
+	case ZoneEvacuated:
+		return s.evacuateZone(ctx, e)
 	}
 	end := faultInjectors[e.Fault](s, e)
 	if e.Fault == Kill {
@@ -162,6 +164,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.putConfig()
+	s.putEvacuations()
 }
 
 // rewriteReplicas appends the latest record of each replica to the log once more.
@@ -321,6 +324,9 @@
 	ep.replica, ep.unavailable = replica, false
 	born := int64(ep.starts)
 	ep.mu.Unlock()
+	s.mu.Lock()
+	s.history.ReplicaZones[id] = s.zone(ep.index)
+	s.mu.Unlock()
 	if ep.service == serviceModel {
 		ep.link.SetHandler(mimic.RankHandler(s.group, ep.index, replica))
 	} else {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -51,6 +51,8 @@
 	CrashingPart    Fault = "CrashingPart"
 	// LogPartDark leaves requests for one topic of the log without an answer, on sound connections.
 	LogPartDark Fault = "LogPartDark"
+	// ZoneEvacuated evacuates a zone and takes it back.
+	ZoneEvacuated Fault = "ZoneEvacuated"
 )
 
 // faults lists all kinds of faults in the order from which PlanFaults draws them. DemandShifts is
@@ -108,7 +110,8 @@
 			Target: rng.IntN(1 << 16), ReplicaFault: replicaFaults[rng.IntN(len(replicaFaults))], Interval: 2 + rng.IntN(12),
 		})
 	}
-	return append(planned, planDark(seed, length)...)
+	planned = append(planned, planDark(seed, length)...)
+	return append(planned, planEvacuations(seed, length)...)
 }
 
 const (
--- a/soak/play.go
+++ b/soak/play.go
@@ -90,6 +90,8 @@
 	requests []RequestRecord
 	// listed holds the latest record of each replica; nil for one that was deleted.
 	listed map[string][]byte
+	// evacuated holds, for each zone that was ever evacuated, whether it is at present.
+	evacuated map[string]bool
 }
 
 // endpoint is a fixed address at which replicas run one after the other, behind a link.
@@ -128,6 +130,7 @@
 	s.group = tier.New(setup.Seed, s.shape)
 	s.history.LeftAt, s.history.RevokedAt = make(map[string]time.Time), make(map[string]time.Time)
 	s.history.AddedAt = make(map[string]time.Time)
+	s.evacuated, s.history.ReplicaZones = make(map[string]bool), make(map[string]string)
 	var err error
 	if s.network, err = reserveNetwork(setup.Seed); err != nil {
 		return nil, err
@@ -168,6 +171,7 @@
 	defer s.mu.Unlock()
 	s.history.Requests, s.history.Runs = s.requests, s.ledger.Executions()
 	s.history.Crashes, s.history.CrashArrivals = s.ledger.Crashes()
+	s.history.Received = s.ledger.Received()
 	s.history.ArrivalsUnderLimit = s.ledger.ArrivalsUnderLimit()
 	s.history.ArrivalsDuringRest, s.history.Entries = s.ledger.ArrivalsDuringRest(), len(s.entries)
 	return &s.history, nil
