test(soak): restart replicas cold

Nothing in the soak had cold replicas, so the rate of requests to them was checked in unit tests only. The fault ReplicasCold restarts those of a zone at once. The check ColdReplicasAreSpared fails if more than 2 x 1.5 + 5 requests reach one of them in a second.

The ranks of model are not cold, since SoundRequestsAreServedBesideCrashingOnes expects them back within 6 s after a crash. The kinds of faults with random numbers of their own share a planner.

--- a/soak/check.go
+++ b/soak/check.go
@@ -59,6 +59,8 @@
 	Received     []mimic.ReceivedRequest
 	ReplicaZones map[string]string
 	Evacuations  []Evacuation
+	// ColdFrom holds the starts of replicas that were cold then, by ID.
+	ColdFrom map[string]time.Time
 	// Entries is the number of entries.
 	Entries int
 	// MixedMaps describes a pass in which ranks used different expert maps; empty if there was
@@ -113,6 +115,10 @@
 	ApplyTime time.Duration
 	// EvacuateTime is the time after which the replicas of an evacuated zone get no requests.
 	EvacuateTime time.Duration
+	// ColdTime is the time for which replicas are cold after a start, and ColdPerSecond the requests a second that they
+	// can handle then. ColdOvershoot times that and ColdSlack may reach one in any second.
+	ColdTime                                time.Duration
+	ColdPerSecond, ColdOvershoot, ColdSlack float64
 	// RecoveryTime is the time after the last fault from which requests are served again, and
 	// MinRecoveredShare the smallest share of requests that must be served from then on.
 	RecoveryTime      time.Duration
@@ -130,6 +136,7 @@
 		LimitWindow: 4 * time.Second, LimitFactor: 1.5, LimitSlack: 5,
 		MaxCrashesByRequest: 3, MaxCrashesByPart: 5, MaxAfterCrashes: 3, MinSoundRatio: 0.5,
 		DrainTime: 2 * time.Second, ApplyTime: 2 * time.Second, EvacuateTime: 5 * time.Second,
+		ColdTime: 3 * time.Second, ColdPerSecond: 2, ColdOvershoot: 1.5, ColdSlack: 5,
 		RecoveryTime: 12 * time.Second, MinRecoveredShare: 0.95, MinServedRatio: 0.25,
 	}
 }
@@ -151,6 +158,7 @@
 	{"NoPieceLostOrDoubled", noPieceLostOrDoubled},
 	{"LeavingReplicasGetNothing", leavingReplicasGetNothing},
 	{"EvacuatedZonesGetNothing", evacuatedZonesGetNothing},
+	{"ColdReplicasAreSpared", coldReplicasAreSpared},
 	{"RestingReplicasGetNothing", restingReplicasGetNothing},
 	{"LimitsAreKept", limitsAreKept},
 	{"CrashingRequestsAreBarred", crashingRequestsAreBarred},
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -76,6 +76,14 @@
 			}
 			assert.Equal(t, len(Check(h, DefaultBounds())), 1, "only the request after the bound and before the end counts")
 		}, "EvacuatedZonesGetNothing"},
+		{"too many requests in a second at a cold replica", func(h *History) {
+			h.ColdFrom = map[string]time.Time{"i-1": start.Add(20 * time.Second), "i-2": start.Add(20 * time.Second)}
+			for i := range 9 {
+				at := start.Add(22*time.Second + time.Duration(i)*110*time.Millisecond)
+				h.Received = append(h.Received, mimic.ReceivedRequest{Replica: "i-1", At: at}, mimic.ReceivedRequest{Replica: "i-2", At: at.Add(time.Second)})
+			}
+			assert.Equal(t, len(Check(h, DefaultBounds())), 1, "a warm replica may get as many")
+		}, "ColdReplicasAreSpared"},
 		{"requests sent to a resting replica", func(h *History) {
 			h.Entries = 2
 			for i := range 5 {
--- a/soak/disturb.go
+++ b/soak/disturb.go
@@ -14,7 +14,7 @@
 )
 
 // longFaults lists the faults that consist of several steps and are not in faultInjectors.
-var longFaults = []Fault{ReplicaLeaves, ReplicaDies, ReplicaSaysLeaving, CrashingRequest, CrashingPart, ReplicaLimited, ReplicasLimited, ZoneEvacuated}
+var longFaults = []Fault{ReplicaLeaves, ReplicaDies, ReplicaSaysLeaving, CrashingRequest, CrashingPart, ReplicaLimited, ReplicasLimited, ZoneEvacuated, ReplicasCold}
 
 // injectFault injects a planned fault, waits for its duration and ends it.
 func (s *testbed) injectFault(ctx context.Context, e PlannedFault) error {
@@ -27,6 +27,8 @@
 		return s.limitReplicas(ctx, e)
 	case ZoneEvacuated:
 		return s.evacuateZone(ctx, e)
+	case ReplicasCold:
+		return s.restartCold(ctx, e)
 	}
 	end := faultInjectors[e.Fault](s, e)
 	if e.Fault == Kill {
@@ -327,21 +329,26 @@
 	s.mu.Lock()
 	s.history.ReplicaZones[id] = s.zone(ep.index)
 	s.mu.Unlock()
+	state := mimic.ServerState{ID: id, Born: born, Sequence: 1}
+	if ep.service == s.cold.Service {
+		state.ColdRemaining = s.cold.Time
+		s.recordColdStart(ctx, ep, id, born)
+	}
 	if ep.service == serviceModel {
 		ep.link.SetHandler(mimic.RankHandler(s.group, ep.index, replica))
 	} else {
 		ep.link.SetHandler(replica)
 	}
-	return s.listReplica(ep, id, false, born)
+	return s.listReplica(ep, state)
 }
 
 // listReplica publishes a replica in the platform's list of servers.
-func (s *testbed) listReplica(ep *endpoint, id string, draining bool, born int64) error {
-	data, err := mimic.Server(ep.service, ep.link.Address(), s.zone(ep.index), draining, born)
+func (s *testbed) listReplica(ep *endpoint, state mimic.ServerState) error {
+	data, err := mimic.Server(ep.service, ep.link.Address(), s.zone(ep.index), state)
 	if err != nil {
 		return fmt.Errorf("list replica: %w", err)
 	}
-	s.putReplica(id, data)
+	s.putReplica(state.ID, data)
 	return nil
 }
 
@@ -365,7 +372,11 @@
 	}
 	switch fault {
 	case ReplicaLeaves:
-		if err := s.listReplica(ep, old.ID, true, born); err != nil {
+		state := mimic.ServerState{ID: old.ID, Born: born, Sequence: 1, Draining: true}
+		if ep.service == s.cold.Service {
+			state.Sequence = 3 // The second record says that the replica is warm.
+		}
+		if err := s.listReplica(ep, state); err != nil {
 			return err
 		}
 		s.recordLeaving(old.ID)
--- a/soak/evacuate.go
+++ b/soak/evacuate.go
@@ -17,29 +17,18 @@
 }
 
 const (
-	// minEvacuationTime is the shortest time for which a zone is evacuated: the time after which its replicas
-	// get nothing (Bounds.EvacuateTime), and as long again as faults last at least.
+	// minEvacuationTime is the shortest time for which a zone is evacuated, of which Bounds.EvacuateTime is not checked.
 	minEvacuationTime = 6 * time.Second
-	// minBetweenEvacuations and maxBetweenEvacuations bound the time between the starts of two evacuations. They
-	// don't overlap, as no zone would be left to serve requests.
-	minBetweenEvacuations = minEvacuationTime + maxDuration
-	maxBetweenEvacuations = 16 * time.Second
-	// maxFirstEvacuation is the latest start of the first evacuation, so that short runs have one, too.
-	maxFirstEvacuation = 4 * time.Second
+	maxEvacuationTime = minEvacuationTime + maxDuration
+	// maxEvacuationPause is the longest time between the starts of two evacuations. They don't overlap, as no zone
+	// might be left to serve requests.
+	maxEvacuationPause = 16 * time.Second
 )
 
-// planEvacuations returns the faults ZoneEvacuated of a run. Like those of planDark, they have random numbers of
-// their own.
+// planEvacuations returns the faults ZoneEvacuated of a run.
 func planEvacuations(seed uint64, length time.Duration) []PlannedFault {
-	rng := rand.New(rand.NewPCG(seed, 47))
-	between := func(low, high time.Duration) time.Duration { return low + time.Duration(rng.Int64N(int64(high-low))) }
-	var planned []PlannedFault
-	for at := between(minPause, maxFirstEvacuation); at < length; at += between(minBetweenEvacuations, maxBetweenEvacuations) {
-		planned = append(planned, PlannedFault{
-			At: at, Duration: between(minEvacuationTime, minEvacuationTime+maxDuration), Fault: ZoneEvacuated, Target: rng.IntN(1 << 16),
-		})
-	}
-	return planned
+	return planOwn(rand.New(rand.NewPCG(seed, 47)), ZoneEvacuated, length, maxDuration,
+		[2]time.Duration{maxEvacuationTime, maxEvacuationPause}, [2]time.Duration{minEvacuationTime, maxEvacuationTime})
 }
 
 // evacuateZone evacuates a zone and takes it back after the duration of the planned fault. It does nothing in a run
@@ -49,23 +38,18 @@
 		return nil
 	}
 	zone := s.zone(e.Target)
-	s.putEvacuation(zone, true)
+	s.mu.Lock()
+	s.evacuated[zone] = true
+	s.putEvacuations()
 	from := time.Now()
+	s.mu.Unlock()
 	err := sleep(ctx, e.Duration)
-	to := time.Now()
-	s.putEvacuation(zone, false)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.history.Evacuations = append(s.history.Evacuations, Evacuation{Zone: zone, From: from, To: to})
-	return err
-}
-
-// putEvacuation writes the record of an evacuated zone, or deletes it.
-func (s *testbed) putEvacuation(zone string, evacuated bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.evacuated[zone] = evacuated
+	s.history.Evacuations = append(s.history.Evacuations, Evacuation{Zone: zone, From: from, To: time.Now()})
+	s.evacuated[zone] = false
 	s.putEvacuations()
+	return err
 }
 
 // putEvacuations writes the records of all zones that are evacuated, and deletes those of zones that were taken back.
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -53,6 +53,8 @@
 	LogPartDark Fault = "LogPartDark"
 	// ZoneEvacuated evacuates a zone and takes it back.
 	ZoneEvacuated Fault = "ZoneEvacuated"
+	// ReplicasCold restarts all replicas of a service in a zone. Replicas are cold after starts in such a run.
+	ReplicasCold Fault = "ReplicasCold"
 )
 
 // faults lists all kinds of faults in the order from which PlanFaults draws them. DemandShifts is
@@ -111,7 +113,8 @@
 		})
 	}
 	planned = append(planned, planDark(seed, length)...)
-	return append(planned, planEvacuations(seed, length)...)
+	planned = append(planned, planEvacuations(seed, length)...)
+	return append(planned, planCold(seed, length)...)
 }
 
 const (
@@ -135,6 +138,17 @@
 	return planned
 }
 
+// planOwn returns faults of a kind that have random numbers of their own, like those of planDark. The first begins by
+// firstBy; pause and duration hold the least and the greatest value.
+func planOwn(rng *rand.Rand, fault Fault, length, firstBy time.Duration, pause, duration [2]time.Duration) []PlannedFault {
+	between := func(low, high time.Duration) time.Duration { return low + time.Duration(rng.Int64N(int64(high-low))) }
+	var planned []PlannedFault
+	for at := between(minPause, firstBy); at < length; at += between(pause[0], pause[1]) {
+		planned = append(planned, PlannedFault{At: at, Duration: between(duration[0], duration[1]), Fault: fault, Target: rng.IntN(1 << 16)})
+	}
+	return planned
+}
+
 // countFaults returns the number of planned faults of each kind, as lines sorted by kind.
 func countFaults(planned []PlannedFault) []string {
 	counts := make(map[Fault]int)
--- a/soak/play.go
+++ b/soak/play.go
@@ -90,6 +90,8 @@
 	requests []RequestRecord
 	// listed holds the latest record of each replica; nil for one that was deleted.
 	listed map[string][]byte
+	// cold describes the replicas that are cold after a start.
+	cold mimic.ColdStart
 	// evacuated holds, for each zone that was ever evacuated, whether it is at present.
 	evacuated map[string]bool
 }
@@ -130,6 +132,7 @@
 	s.group = tier.New(setup.Seed, s.shape)
 	s.history.LeftAt, s.history.RevokedAt = make(map[string]time.Time), make(map[string]time.Time)
 	s.history.AddedAt = make(map[string]time.Time)
+	s.cold, s.history.ColdFrom = planColdStart(plan, setup.Bounds), make(map[string]time.Time)
 	s.evacuated, s.history.ReplicaZones = make(map[string]bool), make(map[string]string)
 	var err error
 	if s.network, err = reserveNetwork(setup.Seed); err != nil {
@@ -311,7 +314,7 @@
 // putConfig appends the configuration to the log with its present version.
 func (s *testbed) putConfig() {
 	services := map[string]tier.Shape{serviceDesk: {}, serviceModel: s.shape}
-	data, err := mimic.Config(s.version, s.routes, services, s.keys)
+	data, err := mimic.Config(s.version, s.routes, services, s.cold, s.keys)
 	if err != nil {
 		panic(err) // This can't happen: maps of strings can always be encoded.
 	}
