--- a/soak/check.go
+++ b/soak/check.go
@@ -54,6 +54,13 @@
 	// Crashes holds the crashes of replicas, and CrashArrivals the arrivals of requests that crash
 	// them.
 	Crashes, CrashArrivals []mimic.CrashEvent
+	// Received holds all requests that reached replicas, also those that didn't run, and ReplicaZones the zones
+	// of replicas by ID. Evacuations holds the evacuations that have ended.
+	Received     []mimic.ReceivedRequest
+	ReplicaZones map[string]string
+	Evacuations  []Evacuation
+	// ColdFrom holds the starts of replicas that were cold then, by ID.
+	ColdFrom map[string]time.Time
 	// Entries is the number of entries.
 	Entries int
 	// MixedMaps describes a pass in which ranks used different expert maps; empty if there was
@@ -106,6 +113,12 @@
 	DrainTime time.Duration
 	// ApplyTime is the time after which a change of the configuration is in force.
 	ApplyTime time.Duration
+	// EvacuateTime is the time after which the replicas of an evacuated zone get no requests.
+	EvacuateTime time.Duration
+	// ColdTime is the time for which replicas are cold after a start, and ColdPerSecond the requests a second that they
+	// can handle then. ColdOvershoot times that and ColdSlack may reach one in any second.
+	ColdTime                                time.Duration
+	ColdPerSecond, ColdOvershoot, ColdSlack float64
 	// RecoveryTime is the time after the last fault from which requests are served again, and
 	// MinRecoveredShare the smallest share of requests that must be served from then on.
 	RecoveryTime      time.Duration
@@ -122,7 +135,8 @@
 		RestGrace: 500 * time.Millisecond, MaxDuringRest: 2,
 		LimitWindow: 4 * time.Second, LimitFactor: 1.5, LimitSlack: 5,
 		MaxCrashesByRequest: 3, MaxCrashesByPart: 5, MaxAfterCrashes: 3, MinSoundRatio: 0.5,
-		DrainTime: 2 * time.Second, ApplyTime: 2 * time.Second,
+		DrainTime: 2 * time.Second, ApplyTime: 2 * time.Second, EvacuateTime: 5 * time.Second,
+		ColdTime: 3 * time.Second, ColdPerSecond: 2, ColdOvershoot: 1.5, ColdSlack: 5,
 		RecoveryTime: 12 * time.Second, MinRecoveredShare: 0.95, MinServedRatio: 0.25,
 	}
 }
@@ -143,6 +157,8 @@
 	{"OwnWholeAnswer", ownWholeAnswer},
 	{"NoPieceLostOrDoubled", noPieceLostOrDoubled},
 	{"LeavingReplicasGetNothing", leavingReplicasGetNothing},
+	{"EvacuatedZonesGetNothing", evacuatedZonesGetNothing},
+	{"ColdReplicasAreSpared", coldReplicasAreSpared},
 	{"RestingReplicasGetNothing", restingReplicasGetNothing},
 	{"LimitsAreKept", limitsAreKept},
 	{"CrashingRequestsAreBarred", crashingRequestsAreBarred},
