--- a/edge/cold_test.go
+++ b/edge/cold_test.go
@@ -11,6 +11,7 @@
 	"filberttrack.example/track/batch"
 	"filberttrack.example/track/hosts"
 	"filberttrack.example/track/permit"
+	"filberttrack.example/track/vacate"
 )
 
 // configureCold gives the service a cold rate and marks the members as read.
@@ -80,3 +81,24 @@
 	now := clock.Now()
 	return batch.AdmissionRequest{WaitUntil: now, OnTimeUntil: now, Deadline: now.Add(time.Second)}
 }
+
+// Guards against requests at the usual rate to the replicas of a zone that is taken back: they may have been replaced
+// or have become cold meanwhile.
+func TestReplicasOfZoneTakenBackAreCold(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	e := newEntry(clock)
+	configureCold(e)
+	e.onReplicas([]track.Replica{
+		{ID: "i-1", Service: "llm", Address: "10.0.0.1:80", Zone: "rivera", Slots: 8},
+		{ID: "i-2", Service: "llm", Address: "10.0.0.2:80", Zone: "artigas", Slots: 8},
+	})
+	clock.Advance(time.Minute)
+	p := e.Pool("llm")
+	assert.Equal(t, p.ColdReplicas(), 0)
+	e.onEvacuated(vacate.Zones{"artigas": true})
+	assert.Equal(t, p.ColdReplicas(), 0)
+	e.onEvacuated(vacate.Zones{})
+	assert.Equal(t, p.ColdReplicas(), 1)
+	clock.Advance(6 * time.Second)
+	assert.Equal(t, p.ColdReplicas(), 0)
+}
