fix(cold): replicas that started long ago are warm for an entry that starts

Cause: an entry that starts sees all replicas for the first time and took them for possibly cold for 5 s, and it sends nothing to these for 1 to 5 s.

Change: the start that replicas state in their records counts, with 5 s for clocks that differ.

--- a/batch/cold.go
+++ b/batch/cold.go
@@ -35,7 +35,7 @@
 
 // guard gives the replica its guard, with what is known from its latest record.
 func (p *Pool) guard(r *replica, record track.Replica) {
-	r.cold = cold.New(p.cold, record.StartID, r.firstSeen)
+	r.cold = cold.New(p.cold, record.StartID, record.StartedAt, r.firstSeen)
 	r.cold.Update(record.WarmupTime, record.StartID, r.recordSeen)
 	if r.broken {
 		r.cold.Suspect(p.options.Clock.Now())
--- a/cold/cold.go
+++ b/cold/cold.go
@@ -12,6 +12,9 @@
 	// learnDelay is the longest time after which an entry reads what a replica has written about itself. A period in
 	// which a replica may have become cold is longer by it.
 	learnDelay = 2 * time.Second
+	// maxClockDifference is the difference between the clocks of an entry and of a replica up to which the start that
+	// the replica states counts.
+	maxClockDifference = 5 * time.Second
 	// recordMemory is the time for which a record that says that the replica is cold counts beyond the time that it
 	// states, if no later record arrives: replicas write one every 1.2 s. Without this limit, an outage of the
 	// log would keep replicas cold for as long as it lasts.
@@ -79,10 +82,15 @@
 	recordUntil time.Time
 }
 
-// New returns the guard of a replica that is first seen at the given time, at which it may have just started.
-func New(spec Spec, startID int64, now time.Time) *Guard {
+// New returns the guard of a replica that is first seen at the given time. It may have just started then, unless it
+// is known to have started long before; startedAt is zero if that isn't known. Without this exception, all entries
+// would send nothing but permits to all replicas after a restart of all entries.
+func New(spec Spec, startID int64, startedAt, now time.Time) *Guard {
 	g := &Guard{spec: spec, startID: startID}
-	g.Suspect(now)
+	coldTime := min(spec.StartTime, maxStartTime) + learnDelay + maxClockDifference
+	if startedAt.IsZero() || now.Sub(startedAt) < coldTime {
+		g.Suspect(now)
+	}
 	return g
 }
 
--- a/cold/cold_test.go
+++ b/cold/cold_test.go
@@ -21,7 +21,7 @@
 // Guards against a cold period that ends before an entry can have learned that the replica has started, and against
 // one that never ends.
 func TestPeriodsOfAReplica(t *testing.T) {
-	g := cold.New(spec, 1, start)
+	g := cold.New(spec, 1, time.Time{}, start)
 	assert.Assert(t, isCold(g, 4999*time.Millisecond) && !isCold(g, 5*time.Second), "first sighting")
 	g.Suspect(start.Add(time.Minute))
 	g.Suspect(start.Add(50 * time.Second))
@@ -34,7 +34,7 @@
 	g.Update(time.Hour, 2, start.Add(4*time.Minute))
 	g.Update(0, 2, start.Add(4*time.Minute))
 	assert.Assert(t, !isCold(g, 4*time.Minute), "the record says that the replica is warm")
-	assert.Assert(t, !isCold(cold.New(cold.Spec{StartTime: time.Second}, 1, start), 0), "services without a rate")
+	assert.Assert(t, !isCold(cold.New(cold.Spec{StartTime: time.Second}, 1, time.Time{}, start), 0), "services without a rate")
 }
 
 // Guards against bounds that leave no room: the permits of a second and those that are kept must stay under the breach
@@ -54,3 +54,12 @@
 	// Entries dispatch every 0.05 s, and must find each of their permits.
 	assert.Assert(t, spec.KeepTime(17) > 150*time.Millisecond, "%s", spec.KeepTime(17))
 }
+
+// Guards against the loss of most requests after a restart of all entries, which see all replicas for the first time then, and
+// against a replica with a wrong clock that counts as warm.
+func TestReplicaThatStartedLongAgoIsWarm(t *testing.T) {
+	for age, want := range map[time.Duration]bool{-time.Hour: true, 0: true, 9 * time.Second: true, 10 * time.Second: false} {
+		_, isCold := cold.New(spec, 1, start.Add(-age), start).Limit(start)
+		assert.Equal(t, isCold, want, "%v", age)
+	}
+}
--- a/gateway.go
+++ b/gateway.go
@@ -171,6 +171,8 @@
 	WarmupTime time.Duration
 	// StartID differs between restarts of a replica under the same ID.
 	StartID int64
+	// StartedAt is when the replica started, by its own clock; zero if it doesn't say.
+	StartedAt time.Time
 	// Heartbeat is the number of the replica's report in the list of replicas. It increases
 	// with each report until the replica restarts.
 	Heartbeat uint64
