--- a/batch/pool.go
+++ b/batch/pool.go
@@ -565,10 +565,10 @@
 	return cmp.Or(cmp.Compare(a.tag.Start, b.tag.Start), a.arrived.Compare(b.arrived))
 }
 
-// chooseReplica returns the least loaded replica of a small random sample of the available
-// ones with free capacity, whether it uses a slot of another entry, and the number of candidates; nil if there is none. It samples
-// because the requests in flight from other entries are known with a delay: if all
-// entries sent to the least loaded replica in the meantime, it would be overloaded.
+// chooseReplica returns a replica for the request, whether the request uses a slot of another entry there, and the
+// number of candidates; a nil replica if there is none. Of the replicas with an own slot, the least loaded one is
+// chosen. Of others, it is the least loaded one of a small random sample: the requests in flight from other entries
+// are known with a delay, and if all entries sent to the least loaded replica in the meantime, it would be overloaded.
 func (p *Pool) chooseReplica(request AdmissionRequest, now time.Time) (r *replica, lent bool, candidates int) {
 	p.collectCandidates(request, now)
 	count := len(p.ownCandidates) + len(p.candidates)
