fix: write out the type arguments in verify.Compare

Go 1.26 infers no type arguments for a generic function in a composite literal, so verify, and with it trackd, didn't build on go1.26.8 (verify/compare.go:23 and 24, 'cannot use generic function ... without instantiation'). The two lines now name the types; nothing else changes.

--- a/verify/compare.go
+++ b/verify/compare.go
@@ -20,8 +20,8 @@
 	}
 	return slices.Concat(
 		findings,
-		comparison[track.Route]{RouteKind, routeName, formatEntry, diffEntries}.run(inForce.Routes, c.Routes),
-		comparison[track.RouteService]{ServiceKind, serviceName, formatEntry, diffEntries}.run(inForce.Services, c.Services),
+		comparison[track.Route]{RouteKind, routeName, formatEntry[track.Route], diffEntries[track.Route]}.run(inForce.Routes, c.Routes),
+		comparison[track.RouteService]{ServiceKind, serviceName, formatEntry[track.RouteService], diffEntries[track.RouteService]}.run(inForce.Services, c.Services),
 		comparison[track.RouteAccount]{AccountKind, accountName, formatAccount, diffAccounts}.run(inForce.Accounts, c.Accounts),
 		changes("limits", diffEntries(inForce.Limits, c.Limits)),
 	)
