test: review case 7, raised limits of the configuration never come into force

DENIED: entries take max_header_bytes from the first configuration that they know and keep it, so bookings that a later version allows get 431 from every entry.

--- a/review/scene/deployment.go
+++ b/review/scene/deployment.go
@@ -154,8 +154,16 @@
 	return []route{{"book-pickup", "/book/", "unsafe"}, {"bale-status", "/status/", "safe"}}
 }
 
-// putConfig writes the operator's configuration.
+// usualHeaderBytes is the usual limit on the header of a request.
+const usualHeaderBytes = 16384
+
+// putConfig writes the operator's configuration with the usual limits.
 func (w *world) putConfig(version int, routes []route) error {
+	return w.putLimits(version, routes, usualHeaderBytes)
+}
+
+// putLimits writes the operator's configuration.
+func (w *world) putLimits(version int, routes []route, maxHeaderBytes int) error {
 	var list []any
 	for _, r := range routes {
 		list = append(list, map[string]any{
@@ -167,7 +175,7 @@
 		"version": version, "routes": list,
 		"services": []any{map[string]any{"name": deskService, "health_path": "/health", "max_connections": 96}},
 		"limits": map[string]any{
-			"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
+			"max_header_bytes": maxHeaderBytes, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
 		},
 		"tenants": []any{map[string]any{"name": accountName, "api_keys": []string{apiKey}, "priority": 1}},
 	})
@@ -175,6 +183,6 @@
 		return fmt.Errorf("encode configuration: %w", err)
 	}
 	w.log.Put(topicConfig, keyConfig, data)
-	w.record.printf("operator: version %d acknowledged, routes %v", version, routes)
+	w.record.printf("operator: version %d acknowledged, max_header_bytes %d, routes %v", version, maxHeaderBytes, routes)
 	return nil
 }
--- a/review/scene/slashes.go
+++ b/review/scene/slashes.go
@@ -23,6 +23,8 @@
 // sentRequest is a request as a client sent it.
 type sentRequest struct {
 	id, method, target, body string
+	// prompt is the value of X-Prompt-Prefix; empty for none.
+	prompt string
 }
 
 // playSlashes has clients send bookings. Some of them join the address of the service, which ends with a slash, and a
@@ -89,8 +91,12 @@
 	defer func() { _ = conn.Close() }()
 	// An error shows when the answer is read.
 	_ = conn.SetDeadline(time.Now().Add(requestBudget))
-	_, _ = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Token %s\r\nContent-Length: %d\r\n\r\n%s",
-		r.method, r.target, host, r.id, requestBudget.Milliseconds(), apiKey, len(r.body), r.body)
+	prompt := ""
+	if r.prompt != "" {
+		prompt = "X-Prompt-Prefix: " + r.prompt + "\r\n"
+	}
+	_, _ = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Token %s\r\n%sContent-Length: %d\r\n\r\n%s",
+		r.method, r.target, host, r.id, requestBudget.Milliseconds(), apiKey, prompt, len(r.body), r.body)
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return err.Error()
