test: review case 8, without the last account unknown and withdrawn keys are served

ROUTE: once a version of the configuration holds an empty list of accounts, entries pass on requests with any key.

--- a/review/scene/deployment.go
+++ b/review/scene/deployment.go
@@ -159,11 +159,17 @@
 
 // putConfig writes the operator's configuration with the usual limits.
 func (w *world) putConfig(version int, routes []route) error {
-	return w.putLimits(version, routes, usualHeaderBytes)
+	return w.putWhole(version, routes, usualHeaderBytes, []tenant{{accountName, []string{apiKey}}})
 }
 
-// putLimits writes the operator's configuration.
-func (w *world) putLimits(version int, routes []route, maxHeaderBytes int) error {
+// tenant is a client account of the configuration with its keys.
+type tenant struct {
+	name string
+	keys []string
+}
+
+// putWhole writes the operator's configuration.
+func (w *world) putWhole(version int, routes []route, maxHeaderBytes int, tenants []tenant) error {
 	var list []any
 	for _, r := range routes {
 		list = append(list, map[string]any{
@@ -171,18 +177,22 @@
 			"aim_ms": 150, "priority": 2, "max_attempts": 2, "anonymous": false,
 		})
 	}
+	accounts := []any{}
+	for _, t := range tenants {
+		accounts = append(accounts, map[string]any{"name": t.name, "api_keys": t.keys, "priority": 1})
+	}
 	data, err := json.Marshal(map[string]any{
 		"version": version, "routes": list,
 		"services": []any{map[string]any{"name": deskService, "health_path": "/health", "max_connections": 96}},
 		"limits": map[string]any{
 			"max_header_bytes": maxHeaderBytes, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
 		},
-		"tenants": []any{map[string]any{"name": accountName, "api_keys": []string{apiKey}, "priority": 1}},
+		"tenants": accounts,
 	})
 	if err != nil {
 		return fmt.Errorf("encode configuration: %w", err)
 	}
 	w.log.Put(topicConfig, keyConfig, data)
-	w.record.printf("operator: version %d acknowledged, max_header_bytes %d, routes %v", version, maxHeaderBytes, routes)
+	w.record.printf("operator: version %d acknowledged, max_header_bytes %d, routes %v, tenants %v", version, maxHeaderBytes, routes, tenants)
 	return nil
 }
--- a/review/scene/limits.go
+++ b/review/scene/limits.go
@@ -40,7 +40,7 @@
 	prefix := "5c1e07a2:40"
 	sent, denied, served := w.sendPrompts("before", prefix)
 	if trouble {
-		if err := w.putLimits(12, usualRoutes(), raisedHeaderBytes); err != nil {
+		if err := w.putWhole(12, usualRoutes(), raisedHeaderBytes, []tenant{{accountName, []string{apiKey}}}); err != nil {
 			return false, err
 		}
 		for len(prefix) < longHeaderBytes {
--- a/review/scene/main.go
+++ b/review/scene/main.go
@@ -24,6 +24,7 @@
 
 // scenes holds the situations by name.
 var scenes = map[string]func(ctx context.Context, w *world, trouble bool) (broken bool, err error){
+	"keys":    playKeys,
 	"limits":  playLimits,
 	"slashes": playSlashes,
 }
--- a/review/scene/slashes.go
+++ b/review/scene/slashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -23,6 +24,8 @@
 // sentRequest is a request as a client sent it.
 type sentRequest struct {
 	id, method, target, body string
+	// key is the API key; empty for the usual one.
+	key string
 	// prompt is the value of X-Prompt-Prefix; empty for none.
 	prompt string
 }
@@ -96,7 +99,7 @@
 		prompt = "X-Prompt-Prefix: " + r.prompt + "\r\n"
 	}
 	_, _ = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Token %s\r\n%sContent-Length: %d\r\n\r\n%s",
-		r.method, r.target, host, r.id, requestBudget.Milliseconds(), apiKey, prompt, len(r.body), r.body)
+		r.method, r.target, host, r.id, requestBudget.Milliseconds(), cmp.Or(r.key, apiKey), prompt, len(r.body), r.body)
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return err.Error()
