--- a/review/scene/main.go
+++ b/review/scene/main.go
@@ -24,9 +24,8 @@
 
 // scenes holds the situations by name.
 var scenes = map[string]func(ctx context.Context, w *world, trouble bool) (broken bool, err error){
-	"keys":    playKeys,
-	"limits":  playLimits,
-	"slashes": playSlashes,
+	"keys":   playKeys,
+	"limits": playLimits,
 }
 
 func main() {
