--- a/review/scene/desk.go
+++ b/review/scene/desk.go
@@ -32,7 +32,7 @@
 	d := &desk{record: w.record}
 	for i, zone := range zones {
 		id := fmt.Sprintf("i-desk-%d", i)
-		address, err := w.serve(w.address(firstDeskHost+i)+":0", d.replica(id))
+		address, _, err := w.serve(w.address(firstDeskHost+i)+":0", d.replica(id))
 		if err != nil {
 			return nil, err
 		}
--- a/review/scene/keys.go
+++ b/review/scene/keys.go
@@ -46,7 +46,7 @@
 		} else {
 			time.Sleep(applyTime + stableTime)
 		}
-		served += w.sendWithKeys(sent, i)
+		served += w.sendWithKeys(sent, i, keysTime)
 	}
 	if served == 0 {
 		return false, errors.New("no request was served")
@@ -66,11 +66,11 @@
 	return unauthorized > 0, nil
 }
 
-// sendWithKeys sends requests with all keys through all entries in turn for keysTime. It returns the number served.
-func (w *world) sendWithKeys(sent map[string]string, phase int) int {
+// sendWithKeys sends requests with all keys through all entries in turn for a time. It returns the number served.
+func (w *world) sendWithKeys(sent map[string]string, phase int, during time.Duration) int {
 	served, keys := 0, []string{apiKey, secondKey, forgedKey}
 	start := time.Now()
-	for n := 0; time.Since(start) < keysTime; n++ {
+	for n := 0; time.Since(start) < during; n++ {
 		r := sentRequest{
 			id: fmt.Sprintf("v%d-%d", phase, n), method: http.MethodGet, target: fmt.Sprintf("/status/%d", n), key: keys[n%len(keys)],
 		}
--- a/review/scene/main.go
+++ b/review/scene/main.go
@@ -26,6 +26,7 @@
 var scenes = map[string]func(ctx context.Context, w *world, trouble bool) (broken bool, err error){
 	"keys":   playKeys,
 	"limits": playLimits,
+	"move":   playMove,
 }
 
 func main() {
--- a/review/scene/world.go
+++ b/review/scene/world.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -39,12 +40,14 @@
 
 // world holds the stand-ins and the processes of one play.
 type world struct {
-	binary  string
-	dir     string
-	record  *record
-	log     *mimic.Log
-	logAddr string
-	network int
+	binary string
+	dir    string
+	record *record
+	log    *mimic.Log
+	// logAddr and logServer are the address of the platform's log and the server there.
+	logAddr   string
+	logServer *http.Server
+	network   int
 	// entries holds the addresses of the entries.
 	entries []string
 	guard   net.Listener
@@ -97,7 +100,7 @@
 	if w.guard == nil {
 		return nil, errors.Join(fmt.Errorf("reserve a loopback network: %w", err), w.close())
 	}
-	if w.logAddr, err = w.serve(w.address(1)+":0", w.log); err != nil {
+	if w.logAddr, w.logServer, err = w.serve(w.address(storeHost)+":0", w.log); err != nil {
 		return nil, errors.Join(err, w.close())
 	}
 	return w, nil
@@ -106,11 +109,11 @@
 // address returns the IP address of a host of the play's network.
 func (w *world) address(host int) string { return fmt.Sprintf("127.0.%d.%d", w.network, host) }
 
-// serve serves a handler until close, and returns the address.
-func (w *world) serve(address string, handler http.Handler) (string, error) {
+// serve serves a handler until close, and returns the address and the server.
+func (w *world) serve(address string, handler http.Handler) (string, *http.Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return "", fmt.Errorf("listen: %w", err)
+		return "", nil, fmt.Errorf("listen: %w", err)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
 	w.mu.Lock()
@@ -120,7 +123,7 @@
 		// Serve returns an error when the server is closed, which is expected.
 		_ = server.Serve(listener)
 	}()
-	return listener.Addr().String(), nil
+	return listener.Addr().String(), server, nil
 }
 
 // close ends all processes and stand-ins of the play, and removes its directory.
@@ -173,6 +176,18 @@
 	return p, nil
 }
 
+// replaceInSettings replaces a text in the settings file.
+func (p *process) replaceInSettings(old, text string) error {
+	data, err := os.ReadFile(p.settings)
+	if err != nil {
+		return fmt.Errorf("read settings: %w", err)
+	}
+	if err := os.WriteFile(p.settings, []byte(strings.ReplaceAll(string(data), old, text)), 0o600); err != nil {
+		return fmt.Errorf("write settings: %w", err)
+	}
+	return nil
+}
+
 // start starts the daemon, unless the process was ended.
 func (p *process) start() error {
 	p.mu.Lock()
