--- a/review/scene/keys.go
+++ b/review/scene/keys.go
@@ -46,7 +46,7 @@
 		} else {
 			time.Sleep(applyTime + stableTime)
 		}
-		served += w.sendWithKeys(sent, i, keysTime)
+		served += w.sendWithKeys(sent, make(map[string]int), i, keysTime)
 	}
 	if served == 0 {
 		return false, errors.New("no request was served")
@@ -66,17 +66,19 @@
 	return unauthorized > 0, nil
 }
 
-// sendWithKeys sends requests with all keys through all entries in turn for a time. It returns the number served.
-func (w *world) sendWithKeys(sent map[string]string, phase int, during time.Duration) int {
+// sendWithKeys sends requests with all keys through all entries in turn for a time. It records the key of each and the index
+// of its entry, and returns the number served.
+func (w *world) sendWithKeys(sent map[string]string, through map[string]int, phase int, during time.Duration) int {
 	served, keys := 0, []string{apiKey, secondKey, forgedKey}
 	start := time.Now()
 	for n := 0; time.Since(start) < during; n++ {
 		r := sentRequest{
 			id: fmt.Sprintf("v%d-%d", phase, n), method: http.MethodGet, target: fmt.Sprintf("/status/%d", n), key: keys[n%len(keys)],
 		}
-		sent[r.id] = r.key
-		status := r.send(fmt.Sprintf("%s:%d", w.entries[n/len(keys)%len(w.entries)], frontPort))
-		w.record.printf("client sent %s with %s; answer %s", r.id, r.key, status)
+		entry := n / len(keys) % len(w.entries)
+		sent[r.id], through[r.id] = r.key, entry
+		status := r.send(fmt.Sprintf("%s:%d", w.entries[entry], frontPort))
+		w.record.printf("client sent %s with %s to entry %d; answer %s", r.id, r.key, entry, status)
 		if strings.HasPrefix(status, "200") {
 			served++
 		}
--- a/review/scene/limits.go
+++ b/review/scene/limits.go
@@ -65,7 +65,7 @@
 func (w *world) sendPrompts(phase, prefix string) (sent, denied, served int) {
 	for start := time.Now(); time.Since(start) < limitsTime; sent++ {
 		r := sentRequest{id: fmt.Sprintf("%s-%d", phase, sent), method: http.MethodGet, target: fmt.Sprintf("/status/%d", sent)}
-		if sent%2 == 1 {
+		if sent/len(w.entries)%2 == 1 {
 			r.method, r.target, r.body, r.prompt = http.MethodPost, fmt.Sprintf("/book/%d", sent), "bales=1", prefix
 		}
 		status := r.send(fmt.Sprintf("%s:%d", w.entries[sent%len(w.entries)], frontPort))
