fix: responses with an invalid status code are no answers

What callers saw: a replica that answered with status 101 or 600 to 999 had its answer passed on, seal and all. With status 000 to 099 the entry panicked in WriteHeader ("invalid WriteHeader code 0"): the caller's connection was closed without an answer, a request that may be repeated was not repeated, and the events of a stream that was resumed with such an answer were joined to the stream. filberttrack passed on the same, called a booking with status 000 Completed, and kept it in the log under other such codes. A rank's or the log's answer with such a code counted as a refusal: "certainly nothing was done".

Cause: the client of net/http checks only that a status code has three characters that strconv.Atoi accepts and that it isn't negative. No reader of answers checked more.

Cases that net/http refuses by itself passed before (MalformedHeads); they stay as tests.

Why this works: all clients of replicas, backend servers, ranks, peers, the log and the instance list now use heads.Transport, which fails the request if the code is not one of a final response (200 to 599, RFC 9110). To their callers that is what a head that can't be parsed has been all along: the request may have run. It is sent again if it may be repeated; else the caller gets 502 at once. Idle connections are closed, as what follows on that connection is in doubt: without this, a peer's next call used it again.

--- a/boot/faulty_test.go
+++ b/boot/faulty_test.go
@@ -39,9 +39,14 @@
 			}()
 		}
 	}()
+	return newAgentBefore(listener.Addr().String())
+}
+
+// newAgentBefore returns an agent of the plain service desk, whose backend server has the given host and port.
+func newAgentBefore(backend string) *agent.Agent {
 	return agent.New(agent.Options{
 		Instance: track.Instance{ID: "agent-1", Serves: "desk"}, Incarnation: 1,
-		Backend: &url.URL{Scheme: "http", Host: listener.Addr().String()}, Client: newBackendClient(),
+		Backend: &url.URL{Scheme: "http", Host: backend}, Client: newBackendClient(),
 		Clock: clockwork.NewRealClock(), Logger: zap.NewNop(), Metrics: metrics.NewSet(), Ledger: ledger.Defaults(),
 	})
 }
--- a/boot/ports.go
+++ b/boot/ports.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/heads"
 	"filberttrack.example/track/wire"
 )
 
@@ -79,11 +80,11 @@
 // server that sends an answer a second time, late, could otherwise answer the next request with it.
 func newBackendClient() *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: heads.New(&http.Transport{
 			DisableKeepAlives:      true,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: maxBackendHeaderBytes,
-		},
+		}),
 		// Following a redirect would run the request a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/cmd/filberttrack/entry.go
+++ b/cmd/filberttrack/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"net/url"
 	"time"
 
@@ -57,7 +56,7 @@
 	if err != nil {
 		return boot.Platform{}, fmt.Errorf("parse Platform.ListURL: %w", err)
 	}
-	client := &http.Client{Timeout: platformTimeout}
+	client := plat.NewHTTPClient(platformTimeout)
 	return boot.Platform{
 		Log:  plat.NewLog(client, logURL),
 		List: plat.NewInstanceList(client, listURL, log),
--- a/plat/plat.go
+++ b/plat/plat.go
@@ -13,8 +13,10 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+	"time"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/heads"
 )
 
 // Size limits of the clients and handlers.
@@ -38,6 +40,12 @@
 	errNoResponse = errors.New("no response after the request was sent")
 )
 
+// NewHTTPClient returns an HTTP client for NewLog and NewInstanceList. The timeout is that of one call.
+func NewHTTPClient(timeout time.Duration) *http.Client {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	return &http.Client{Transport: heads.New(transport), Timeout: timeout}
+}
+
 // ErrorResponse is the body of a response that reports an error.
 type ErrorResponse struct {
 	// Op is the operation that failed.
--- /dev/null
+++ b/stand/canned/canned.go
@@ -0,0 +1,134 @@
+// Package canned simulates an HTTP server that responds with given bytes, valid or not.
+package canned
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+
+	"filberttrack.example/track/duty"
+)
+
+// Response is the bytes of a response.
+type Response struct {
+	// Head and Body are sent one after the other.
+	Head, Body string
+	// StaysOpen keeps the connection open after the response.
+	StaysOpen bool
+}
+
+// Server responds to the n-th request with its n-th response, and to all further ones with the last. Requests for a
+// path with a fixed response get that and don't count. It is safe for concurrent use.
+type Server struct {
+	listener net.Listener
+	accept   *duty.Duty
+
+	mu        sync.Mutex
+	responses []Response
+	fixed     map[string]Response
+	requests  []*http.Request
+	conns     []net.Conn
+	serving   []*duty.Duty
+}
+
+// Start starts a server on a free loopback port. It needs at least one response. Close ends it.
+func Start(ctx context.Context, responses ...Response) (*Server, error) {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("listen for canned responses: %w", err)
+	}
+	s := &Server{listener: listener, responses: responses, fixed: make(map[string]Response)}
+	s.accept = duty.Start(ctx, "accept connections", s.acceptAll)
+	return s, nil
+}
+
+// Address returns the host and port of the server.
+func (s *Server) Address() string {
+	return s.listener.Addr().String()
+}
+
+// Fix sets the response to all requests for a path.
+func (s *Server) Fix(path string, response Response) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fixed[path] = response
+}
+
+// Requests returns the requests received so far, without their bodies.
+func (s *Server) Requests() []*http.Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.requests[:len(s.requests):len(s.requests)]
+}
+
+// Connections returns the number of connections accepted so far.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// Close stops the server and closes its connections.
+func (s *Server) Close() {
+	_ = s.listener.Close()
+	for range s.accept.Done() {
+	}
+	for i, conn := range s.conns {
+		_ = conn.Close()
+		// The task fails because its connection is closed.
+		for range s.serving[i].Done() {
+		}
+	}
+}
+
+// acceptAll serves connections until the listener is closed. Each connection has a task that ends with it.
+func (s *Server) acceptAll(ctx context.Context) error {
+	for {
+		conn, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		serving := duty.Start(ctx, "serve connection", func(context.Context) error { return s.serve(conn) })
+		s.mu.Lock()
+		s.conns, s.serving = append(s.conns, conn), append(s.serving, serving)
+		s.mu.Unlock()
+	}
+}
+
+// serve responds to the requests on a connection.
+func (s *Server) serve(conn net.Conn) error {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return err
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return err
+		}
+		response := s.next(request)
+		if _, err := io.WriteString(conn, response.Head+response.Body); err != nil || !response.StaysOpen {
+			return err
+		}
+	}
+}
+
+// next records a request and returns its response.
+func (s *Server) next(request *http.Request) Response {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if response, ok := s.fixed[request.URL.Path]; ok {
+		return response
+	}
+	s.requests = append(s.requests, request)
+	return s.responses[min(len(s.requests), len(s.responses))-1]
+}
--- /dev/null
+++ b/stand/canned/flaws.go
@@ -0,0 +1,69 @@
+package canned
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Flaw is a way in which the head of a response is not valid HTTP.
+type Flaw struct {
+	// Name describes the flaw.
+	Name string
+	// StatusLine takes the place of a sound status line; empty if the flaw isn't there.
+	StatusLine string
+	// Field is added to the header, before all sound fields; empty if the flaw isn't there.
+	Field string
+	// Unframed leaves out the field Content-Length.
+	Unframed bool
+}
+
+// Response returns a response that is sound but for the flaw. The fields are lines of the header without their ends.
+func (f Flaw) Response(body string, fields ...string) Response {
+	statusLine := "HTTP/1.1 200 OK"
+	if f.StatusLine != "" {
+		statusLine = f.StatusLine
+	}
+	lines := []string{statusLine}
+	if f.Field != "" {
+		lines = append(lines, f.Field)
+	}
+	lines = append(lines, fields...)
+	if !f.Unframed {
+		lines = append(lines, fmt.Sprintf("Content-Length: %d", len(body)))
+	}
+	return Response{Head: strings.Join(lines, "\r\n") + "\r\n\r\n", Body: body}
+}
+
+// Sound returns a response without a flaw.
+func Sound(body string, fields ...string) Response {
+	return Flaw{}.Response(body, fields...)
+}
+
+// InvalidHeads returns the flaws that the client of net/http accepts.
+func InvalidHeads() []Flaw {
+	return statusLines(
+		"HTTP/1.1 000 Unknown", "HTTP/1.1 001 Unknown", "HTTP/1.1 099 Unknown", "HTTP/1.1 101 Switching Protocols",
+		"HTTP/1.1 600 Unknown", "HTTP/1.1 999 Unknown", "HTTP/1.1 -00 Unknown", "HTTP/1.1 +20 Unknown",
+	)
+}
+
+// MalformedHeads returns flaws that the client of net/http refuses.
+func MalformedHeads() []Flaw {
+	return statusLines(
+		"HTTP/1.1 -20 Unknown", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1 200\x01OK", "HTTP/1.1",
+	)
+}
+
+// BrokenHeads returns the flaws of InvalidHeads and MalformedHeads.
+func BrokenHeads() []Flaw {
+	return slices.Concat(InvalidHeads(), MalformedHeads())
+}
+
+func statusLines(lines ...string) []Flaw {
+	flaws := make([]Flaw, len(lines))
+	for i, line := range lines {
+		flaws[i] = Flaw{Name: fmt.Sprintf("%q", line), StatusLine: line}
+	}
+	return flaws
+}
--- a/talk/talk.go
+++ b/talk/talk.go
@@ -14,6 +14,7 @@
 
 	"filberttrack.example/track"
 	"filberttrack.example/track/conns"
+	"filberttrack.example/track/heads"
 )
 
 const (
@@ -35,11 +36,11 @@
 func NewClient() *Client {
 	dialer := conns.NewDialer()
 	dialer.Timeout = dialTimeout
-	return &Client{http: &http.Client{Transport: &http.Transport{
+	return &Client{http: &http.Client{Transport: heads.New(&http.Transport{
 		DialContext:        dialer.DialContext,
 		DisableCompression: true,
 		IdleConnTimeout:    idleTimeout,
-	}}}
+	})}}
 }
 
 // statusByKind maps the kinds of error that are passed on to the caller to HTTP statuses.
