fix: a backend server with an invalid head has not crashed

What callers of filberttrack saw: a chat completion that one backend server broke off, and the next one was to continue with an invalid status code, ended with request_quarantined instead of on a third server. Two of them to the same content would have had it refused to everybody, however sound.

Cause: an agent reports each failed response as a crash of its backend server, and the entry quarantines contents after two crashes. A server that sent a whole head has not crashed.

Why this works: the agent leaves the mark Crashed out where the error is that of package heads. The attempt's outcome stays Unknown, so a call that must not run twice is still refused, and the agent still takes no requests until the next probe. What net/http itself can't parse, and connections that break off, count as crashes as before.

--- a/agent/forward.go
+++ b/agent/forward.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/heads"
 )
 
 // readBufferBytes is the size of the buffer for responses of the backend server.
@@ -92,15 +93,16 @@
 	return a.interruptedFrame(ctx, err)
 }
 
-// interruptedFrame returns the final frame for a request whose response was cut off.
-// Unless the attempt was cancelled or timed out, it counts as a crash of the backend
-// server.
+// interruptedFrame returns the final frame for a request whose response was cut off or
+// can't be used. Unless the attempt was cancelled or timed out, it counts as a crash of the
+// backend server. A server that sent a whole but invalid head is not known to have crashed.
 func (a *Agent) interruptedFrame(ctx context.Context, err error) track.Frame {
 	if ctx.Err() != nil {
 		return track.Frame{Outcome: track.Unknown, Fault: context.Cause(ctx).Error()}
 	}
 	a.markDown(err)
-	return track.Frame{Outcome: track.Unknown, Crashed: true, Fault: err.Error()}
+	var headErr *heads.Error
+	return track.Frame{Outcome: track.Unknown, Crashed: !errors.As(err, &headErr), Fault: err.Error()}
 }
 
 // failedToConnect reports whether a request failed before a connection was established,
--- a/boot/head_test.go
+++ b/boot/head_test.go
@@ -79,6 +79,16 @@
 		response.Header.Get("Filberttrack-Outcome") + response.Trailer.Get("Filberttrack-Outcome")
 }
 
+// generatedWord is the event of a word of a generation.
+func generatedWord(word string) string {
+	return fmt.Sprintf("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":%q},\"finish_reason\":null}]}\n\n", word+" ")
+}
+
+const (
+	doneEvents      = "data: {\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n"
+	streamedRequest = `{"model":"dispatch-llm","stream":true,"messages":[{"role":"user","content":"bales"}]}`
+)
+
 // Guards against a response whose head is not valid HTTP and that an agent passes on, or stores as the response to a
 // booking.
 func TestBrokenHeads(t *testing.T) {
@@ -97,11 +107,15 @@
 	}
 }
 
-// Guards against an invalid response that reaches the caller, and against a booking that is sent twice after one.
+// Guards against an invalid response that reaches the caller, against a booking that is sent twice after one, and
+// against a sound request that is refused because of one.
 func TestCallersOfBackendServersWithInvalidHeads(t *testing.T) {
+	cutAfterOne := canned.Sound(generatedWord("one") + generatedWord("two"))
+	cutAfterOne.Body = generatedWord("one")
 	for _, flaw := range canned.InvalidHeads() {
 		broken := flaw.Response("broken")
-		broken.StaysOpen = true
+		brokenStream := flaw.Response(generatedWord("broken") + doneEvents)
+		broken.StaysOpen, brokenStream.StaysOpen = true, true
 		t.Run("booking/"+flaw.Name, func(t *testing.T) {
 			t.Parallel()
 			d := newDeployment(t, broken, canned.Sound("booked"))
@@ -122,6 +136,18 @@
 			assert.Equal(t, outcome, "Completed")
 			assert.Equal(t, len(d.backend.Requests()), 2)
 		})
+		t.Run("resumed/"+flaw.Name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t, cutAfterOne, brokenStream, canned.Sound(generatedWord("two")+doneEvents))
+			status, body, outcome := d.send(t, http.MethodPost, "/v1/chat/completions", streamedRequest)
+			assert.Equal(t, status, http.StatusOK)
+			one, two := strings.Index(body, "one "), strings.Index(body, "two ")
+			assert.Assert(t, 0 <= one && one < two, body)
+			assert.Assert(t, !strings.Contains(body, "broken "), body)
+			assert.Assert(t, strings.HasSuffix(body, "[DONE]\n\n"), body)
+			assert.Equal(t, outcome, "Completed")
+			assert.Equal(t, len(d.backend.Requests()), 3)
+		})
 	}
 }
 
