fix: responses with blanks in the name of a header field are no answers

What callers saw: a replica's answer with a line such as "X Note: a" or "X-Note : a" in its head was a success; net/http left the line out when it wrote the head again. With "Content-Length : 3" or "Transfer-Encoding : chunked" the answer had no length for the entry: the body went on to the end of the connection, or the caller waited until its deadline for one that was kept open (504, and 502 at a stream). filberttrack did the same, and stored such a response to a booking. "Store-Era : 7" or a broken answer to an append was taken for the log's word, and a call of a peer never ended.

Cause: the client of net/http accepts blanks in the names of fields, keeps such a name as it is and doesn't know the field by it. Control bytes in names and values it refuses; those cases stay as tests.

Why this works: heads.Check refuses a header with a name that is not a token, by golang.org/x/net/http/httpguts, so that the transports of all readers do. A sound head has none.

Measured: all these tests pass with -race; formatter and linter find nothing.

--- a/heads/heads_test.go
+++ b/heads/heads_test.go
@@ -1,6 +1,7 @@
 package heads_test
 
 import (
+	"net/http"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -9,7 +10,7 @@
 	"filberttrack.example/track/heads"
 )
 
-func TestCheck(t *testing.T) {
+func TestCheckStatus(t *testing.T) {
 	for _, c := range []struct {
 		status int
 		valid  bool
@@ -29,8 +30,33 @@
 		{600, false},
 		{999, false},
 	} {
-		err := heads.Check(c.status)
+		err := heads.Check(c.status, nil)
 		assert.Equal(t, err == nil, c.valid, "%d: %v", c.status, err)
 		assert.Equal(t, track.IsKind(err, heads.InvalidStatus), !c.valid)
 	}
 }
+
+func TestCheckFields(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		valid bool
+	}{
+		{"X-Note", true},
+		{"x-note", true},
+		{"!#$%&'*+-.^_`|~09", true},
+		{"", false},
+		{" ", false},
+		{"X Note", false},
+		{" X-Note", false},
+		{"X-Note ", false},
+		{"X-Note\t", false},
+		{"X-Note\x00", false},
+		{"X-Note\x7f", false},
+		{"X-Note:", false},
+		{"X-Nöte", false},
+	} {
+		err := heads.Check(http.StatusOK, http.Header{"Content-Length": {"2"}, c.name: {"a"}})
+		assert.Equal(t, err == nil, c.valid, "%q: %v", c.name, err)
+		assert.Equal(t, track.IsKind(err, heads.InvalidField), !c.valid)
+	}
+}
--- a/stand/canned/flaws.go
+++ b/stand/canned/flaws.go
@@ -42,17 +42,26 @@
 
 // InvalidHeads returns the flaws that the client of net/http accepts.
 func InvalidHeads() []Flaw {
-	return statusLines(
+	return slices.Concat(statusLines(
 		"HTTP/1.1 000 Unknown", "HTTP/1.1 001 Unknown", "HTTP/1.1 099 Unknown", "HTTP/1.1 101 Switching Protocols",
 		"HTTP/1.1 600 Unknown", "HTTP/1.1 999 Unknown", "HTTP/1.1 -00 Unknown", "HTTP/1.1 +20 Unknown",
-	)
+	), fields(
+		"X Note: a", "X-Note : a", "X-Replica-Seal : s", "X-Request-Id : r-0", "Store-Era : 7", "Content-Length : 3",
+		"Transfer-Encoding : chunked",
+	), []Flaw{
+		{Name: "length with a blank, unframed", Field: "Content-Length : 3", Unframed: true},
+		{Name: "chunks with a blank, unframed", Field: "Transfer-Encoding : chunked", Unframed: true},
+	})
 }
 
 // MalformedHeads returns flaws that the client of net/http refuses.
 func MalformedHeads() []Flaw {
-	return statusLines(
+	return slices.Concat(statusLines(
 		"HTTP/1.1 -20 Unknown", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1 200\x01OK", "HTTP/1.1",
-	)
+	), fields(
+		"X\x01Note: a", "X-Note\x00: a", "X-Note\x7f: a", "X-Note\t: a", "X\rNote: a", " X-Note: a", ": a", "X-Note",
+		"X-Note: a\x00b", "X-Note: a\x01b", "X-Note: a\rb", "X-Note: a\x7f",
+	))
 }
 
 // BrokenHeads returns the flaws of InvalidHeads and MalformedHeads.
@@ -60,6 +69,14 @@
 	return slices.Concat(InvalidHeads(), MalformedHeads())
 }
 
+func fields(lines ...string) []Flaw {
+	flaws := make([]Flaw, len(lines))
+	for i, line := range lines {
+		flaws[i] = Flaw{Name: fmt.Sprintf("%q", line), Field: line}
+	}
+	return flaws
+}
+
 func statusLines(lines ...string) []Flaw {
 	flaws := make([]Flaw, len(lines))
 	for i, line := range lines {
--- a/talk/head_test.go
+++ b/talk/head_test.go
@@ -1,7 +1,9 @@
 package talk_test
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -23,7 +25,9 @@
 				defer peer.Close()
 				client := talk.NewClient()
 				call := func() (echoResponse, error) {
-					return talk.Call[echoRequest, echoResponse](t.Context(), client, peer.Address(), "/echo", echoRequest{})
+					ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+					defer cancel()
+					return talk.Call[echoRequest, echoResponse](ctx, client, peer.Address(), "/echo", echoRequest{})
 				}
 				got, err := call()
 				assert.Assert(t, track.IsKind(err, track.Ambiguous), "%+v, %v", got, err)
