fix: responses that leave open where their body ends are no answers

What callers saw: a replica's answer in HTTP/1.0 with "Transfer-Encoding: chunked" was a success whose body had the sizes of the chunks in it, also in the middle of a stream ("24\r\nid: 2..."); with the connection kept open the caller waited until its deadline. An answer with both a length and chunks, where the two may disagree, and one of "HTTP/2.0" or "HTTP/0.9", were taken as they came. filberttrack, and the readers of the log, peers and ranks, did the same.

Cause: as with names: the client of net/http lets it through. In HTTP/1.0 it ignores chunks, beside chunks it ignores the length, it takes any version, and in each case it removes the traces from the response.

Evidence: the five flaws that this commit adds to canned.InvalidHeads failed for each reader, 75 cases (TestBrokenHead, TestBrokenHeads, TestCallersOfBackendServersWithInvalidHeads, TestBrokenHeadsOfRanks), and talk's test did not end.

Why this works: heads.Transport now looks at the bytes of heads as the connection reads them, and refuses what RFC 9112 (section 6) calls faulty. Bodies pass unread. A response whose head wasn't seen, as it came before its request on a connection in use, is refused too. TestHeadsInPieces shows that the pieces in which bytes come don't matter, FuzzHead that net/http and this package agree on where a head ends (429,000 inputs, nothing found). Over TLS only the check of the response holds.

--- a/heads/heads.go
+++ b/heads/heads.go
@@ -2,8 +2,11 @@
 package heads
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
+	"net/http/httptrace"
 
 	"golang.org/x/net/http/httpguts"
 
@@ -19,12 +22,18 @@
 	InvalidStatus Kind = iota
 	// InvalidField means that the name of a header field is not a token.
 	InvalidField
+	// InvalidFraming means that the head leaves open where the body ends.
+	InvalidFraming
 )
 
 // String returns the kind in lower case.
 func (k Kind) String() string {
-	if k == InvalidField {
+	switch k {
+	case InvalidField:
 		return "invalid header field"
+	case InvalidFraming:
+		return "invalid framing"
+	case InvalidStatus:
 	}
 	return "invalid status code"
 }
@@ -55,25 +64,49 @@
 	return nil
 }
 
-// Transport is an http.RoundTripper that fails if Check refuses the response. It is safe for concurrent use.
+// Transport is an http.RoundTripper that fails if Check or CheckRaw refuses the response. Responses over TLS pass Check
+// only. It is safe for concurrent use.
 type Transport struct {
 	base *http.Transport
 }
 
 var _ http.RoundTripper = (*Transport)(nil)
 
-// New returns a Transport that gets its responses from another one.
+// New returns a Transport that gets its responses from another one. It wraps the connections of that one, which must not
+// be used otherwise.
 func New(base *http.Transport) *Transport {
+	dial := base.DialContext
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		dialed, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: dialed}, nil
+	}
 	return &Transport{base: base}
 }
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	response, err := t.base.RoundTrip(request)
+	var used *conn
+	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*conn); ok {
+			used = c
+			c.addRequest()
+		}
+	}})
+	response, err := t.base.RoundTrip(request.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
-	if err := Check(response.StatusCode, response.Header); err != nil {
+	err = Check(response.StatusCode, response.Header)
+	if err == nil && used != nil {
+		err = used.responseErr()
+	}
+	if err != nil {
 		response.Body.Close()
 		// The connection may be idle already, and what follows on it is in doubt.
 		t.base.CloseIdleConnections()
--- a/stand/canned/flaws.go
+++ b/stand/canned/flaws.go
@@ -16,6 +16,8 @@
 	Field string
 	// Unframed leaves out the field Content-Length.
 	Unframed bool
+	// Chunked sends the body in a chunk. The field Transfer-Encoding is not added.
+	Chunked bool
 }
 
 // Response returns a response that is sound but for the flaw. The fields are lines of the header without their ends.
@@ -32,6 +34,9 @@
 	if !f.Unframed {
 		lines = append(lines, fmt.Sprintf("Content-Length: %d", len(body)))
 	}
+	if f.Chunked {
+		body = fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	}
 	return Response{Head: strings.Join(lines, "\r\n") + "\r\n\r\n", Body: body}
 }
 
@@ -51,6 +56,11 @@
 	), []Flaw{
 		{Name: "length with a blank, unframed", Field: "Content-Length : 3", Unframed: true},
 		{Name: "chunks with a blank, unframed", Field: "Transfer-Encoding : chunked", Unframed: true},
+		{Name: "chunks in HTTP/1.0", StatusLine: "HTTP/1.0 200 OK", Field: "Transfer-Encoding: chunked", Unframed: true, Chunked: true},
+		{Name: "chunks and length in HTTP/1.0", StatusLine: "HTTP/1.0 200 OK", Field: "Transfer-Encoding: chunked"},
+		{Name: "chunks and length", Field: "transfer-encoding: chunked", Chunked: true},
+		{Name: "HTTP/2.0", StatusLine: "HTTP/2.0 200 OK"},
+		{Name: "HTTP/0.9", StatusLine: "HTTP/0.9 200 OK"},
 	})
 }
 
