fix: entries check the heads that agents and the log hand to them

What callers of filberttrack saw: while agents of an earlier version run beside entries of this one, or from answers that an earlier version has kept in the log, a response with an invalid status code or field name still reached them: status 600 and "X Note" as they were, status 0 and 99 as a panic and a closed connection, status 0 to a booking as Completed, and words from a response with an invalid head within a stream.

Cause: entries took heads from agents' frames, and from the log's records of answers to bookings, without a check of their own.

Why this works: the entry applies heads.Check to the first frame of an attempt, before it can win as a hedge: the attempt has failed, and the call is sent again if it may be. A booking gets 502 backend_server_failed with the outcome Unknown at once, and no such answer is stored. One that is stored is not read; the agent that ran the booking is asked for it.

--- a/claims/claims_test.go
+++ b/claims/claims_test.go
@@ -1,6 +1,7 @@
 package claims_test
 
 import (
+	"bytes"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -114,6 +115,20 @@
 			assert.Equal(t, c.sendRequest(b, "r2", "k"), firstBooking)
 			assert.Equal(t, c.sendRequest(b, "r3", "k", withOtherBody), "NotRun key used with another body")
 		}},
+		"stored answer has an invalid head": {1, func(t *testing.T, c *cluster, a, b *entry) {
+			assert.Equal(t, c.sendRequest(a, "r1", "k"), firstBooking)
+			time.Sleep(time.Second)
+			c.withLock(func() {
+				for i, r := range c.records {
+					c.records[i].Data = bytes.Replace(r.Data, []byte(`"Status":200`), []byte(`"Status":600`), 1)
+				}
+			})
+			fromAgent, err := (&request{entry: b, key: "k", body: "a", id: "r2"}).send()
+			assert.NilError(t, err)
+			assert.Equal(t, fromAgent.Frames[0].Status, 200)
+			c.agents = nil
+			assert.Equal(t, c.sendRequest(b, "r3", "k"), "Unknown agent unreachable")
+		}},
 		"agent restarted before it was asked for the answer": {1, func(t *testing.T, c *cluster, a, b *entry) {
 			c.crashAfterDispatch(t, a)
 			for _, agent := range c.agents {
--- a/claims/result.go
+++ b/claims/result.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/heads"
 )
 
 // storeResult appends a small, complete answer to the log without waiting for it,
@@ -19,7 +20,8 @@
 }
 
 // resultOf returns the answer in the form that the log stores. It reports false if
-// the body exceeds MaxResultBodyBytes or the request did not complete.
+// the head is not valid, the body exceeds MaxResultBodyBytes or the request did not
+// complete.
 func resultOf(answer []track.Frame) (Result, bool) {
 	var r Result
 	for _, f := range answer {
@@ -30,7 +32,7 @@
 		r.Body = append(r.Body, f.Data...)
 	}
 	final := answer[len(answer)-1]
-	return r, r.Status != 0 && final.Outcome == track.Completed && len(r.Body) <= MaxResultBodyBytes
+	return r, heads.Check(r.Status, r.Header) == nil && final.Outcome == track.Completed && len(r.Body) <= MaxResultBodyBytes
 }
 
 // replayFromLog returns the answer that the log holds. If the log can't be read, it
@@ -80,5 +82,9 @@
 	if record.Close == nil || record.Close.Result == nil {
 		return Result{}, track.Fail(op, Invalid, nil)
 	}
-	return *record.Close.Result, nil
+	result := *record.Close.Result
+	if err := heads.Check(result.Status, result.Header); err != nil {
+		return Result{}, track.Fail(op, Invalid, err)
+	}
+	return result, nil
 }
--- a/entry/claim/claim.go
+++ b/entry/claim/claim.go
@@ -18,6 +18,7 @@
 	"filberttrack.example/track/crash"
 	"filberttrack.example/track/entry/flow"
 	"filberttrack.example/track/entry/relay"
+	"filberttrack.example/track/heads"
 )
 
 // Options holds the dependencies and settings of a Step.
@@ -89,12 +90,16 @@
 // writeResponse sends the whole answer to the caller.
 func (s *Step) writeResponse(x *flow.Exchange, answer claims.Answer) error {
 	response := relay.NewResponse(x, s.options.Limits)
-	status := 0
+	hasHead := false
 	for _, f := range answer.Frames {
 		var err error
 		switch f.Kind {
 		case track.FrameHeader:
-			status = f.Status
+			// Agents of earlier versions don't check the heads of responses.
+			if err := heads.Check(f.Status, f.Header); err != nil {
+				return newRefusal(http.StatusBadGateway, "backend_server_failed", err.Error(), track.Unknown)
+			}
+			hasHead = true
 			err = response.WriteHeader(f.Status, f.Header)
 		case track.FrameData:
 			err = response.WriteData(f.Data)
@@ -104,7 +109,7 @@
 		}
 	}
 	final := answer.Frames[len(answer.Frames)-1]
-	if status == 0 || final.Crashed || final.Fault != "" {
+	if !hasHead || final.Crashed || final.Fault != "" {
 		return newRefusal(
 			http.StatusBadGateway, "backend_server_failed", "the response is incomplete: "+final.Fault, answer.Outcome)
 	}
--- a/entry/send/transfer.go
+++ b/entry/send/transfer.go
@@ -9,6 +9,7 @@
 	"filberttrack.example/track"
 	"filberttrack.example/track/entry/relay"
 	"filberttrack.example/track/frames"
+	"filberttrack.example/track/heads"
 )
 
 // maxErrorBodyBytes is the most bytes that are kept of the body of an error
@@ -118,6 +119,12 @@
 	if !a.checker.Accept(f) {
 		return nil
 	}
+	if f.Kind == track.FrameHeader {
+		// Agents of earlier versions don't check the heads of responses.
+		if err := heads.Check(f.Status, f.Header); err != nil {
+			return err
+		}
+	}
 	if a.race != nil && f.Kind != track.FrameFinal {
 		if f.Kind == track.FrameHeader && f.Status >= serverErrorStatus {
 			a.status = f.Status
