--- a/stand/canned/canned.go
+++ b/stand/canned/canned.go
@@ -20,6 +20,8 @@
 	Head, Body string
 	// StaysOpen keeps the connection open after the response.
 	StaysOpen bool
+	// Before is called before the response is sent; nil if nothing is to be done then.
+	Before func()
 }
 
 // Server responds to the n-th request with its n-th response, and to all further ones with the last. Requests for a
@@ -116,6 +118,9 @@
 			return err
 		}
 		response := s.next(request)
+		if response.Before != nil {
+			response.Before()
+		}
 		if _, err := io.WriteString(conn, response.Head+response.Body); err != nil || !response.StaysOpen {
 			return err
 		}
