test(soak): replicas answer with heads that are not valid HTTP

The disturbance InvalidHeads has random numbers of its own, so that the other disturbances of a seed stay as they were.

--- a/soak/disturb.go
+++ b/soak/disturb.go
@@ -71,6 +71,11 @@
 		ep.current().SetFault(e.ReplicaFault, e.Interval)
 		return ep.clearFault
 	},
+	InvalidHeads: func(s *testbed, e PlannedFault) func() {
+		ep := s.endpoints[e.Target%len(s.endpoints)]
+		ep.current().SetFault(mimic.InvalidHead, invalidHeadInterval)
+		return ep.clearFault
+	},
 	LinkDelay:  injectLinkFault,
 	LinkReset:  injectLinkFault,
 	LinkSilent: injectLinkFault,
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -55,6 +55,8 @@
 	ZoneEvacuated Fault = "ZoneEvacuated"
 	// ReplicasCold restarts all replicas of a service in a zone. Replicas are cold after starts in such a run.
 	ReplicasCold Fault = "ReplicasCold"
+	// InvalidHeads makes a replica answer some requests with heads that are not valid HTTP.
+	InvalidHeads Fault = "InvalidHeads"
 )
 
 // faults lists all kinds of faults in the order from which PlanFaults draws them. DemandShifts is
@@ -114,6 +116,7 @@
 	}
 	planned = append(planned, planDark(seed, length)...)
 	planned = append(planned, planEvacuations(seed, length)...)
+	planned = append(planned, planInvalidHeads(seed, length)...)
 	return append(planned, planCold(seed, length)...)
 }
 
@@ -138,6 +141,15 @@
 	return planned
 }
 
+// invalidHeadInterval is the number of requests from one that is answered with an invalid head to the next.
+const invalidHeadInterval = 2
+
+// planInvalidHeads returns the faults InvalidHeads of a run.
+func planInvalidHeads(seed uint64, length time.Duration) []PlannedFault {
+	return planOwn(rand.New(rand.NewPCG(seed, 59)), InvalidHeads, length, minLightTime,
+		[2]time.Duration{minLightTime, maxLightTime}, [2]time.Duration{minDuration, maxDuration})
+}
+
 // planOwn returns faults of a kind that have random numbers of their own, like those of planDark. The first begins by
 // firstBy; pause and duration hold the least and the greatest value.
 func planOwn(rng *rand.Rand, fault Fault, length, firstBy time.Duration, pause, duration [2]time.Duration) []PlannedFault {
