--- a/heads/conn.go
+++ b/heads/conn.go
@@ -18,7 +18,7 @@
 	errNoFile  = errors.New("the connection has no file descriptor")
 )
 
-// conn is a connection that checks the heads of responses with CheckRaw as they are read.
+// conn is a connection that checks the heads of responses with checkRaw as they are read.
 type conn struct {
 	net.Conn
 
@@ -80,7 +80,7 @@
 		if n == 0 {
 			break
 		}
-		c.err = CheckRaw(data[:n])
+		c.err = checkRaw(data[:n])
 		if !isInterim(data[:n]) {
 			c.heads++
 			c.pending = nil
@@ -90,7 +90,7 @@
 	}
 	if len(data) > 0 && data[0] != 'H' {
 		// These are no heads, such as the records of TLS.
-		c.err = track.Fail(opCheck, InvalidFraming, errVersion)
+		c.err = track.Fail(opCheck, InvalidFraming, errNotHTTP1)
 	} else if len(data) > maxBytes {
 		c.err = track.Fail(opCheck, InvalidFraming, errTooLong)
 	}
--- a/heads/heads.go
+++ b/heads/heads.go
@@ -64,8 +64,8 @@
 	return nil
 }
 
-// Transport is an http.RoundTripper that fails if Check or CheckRaw refuses the response. Responses over TLS pass Check
-// only. It is safe for concurrent use.
+// Transport is an http.RoundTripper that fails with an error of this package if the head of a response is not valid: by
+// Check, or by its bytes, which are not seen over TLS. It is safe for concurrent use.
 type Transport struct {
 	base *http.Transport
 }
--- a/heads/raw.go
+++ b/heads/raw.go
@@ -8,18 +8,18 @@
 )
 
 var (
-	errVersion  = errors.New("not HTTP/1")
-	errOldChunk = errors.New("chunks in HTTP/1.0")
-	errTwice    = errors.New("both a length and chunks")
+	errNotHTTP1        = errors.New("not HTTP/1")
+	errChunksInHTTP10  = errors.New("chunks in HTTP/1.0")
+	errLengthAndChunks = errors.New("both a length and chunks")
 )
 
-// CheckRaw returns an error of this package if the bytes of a head leave open where the body ends: if the version of
+// checkRaw returns an error of this package if the bytes of a head leave open where the body ends: if the version of
 // HTTP is another one than 1, or if there are chunks in HTTP/1.0 or beside a length (RFC 9112, section 6). The client of
-// net/http doesn't say so in the response. CheckRaw takes for granted that the client has accepted the head.
-func CheckRaw(head []byte) error {
+// net/http doesn't say so in the response. checkRaw takes for granted that the client has accepted the head.
+func checkRaw(head []byte) error {
 	statusLine, fields, _ := bytes.Cut(head, []byte("\n"))
 	if !bytes.HasPrefix(statusLine, []byte("HTTP/1.")) {
-		return track.Fail(opCheck, InvalidFraming, errVersion)
+		return track.Fail(opCheck, InvalidFraming, errNotHTTP1)
 	}
 	hasLength, hasChunks := false, false
 	for line := range bytes.Lines(fields) {
@@ -29,9 +29,9 @@
 	}
 	switch {
 	case hasChunks && bytes.HasPrefix(statusLine, []byte("HTTP/1.0")):
-		return track.Fail(opCheck, InvalidFraming, errOldChunk)
+		return track.Fail(opCheck, InvalidFraming, errChunksInHTTP10)
 	case hasChunks && hasLength:
-		return track.Fail(opCheck, InvalidFraming, errTwice)
+		return track.Fail(opCheck, InvalidFraming, errLengthAndChunks)
 	}
 	return nil
 }
--- a/heads/raw_test.go
+++ b/heads/raw_test.go
@@ -14,7 +14,7 @@
 	"filberttrack.example/track"
 )
 
-func TestCheckRaw(t *testing.T) {
+func TestRawHeads(t *testing.T) {
 	for _, c := range []struct {
 		head  string
 		valid bool
@@ -34,7 +34,7 @@
 		{"HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\n", false},
 		{"HTTP/0.9 200 OK\r\nContent-Length: 2\r\n\r\n", false},
 	} {
-		err := CheckRaw([]byte(c.head))
+		err := checkRaw([]byte(c.head))
 		assert.Equal(t, err == nil, c.valid, "%q: %v", c.head, err)
 		assert.Equal(t, track.IsKind(err, InvalidFraming), !c.valid)
 	}
