test: heads with faulty lengths and codings are refused already

Handled by net/http, so nothing else changes: two lengths that differ, one that is no number, a coding other than chunks. The tests of all readers pass with them. The test of heads at the door is named as in the other packages.

--- a/stand/canned/flaws.go
+++ b/stand/canned/flaws.go
@@ -70,6 +70,7 @@
 	), fields(
 		"X\x01Note: a", "X-Note\x00: a", "X-Note\x7f: a", "X-Note\t: a", "X\rNote: a", " X-Note: a", ": a", "X-Note",
 		"X-Note: a\x00b", "X-Note: a\x01b", "X-Note: a\rb", "X-Note: a\x7f",
+		"Content-Length: 3", "Content-Length: -1", "Content-Length: 0x6", "Transfer-Encoding: gzip",
 	))
 }
 
