--- a/boot/oldagent_test.go
+++ b/boot/oldagent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -39,10 +40,13 @@
 // Guards against a response with an invalid head that reaches the caller by way of an agent that doesn't check it, as
 // those of earlier versions. The simulated network has no heads that could be checked.
 func TestInvalidHeadsFromAgents(t *testing.T) {
-	const words = "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"broken \"},\"finish_reason\":null}]}\n\ndata: [DONE]\n\n"
+	const (
+		event = "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":%q},\"finish_reason\":null}]}\n\n"
+		done  = "data: [DONE]\n\n"
+	)
 	sound := func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "sound") }
 	cutOff := func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = io.WriteString(w, strings.Replace(strings.TrimSuffix(words, "data: [DONE]\n\n"), "broken", "one", 1))
+		fmt.Fprintf(w, event, "one ")
 		w.(http.Flusher).Flush()
 		panic(http.ErrAbortHandler)
 	}
@@ -77,7 +81,7 @@
 			},
 			{
 				"resumed", http.MethodPost, "/v1/chat/completions",
-				[]http.HandlerFunc{cutOff, invalidHead(head.status, head.field, words)},
+				[]http.HandlerFunc{cutOff, invalidHead(head.status, head.field, fmt.Sprintf(event, "broken ")+done)},
 				http.StatusOK, "one", 2,
 			},
 		} {
