test: canned servers count a connection before they respond on it

TestBrokenHeads of talk failed once beside the tests of seven other packages: it counted one connection instead of two.

Cause: the server started to serve a connection before it counted it, so that a client could have the response earlier.

Now both happen under the lock that each response waits for.

--- a/stand/canned/canned.go
+++ b/stand/canned/canned.go
@@ -98,8 +98,9 @@
 		if err != nil {
 			return err
 		}
-		serving := duty.Start(ctx, "serve connection", func(context.Context) error { return s.serve(conn) })
 		s.mu.Lock()
+		// A response waits for the lock, so that its connection is counted by then.
+		serving := duty.Start(ctx, "serve connection", func(context.Context) error { return s.serve(conn) })
 		s.conns, s.serving = append(s.conns, conn), append(s.serving, serving)
 		s.mu.Unlock()
 	}
