fix: responses that break off while their request is written are not complete

The client got that part as a complete answer; a stream ended after its first events as if it were whole.

Cause: the body of such an answer ends with its connection, so what matters is how that ends. The kernel reports a reset once, to the call that comes first. If the upload's write gets it, the read that follows finds an ordinary end of the data. net/http learns from its writer that the connection is broken, but its reader may have handed the end of the data to the caller by then.

TestResponseThatEndsWithItsConnection failed where the server closed or half closed with the request unread, and where it closed with the request half read.

Why this works: heads.Transport, which all readers of answers use, sees the writes of a connection too. When a connection's data ends, it waits for the write in progress, which it wakes up. If a write failed or the request wasn't written to its end, the reader gets an error in place of io.EOF, and callers handle that as they do each answer that breaks off. Answers with a length or chunks end before that. The last byte of a request is found by counting, as net/http doesn't tell when it is written.

An answer without a length, sent before its request was read and ended in order, is refused as well: nobody can tell it from one that broke off.

--- a/heads/conn.go
+++ b/heads/conn.go
@@ -2,9 +2,13 @@
 
 import (
 	"errors"
+	"fmt"
+	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
+	"time"
 
 	"filberttrack.example/track"
 )
@@ -18,10 +22,18 @@
 	errNoFile  = errors.New("the connection has no file descriptor")
 )
 
-// conn is a connection that checks the heads of responses with checkRaw as they are read.
+// conn is a connection that checks the heads of responses with checkRaw as they are read, and that tells responses that
+// end with the connection from those that break off.
 type conn struct {
 	net.Conn
 
+	// writing is held while bytes are written, and guards upload and writeErr.
+	writing sync.Mutex
+	// upload is the last request; nil before the first one.
+	upload *upload
+	// writeErr is the error of the write that failed.
+	writeErr error
+
 	mu sync.Mutex
 	// requests is the number of requests, and heads that of the heads of final responses read.
 	requests, heads int
@@ -40,8 +52,13 @@
 	return file.SyscallConn()
 }
 
-// addRequest makes the connection expect another response.
-func (c *conn) addRequest() {
+// addRequest makes the connection expect another request, with a body of the given length in bytes or of unknownLength,
+// and its response.
+func (c *conn) addRequest(bodyLength int64) {
+	c.writing.Lock()
+	next := newUpload(bodyLength)
+	c.upload = &next
+	c.writing.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requests++
@@ -57,9 +74,26 @@
 	return c.err
 }
 
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if c.upload != nil {
+		c.upload.add(p[:n])
+	}
+	if err != nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = c.endErr()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// A server may respond before it has the first request.
@@ -69,6 +103,24 @@
 	return n, err
 }
 
+// endErr returns io.EOF if the data that the connection has read ended in order. The kernel reports a reset only once: if
+// a write in progress gets it, a read finds io.EOF, and a response that ends with its connection looks complete. So it is
+// not complete if its request couldn't be written by then.
+func (c *conn) endErr() error {
+	// The server has left, so a write in progress may wait for it without end.
+	_ = c.SetWriteDeadline(time.Unix(1, 0))
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	cause := c.writeErr
+	if cause == nil && (c.upload == nil || c.upload.complete()) {
+		return io.EOF
+	}
+	if cause == nil || errors.Is(cause, os.ErrDeadlineExceeded) {
+		cause = io.ErrUnexpectedEOF
+	}
+	return fmt.Errorf("the connection ended while its request was written: %w", cause)
+}
+
 // check checks the heads up to that of a final response in data that has been read.
 func (c *conn) check(data []byte) {
 	if len(c.pending) > 0 {
--- /dev/null
+++ b/heads/early_test.go
@@ -0,0 +1,113 @@
+package heads_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"filberttrack.example/track/heads"
+)
+
+// uploadBytes is more than the kernel takes from a writer whose peer doesn't read.
+const uploadBytes = 8 << 20
+
+// startServer starts a server that reads the head of a request, sends the response and hands the connection to finish.
+func startServer(t *testing.T, response string, finish func(conn *net.TCPConn, body io.Reader)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				request, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				if _, err := io.WriteString(conn, response); err == nil {
+					finish(conn.(*net.TCPConn), request.Body)
+				}
+			}()
+		}
+	}()
+	return "http://" + listener.Addr().String()
+}
+
+// A response without a length ends with its connection. If that ends before the request was written, or with an error, the
+// response is not complete.
+func TestResponseThatEndsWithItsConnection(t *testing.T) {
+	const runs = 20
+	for _, c := range []struct {
+		name string
+		// finish ends the response. ended gets a value when the client has its end.
+		finish   func(conn *net.TCPConn, body io.Reader, ended <-chan struct{})
+		complete bool
+	}{
+		{"request unread, reset", func(conn *net.TCPConn, _ io.Reader, _ <-chan struct{}) { _ = conn.SetLinger(0) }, false},
+		{"request unread, closed", func(*net.TCPConn, io.Reader, <-chan struct{}) {}, false},
+		{
+			"request unread, half closed", func(conn *net.TCPConn, _ io.Reader, ended <-chan struct{}) {
+				_ = conn.CloseWrite()
+				<-ended
+			}, false,
+		},
+		{
+			"request half read, closed", func(_ *net.TCPConn, body io.Reader, _ <-chan struct{}) {
+				_, _ = io.CopyN(io.Discard, body, uploadBytes/2)
+			}, false,
+		},
+		{
+			"request read, reset", func(conn *net.TCPConn, body io.Reader, _ <-chan struct{}) {
+				_, _ = io.Copy(io.Discard, body)
+				_ = conn.SetLinger(0)
+			}, false,
+		},
+		{
+			"request read, closed", func(_ *net.TCPConn, body io.Reader, _ <-chan struct{}) {
+				_, _ = io.Copy(io.Discard, body)
+			}, true,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ended := make(chan struct{}, runs)
+			address := startServer(t, "HTTP/1.1 200 OK\r\n\r\nbooked", func(conn *net.TCPConn, body io.Reader) {
+				c.finish(conn, body, ended)
+			})
+			client := http.Client{Transport: heads.New(&http.Transport{DisableKeepAlives: true})}
+			for range runs {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				body, err := upload(ctx, &client, address)
+				assert.NilError(t, ctx.Err())
+				assert.Equal(t, err == nil, c.complete, "%q, %v", body, err)
+				ended <- struct{}{}
+				cancel()
+			}
+		})
+	}
+}
+
+// upload sends a long request and returns the body of the response.
+func upload(ctx context.Context, client *http.Client, address string) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader(make([]byte, uploadBytes)))
+	if err != nil {
+		return nil, err
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	return io.ReadAll(response.Body)
+}
--- a/heads/heads.go
+++ b/heads/heads.go
@@ -1,4 +1,5 @@
-// Package heads refuses HTTP responses that net/http accepts although their head is not valid HTTP.
+// Package heads refuses HTTP responses that net/http accepts although their head is not valid HTTP, or although they broke
+// off.
 package heads
 
 import (
@@ -65,7 +66,8 @@
 }
 
 // Transport is an http.RoundTripper that fails with an error of this package if the head of a response is not valid: by
-// Check, or by its bytes, which are not seen over TLS. It is safe for concurrent use.
+// Check, or by its bytes, which are not seen over TLS. The body of a response without a length fails if the connection
+// ended before the whole request was written. It is safe for concurrent use.
 type Transport struct {
 	base *http.Transport
 }
@@ -95,7 +97,7 @@
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*conn); ok {
 			used = c
-			c.addRequest()
+			c.addRequest(bodyLength(request))
 		}
 	}})
 	response, err := t.base.RoundTrip(request.WithContext(ctx))
@@ -115,6 +117,17 @@
 	return response, nil
 }
 
+// bodyLength returns the length of the body of a request in bytes, or unknownLength.
+func bodyLength(request *http.Request) int64 {
+	switch {
+	case request.Body == nil || request.Body == http.NoBody:
+		return 0
+	case request.ContentLength > 0:
+		return request.ContentLength
+	}
+	return unknownLength
+}
+
 // CloseIdleConnections closes the connections that no request uses.
 func (t *Transport) CloseIdleConnections() {
 	t.base.CloseIdleConnections()
--- a/heads/raw_test.go
+++ b/heads/raw_test.go
@@ -85,7 +85,7 @@
 			interims := strings.Repeat(interimHead, rapid.IntRange(0, 2).Draw(rt, "interims"))
 			head := rapid.SampledFrom([]string{soundHead, brokenHead}).Draw(rt, "head")
 			body := rapid.SampledFrom([]string{"", "ok", brokenHead}).Draw(rt, "body")
-			c.addRequest()
+			c.addRequest(0)
 			readInPieces(rt, c, server, interims+head+body, rapid.SliceOf(rapid.IntRange(1, 20)).Draw(rt, "sizes")...)
 			assert.Equal(rt, c.responseErr() != nil, head == brokenHead)
 			if head == brokenHead {
@@ -114,11 +114,11 @@
 			defer server.Close()
 			checked := &conn{Conn: client}
 			if c.used {
-				checked.addRequest()
+				checked.addRequest(0)
 				readInPieces(t, checked, server, soundHead)
 			}
 			readInPieces(t, checked, server, c.head)
-			checked.addRequest()
+			checked.addRequest(0)
 			assert.Equal(t, checked.responseErr() != nil, c.refuse)
 		})
 	}
@@ -136,7 +136,7 @@
 			defer client.Close()
 			defer server.Close()
 			checked := &conn{Conn: client}
-			checked.addRequest()
+			checked.addRequest(0)
 			readInPieces(t, checked, server, c.data)
 			assert.Assert(t, track.IsKind(checked.responseErr(), InvalidFraming))
 			assert.Equal(t, len(checked.pending), 0)
--- a/stand/canned/canned.go
+++ b/stand/canned/canned.go
@@ -20,6 +20,12 @@
 	Head, Body string
 	// StaysOpen keeps the connection open after the response.
 	StaysOpen bool
+	// Early sends the response before the body of the request is read. Taken is the number of bytes of that body that
+	// are read after the response; the others are left unread.
+	Early bool
+	Taken int64
+	// Reset resets the connection after the response instead of closing it.
+	Reset bool
 	// Before is called before the response is sent; nil if nothing is to be done then.
 	Before func()
 }
@@ -115,19 +121,35 @@
 		if err != nil {
 			return err
 		}
-		if _, err := io.Copy(io.Discard, request.Body); err != nil {
-			return err
-		}
 		response := s.next(request)
+		if !response.Early {
+			if _, err := io.Copy(io.Discard, request.Body); err != nil {
+				return err
+			}
+		}
 		if response.Before != nil {
 			response.Before()
 		}
-		if _, err := io.WriteString(conn, response.Head+response.Body); err != nil || !response.StaysOpen {
+		_, err = io.WriteString(conn, response.Head+response.Body)
+		if err == nil && response.Early {
+			_, err = io.CopyN(io.Discard, request.Body, response.Taken)
+		}
+		if err != nil || !response.StaysOpen {
+			if response.Reset {
+				reset(conn)
+			}
 			return err
 		}
 	}
 }
 
+// reset makes the close of a connection reset it.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // next records a request and returns its response.
 func (s *Server) next(request *http.Request) Response {
 	s.mu.Lock()
