fix: early answers that came whole are not lost with a reset

What callers saw: a replica answered a long upload before it had read it, with its length, and then reset the connection. The answer had arrived, but the client got 502 NoAnswer: for a booking, also where the replica had said that it did not run it, and for a 413. A request that may be repeated was run again.

Why this works: when the kernel reports a reset to a write in the middle of a request, the connection lets that write fail only once the reader has come to the end of what arrived, or net/http closes the connection. On a reset connection that end is there already, so nothing waits for the server. If nothing of the request was written, the write fails at once as before, and net/http sends a call on a kept connection again.

With connections that are not kept, net/http would wait up to 50 ms for the end of such an upload before it ends the response. Request.Close spares that; the request has the same fields, "Connection: close" comes earlier among them.

--- a/heads/conn.go
+++ b/heads/conn.go
@@ -33,6 +33,9 @@
 	upload *upload
 	// writeErr is the error of the write that failed.
 	writeErr error
+	// readsEnded is closed once nothing more can be read.
+	readsEnded chan struct{}
+	endOnce    sync.Once
 
 	mu sync.Mutex
 	// requests is the number of requests, and heads that of the heads of final responses read.
@@ -43,6 +46,10 @@
 	err error
 }
 
+func newConn(dialed net.Conn) *conn {
+	return &conn{Conn: dialed, readsEnded: make(chan struct{})}
+}
+
 // SyscallConn implements syscall.Conn.
 func (c *conn) SyscallConn() (syscall.RawConn, error) {
 	file, ok := c.Conn.(syscall.Conn)
@@ -74,8 +81,17 @@
 	return c.err
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. If the server resets the connection in the middle of a request, Write fails once all that the
+// server sent before has been read. net/http would drop a response that hasn't been read when Write fails.
 func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.write(p)
+	if isReset(err) && c.uploading() {
+		<-c.readsEnded
+	}
+	return n, err
+}
+
+func (c *conn) write(p []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
@@ -88,9 +104,34 @@
 	return n, err
 }
 
+// isReset reports whether a write failed because the server has reset the connection.
+func isReset(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// uploading reports whether a part of a request was written.
+func (c *conn) uploading() bool {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.upload != nil && c.upload.begun()
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.endReads()
+	return c.Conn.Close()
+}
+
+func (c *conn) endReads() {
+	c.endOnce.Do(func() { close(c.readsEnded) })
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if err != nil {
+		c.endReads()
+	}
 	if errors.Is(err, io.EOF) {
 		err = c.endErr()
 	}
--- a/heads/heads.go
+++ b/heads/heads.go
@@ -86,7 +86,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: dialed}, nil
+		return newConn(dialed), nil
 	}
 	return &Transport{base: base}
 }
@@ -100,7 +100,11 @@
 			c.addRequest(bodyLength(request))
 		}
 	}})
-	response, err := t.base.RoundTrip(request.WithContext(ctx))
+	request = request.WithContext(ctx)
+	// Without Close, net/http holds the end of an early response back while the request is still written, in case the
+	// connection can be kept.
+	request.Close = request.Close || t.base.DisableKeepAlives
+	response, err := t.base.RoundTrip(request)
 	if err != nil {
 		return nil, err
 	}
--- a/heads/raw_test.go
+++ b/heads/raw_test.go
@@ -80,7 +80,7 @@
 		client, server := net.Pipe()
 		defer client.Close()
 		defer server.Close()
-		c := &conn{Conn: client}
+		c := newConn(client)
 		for range rapid.IntRange(1, 3).Draw(rt, "responses") {
 			interims := strings.Repeat(interimHead, rapid.IntRange(0, 2).Draw(rt, "interims"))
 			head := rapid.SampledFrom([]string{soundHead, brokenHead}).Draw(rt, "head")
@@ -112,7 +112,7 @@
 			client, server := net.Pipe()
 			defer client.Close()
 			defer server.Close()
-			checked := &conn{Conn: client}
+			checked := newConn(client)
 			if c.used {
 				checked.addRequest(0)
 				readInPieces(t, checked, server, soundHead)
@@ -135,7 +135,7 @@
 			client, server := net.Pipe()
 			defer client.Close()
 			defer server.Close()
-			checked := &conn{Conn: client}
+			checked := newConn(client)
 			checked.addRequest(0)
 			readInPieces(t, checked, server, c.data)
 			assert.Assert(t, track.IsKind(checked.responseErr(), InvalidFraming))
--- a/heads/upload.go
+++ b/heads/upload.go
@@ -45,6 +45,11 @@
 	}
 }
 
+// begun reports whether anything was written.
+func (u *upload) begun() bool {
+	return u.headEnded || len(u.headTail) > 0
+}
+
 // complete reports whether the whole request was written. A body of unknown length counts as complete, for want of a
 // count.
 func (u *upload) complete() bool {
