--- a/boot/faulty_test.go
+++ b/boot/faulty_test.go
@@ -51,14 +51,14 @@
 	})
 }
 
-// runPlain runs an attempt of a plain call and returns the status and the last frame.
-func runPlain(t *testing.T, a *agent.Agent, id track.RequestID) (status int, final track.Frame) {
+// runPlain runs an attempt of a plain call with the body and returns the status and the last frame.
+func runPlain(t *testing.T, a *agent.Agent, id track.RequestID, body []byte) (status int, final track.Frame) {
 	t.Helper()
 	report, err := a.Report(t.Context())
 	assert.NilError(t, err)
 	assert.NilError(t, a.Run(t.Context(), track.Dispatch{
 		ID: track.AttemptID{Request: id, Number: 1}, Agent: "agent-1", Incarnation: 1, Stamp: report.Load.Stamp, Target: "desk",
-		Kind: track.PlainCall, Method: http.MethodPost, Path: "/" + string(id), Timeout: time.Minute,
+		Kind: track.PlainCall, Method: http.MethodPost, Path: "/" + string(id), Body: body, Timeout: time.Minute,
 	}, func(f track.Frame) error {
 		switch f.Kind {
 		case track.FrameHeader:
@@ -95,9 +95,9 @@
 		}
 	})
 	for i := range 4 {
-		status, _ := runPlain(t, a, track.RequestID(fmt.Sprintf("refused-%d", i)))
+		status, _ := runPlain(t, a, track.RequestID(fmt.Sprintf("refused-%d", i)), nil)
 		assert.Equal(t, status, http.StatusTooManyRequests)
-		status, final := runPlain(t, a, track.RequestID(fmt.Sprintf("booked-%d", i)))
+		status, final := runPlain(t, a, track.RequestID(fmt.Sprintf("booked-%d", i)), nil)
 		assert.Equal(t, status, http.StatusOK)
 		assert.Equal(t, final.Outcome, track.Completed)
 	}
@@ -115,7 +115,7 @@
 					_, _ = io.WriteString(conn, head)
 				}
 			})
-			status, final := runPlain(t, a, "r-1")
+			status, final := runPlain(t, a, "r-1", nil)
 			assert.Equal(t, status, 0)
 			assert.Equal(t, final.Outcome, track.Unknown)
 		})
--- a/boot/head_test.go
+++ b/boot/head_test.go
@@ -99,7 +99,7 @@
 			backend, err := canned.Start(t.Context(), response)
 			assert.NilError(t, err)
 			defer backend.Close()
-			status, final := runPlain(t, newAgentBefore(backend.Address()), "r-1")
+			status, final := runPlain(t, newAgentBefore(backend.Address()), "r-1", nil)
 			assert.Equal(t, status, 0)
 			assert.Equal(t, final.Outcome, track.Unknown)
 			assert.Equal(t, len(backend.Requests()), 1)
--- a/heads/early_test.go
+++ b/heads/early_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -111,3 +113,27 @@
 	defer response.Body.Close()
 	return io.ReadAll(response.Body)
 }
+
+// Over TLS, the connection doesn't see requests, but it sees a write that failed.
+func TestResponseThatIsResetOverTLS(t *testing.T) {
+	const runs = 20
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.CopyN(io.Discard, r.Body, uploadBytes/8)
+		hijacked, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		secured := hijacked.(*tls.Conn)
+		defer secured.Close()
+		_, _ = io.WriteString(secured, "HTTP/1.1 200 OK\r\n\r\nbooked")
+		conn := secured.NetConn().(*net.TCPConn)
+		_ = conn.SetLinger(0)
+		_ = conn.Close()
+	}))
+	defer server.Close()
+	for range runs {
+		transport := server.Client().Transport.(*http.Transport).Clone()
+		body, err := upload(t.Context(), &http.Client{Transport: heads.New(transport)}, server.URL)
+		assert.Assert(t, err != nil, "%q", body)
+	}
+}
--- a/heads/upload_test.go
+++ b/heads/upload_test.go
@@ -1,6 +1,7 @@
 package heads
 
 import (
+	"net"
 	"strings"
 	"testing"
 
@@ -31,3 +32,21 @@
 	u.add([]byte("\r\n5\r\nbales"))
 	assert.Assert(t, u.complete())
 }
+
+// A request of which nothing could be written fails at once, so that net/http sends it on another connection.
+func TestWriteOfARequestOnAResetConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	dialed, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	c := newConn(dialed)
+	defer c.Close()
+	server, err := listener.Accept()
+	assert.NilError(t, err)
+	assert.NilError(t, server.(*net.TCPConn).SetLinger(0))
+	assert.NilError(t, server.Close())
+	c.addRequest(0)
+	_, err = c.Write([]byte("GET /status/1 HTTP/1.1\r\n\r\n"))
+	assert.Assert(t, isReset(err), "%v", err)
+}
--- a/stand/canned/canned.go
+++ b/stand/canned/canned.go
@@ -30,6 +30,13 @@
 	Before func()
 }
 
+// ResetEarly returns the response as one that comes before its request is read, and ends with a reset after some bytes of
+// the request's body.
+func (r Response) ResetEarly(taken int64) Response {
+	r.Early, r.Taken, r.Reset = true, taken, true
+	return r
+}
+
 // Server responds to the n-th request with its n-th response, and to all further ones with the last. Requests for a
 // path with a fixed response get that and don't count. It is safe for concurrent use.
 type Server struct {
