test(soak): replicas answer long uploads early and reset the connection

The disturbance EarlyAnswers plays the incident with the built trackd entry: a replica runs a request with a body, answers before it has read the body, takes a sixteenth of it and resets the connection. Two of three answers have no length and stop in the middle; the third one has its length and is whole. One of 32 requests has a body of 6 MiB now, which is more than the kernel takes while nobody reads.

Links passed a reset on only if the direction that ended first had got it. The kernel reports it to one of them, so the other may have ended first, in order. They also took a whole upload off the entry's hands, so they keep less now.

--- a/soak/disturb.go
+++ b/soak/disturb.go
@@ -76,6 +76,11 @@
 		ep.current().SetFault(mimic.InvalidHead, invalidHeadInterval)
 		return ep.clearFault
 	},
+	EarlyAnswers: func(s *testbed, e PlannedFault) func() {
+		ep := s.endpoints[e.Target%len(s.endpoints)]
+		ep.current().SetFault(mimic.EarlyAnswer, 1)
+		return ep.clearFault
+	},
 	LinkDelay:  injectLinkFault,
 	LinkReset:  injectLinkFault,
 	LinkSilent: injectLinkFault,
--- a/soak/link.go
+++ b/soak/link.go
@@ -180,21 +180,35 @@
 		return
 	}
 	defer l.closeConnection(upstream)
+	// With more, a long upload would be in the link's hands before its replica has read any of it.
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(linkBufferBytes)
+	}
+	if tcp, ok := upstream.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(linkBufferBytes)
+	}
 	ended := make(chan error, 2)
 	for _, direction := range [][2]net.Conn{{conn, upstream}, {upstream, conn}} {
 		go func() { ended <- l.copyBytes(direction[1], direction[0]) }()
 	}
-	// The end of one direction ends both, as callers send one request per connection.
+	reset := false
 	for range 2 {
-		if err := <-ended; errors.Is(err, syscall.ECONNRESET) {
-			setReset(conn)
-			setReset(upstream)
-		}
-		_ = conn.Close()
-		_ = upstream.Close()
+		err := <-ended
+		// The kernel reports a reset to one of the directions only.
+		reset = reset || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+		// The end of one direction ends both, as callers send one request per connection.
+		_ = conn.SetDeadline(time.Unix(1, 0))
+		_ = upstream.SetDeadline(time.Unix(1, 0))
+	}
+	if reset {
+		setReset(conn)
+		setReset(upstream)
 	}
 }
 
+// linkBufferBytes is how much the kernel keeps of what a client sends through a link.
+const linkBufferBytes = 64 << 10
+
 // setReset makes the close of a connection reset it. If this fails, the connection is closed gracefully.
 func setReset(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -57,6 +57,8 @@
 	ReplicasCold Fault = "ReplicasCold"
 	// InvalidHeads makes a replica answer some requests with heads that are not valid HTTP.
 	InvalidHeads Fault = "InvalidHeads"
+	// EarlyAnswers makes a replica answer uploads before it has read them, and break off two of three answers.
+	EarlyAnswers Fault = "EarlyAnswers"
 )
 
 // faults lists all kinds of faults in the order from which PlanFaults draws them. DemandShifts is
@@ -117,6 +119,7 @@
 	planned = append(planned, planDark(seed, length)...)
 	planned = append(planned, planEvacuations(seed, length)...)
 	planned = append(planned, planInvalidHeads(seed, length)...)
+	planned = append(planned, planEarlyAnswers(seed, length)...)
 	return append(planned, planCold(seed, length)...)
 }
 
@@ -150,6 +153,12 @@
 		[2]time.Duration{minLightTime, maxLightTime}, [2]time.Duration{minDuration, maxDuration})
 }
 
+// planEarlyAnswers returns the faults EarlyAnswers of a run.
+func planEarlyAnswers(seed uint64, length time.Duration) []PlannedFault {
+	return planOwn(rand.New(rand.NewPCG(seed, 71)), EarlyAnswers, length, minLightTime,
+		[2]time.Duration{minLightTime, maxLightTime}, [2]time.Duration{minDuration, maxDuration})
+}
+
 // planOwn returns faults of a kind that have random numbers of their own, like those of planDark. The first begins by
 // firstBy; pause and duration hold the least and the greatest value.
 func planOwn(rng *rand.Rand, fault Fault, length, firstBy time.Duration, pause, duration [2]time.Duration) []PlannedFault {
--- a/soak/play.go
+++ b/soak/play.go
@@ -251,6 +251,9 @@
 			o.Request.Method, o.Request.Path, o.Events = http.MethodPost, "/llm/stream/"+strconv.Itoa(streamEvents), streamEvents
 			o.Request.Prompt = fmt.Sprintf("%s:40,subject-%d:200,own:100", streamKind, rng.IntN(subjects))
 		}
+		if rng.IntN(requestsPerUpload) == 0 {
+			o.Request.UploadBytes = mimic.MaxBodyBytes
+		}
 		o.Response = mimic.Send(ctx, client, o.Request)
 		o.Ended = time.Now()
 		if ctx.Err() != nil {
@@ -283,6 +286,9 @@
 // one that starts again gets requests, too.
 const requestsPerEntry = 20
 
+// requestsPerUpload is the mean number of requests from one with a body to the next.
+const requestsPerUpload = 32
+
 // clientKey returns the key of a client. Clients continue to use keys that are revoked during the
 // run.
 func (s *testbed) clientKey(number int) string {
