fix: an end before a response reaches net/http as it is

What callers could have seen, since the fix of responses that break off: a read on a kept connection that the server closes just as the request is handed to it fails, where net/http sent it again before.

Cause: that fix replaced io.EOF whenever the request wasn't written to its end. net/http knows a kept connection that ended by io.EOF.

Evidence: TestEndBeforeTheResponse failed for a connection that ends without a response, or within its head.

Why this works: io.EOF is replaced only once the head of the response was read. Before that it can't end a response.

--- a/heads/conn.go
+++ b/heads/conn.go
@@ -132,15 +132,17 @@
 	if err != nil {
 		c.endReads()
 	}
-	if errors.Is(err, io.EOF) {
-		err = c.endErr()
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// A server may respond before it has the first request.
 	if n > 0 && c.err == nil && c.heads < max(c.requests, 1) {
 		c.check(p[:n])
 	}
+	// Before the head of a response, an end of the data is no response in any case, and net/http has to see it as it is:
+	// it sends some requests on kept connections again.
+	if errors.Is(err, io.EOF) && c.heads >= c.requests {
+		err = c.endErr()
+	}
 	return n, err
 }
 
--- a/heads/upload_test.go
+++ b/heads/upload_test.go
@@ -1,6 +1,8 @@
 package heads
 
 import (
+	"errors"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -50,3 +52,23 @@
 	_, err = c.Write([]byte("GET /status/1 HTTP/1.1\r\n\r\n"))
 	assert.Assert(t, isReset(err), "%v", err)
 }
+
+// net/http has to know a kept connection that ends before a response by io.EOF.
+func TestEndBeforeTheResponse(t *testing.T) {
+	for _, c := range []struct {
+		name, response string
+		want           error
+	}{{"no response", "", io.EOF}, {"half a head", soundHead[:9], io.EOF}, {"head", soundHead, io.ErrUnexpectedEOF}} {
+		t.Run(c.name, func(t *testing.T) {
+			client, server := net.Pipe()
+			defer client.Close()
+			checked := newConn(client)
+			checked.addRequest(5)
+			readInPieces(t, checked, server, c.response)
+			server.Close()
+			_, err := checked.Read(make([]byte, 1))
+			assert.Assert(t, errors.Is(err, c.want), "%v", err)
+			assert.Equal(t, errors.Is(err, io.EOF), errors.Is(c.want, io.EOF), "%v", err)
+		})
+	}
+}
