fix: responses that end before their request was received are not complete

What callers saw: a replica took an upload that the kernel of the entry's machine could hold as a whole, answered early without a length and ended the connection in order with a part of the answer. The client got the part as a whole answer.

The kernel takes up to some megabytes of that before the server has received any of it, so that a request was written to its end though nobody had read it.

Why this works: the end of a connection acknowledges all that its server has received, so bytes that are still unacknowledged when the end is read were not received. The kernel says how many there are. This holds over TLS as well.

--- a/conns/conns.go
+++ b/conns/conns.go
@@ -76,3 +76,19 @@
 		return optErr
 	}
 }
+
+// Unacknowledged returns the number of bytes written to a TCP connection that its peer hasn't acknowledged. It works until
+// the connection is closed, also after the peer has ended it.
+func Unacknowledged(conn syscall.Conn) (int, error) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var bytes int
+	var ioctlErr error
+	err = raw.Control(func(fd uintptr) { bytes, ioctlErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	if err != nil {
+		return 0, err
+	}
+	return bytes, ioctlErr
+}
--- a/heads/conn.go
+++ b/heads/conn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"filberttrack.example/track"
+	"filberttrack.example/track/conns"
 )
 
 // maxBytes limits the size of the heads that are checked.
@@ -148,20 +149,28 @@
 
 // endErr returns io.EOF if the data that the connection has read ended in order. The kernel reports a reset only once: if
 // a write in progress gets it, a read finds io.EOF, and a response that ends with its connection looks complete. So it is
-// not complete if its request couldn't be written by then.
+// complete only if the server had received its whole request by then.
 func (c *conn) endErr() error {
 	// The server has left, so a write in progress may wait for it without end.
 	_ = c.SetWriteDeadline(time.Unix(1, 0))
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	cause := c.writeErr
-	if cause == nil && (c.upload == nil || c.upload.complete()) {
+	if cause == nil && (c.upload == nil || c.upload.complete()) && !c.hasUnreceived() {
 		return io.EOF
 	}
 	if cause == nil || errors.Is(cause, os.ErrDeadlineExceeded) {
 		cause = io.ErrUnexpectedEOF
 	}
-	return fmt.Errorf("the connection ended while its request was written: %w", cause)
+	return fmt.Errorf("the connection ended before its request was received: %w", cause)
+}
+
+// hasUnreceived reports whether some of what was written hasn't reached the server. Its end of the connection acknowledges all
+// that has.
+func (c *conn) hasUnreceived() bool {
+	bytes, err := conns.Unacknowledged(c)
+	// Connections that the kernel knows nothing of have no such bytes.
+	return err == nil && bytes > 0
 }
 
 // check checks the heads up to that of a final response in data that has been read.
--- a/heads/early_test.go
+++ b/heads/early_test.go
@@ -52,32 +52,39 @@
 func TestResponseThatEndsWithItsConnection(t *testing.T) {
 	const runs = 20
 	for _, c := range []struct {
-		name string
+		name        string
+		uploadBytes int
 		// finish ends the response. ended gets a value when the client has its end.
 		finish   func(conn *net.TCPConn, body io.Reader, ended <-chan struct{})
 		complete bool
 	}{
-		{"request unread, reset", func(conn *net.TCPConn, _ io.Reader, _ <-chan struct{}) { _ = conn.SetLinger(0) }, false},
-		{"request unread, closed", func(*net.TCPConn, io.Reader, <-chan struct{}) {}, false},
+		{"request unread, reset", uploadBytes, func(conn *net.TCPConn, _ io.Reader, _ <-chan struct{}) { _ = conn.SetLinger(0) }, false},
+		{"request unread, closed", uploadBytes, func(*net.TCPConn, io.Reader, <-chan struct{}) {}, false},
 		{
-			"request unread, half closed", func(conn *net.TCPConn, _ io.Reader, ended <-chan struct{}) {
+			"request unread, half closed", uploadBytes, func(conn *net.TCPConn, _ io.Reader, ended <-chan struct{}) {
 				_ = conn.CloseWrite()
 				<-ended
 			}, false,
 		},
 		{
-			"request half read, closed", func(_ *net.TCPConn, body io.Reader, _ <-chan struct{}) {
+			"request in the kernel, half closed", uploadBytes / 8, func(conn *net.TCPConn, _ io.Reader, ended <-chan struct{}) {
+				_ = conn.CloseWrite()
+				<-ended
+			}, false,
+		},
+		{
+			"request half read, closed", uploadBytes, func(_ *net.TCPConn, body io.Reader, _ <-chan struct{}) {
 				_, _ = io.CopyN(io.Discard, body, uploadBytes/2)
 			}, false,
 		},
 		{
-			"request read, reset", func(conn *net.TCPConn, body io.Reader, _ <-chan struct{}) {
+			"request read, reset", uploadBytes, func(conn *net.TCPConn, body io.Reader, _ <-chan struct{}) {
 				_, _ = io.Copy(io.Discard, body)
 				_ = conn.SetLinger(0)
 			}, false,
 		},
 		{
-			"request read, closed", func(_ *net.TCPConn, body io.Reader, _ <-chan struct{}) {
+			"request read, closed", uploadBytes, func(_ *net.TCPConn, body io.Reader, _ <-chan struct{}) {
 				_, _ = io.Copy(io.Discard, body)
 			}, true,
 		},
@@ -90,7 +97,7 @@
 			client := http.Client{Transport: heads.New(&http.Transport{DisableKeepAlives: true})}
 			for range runs {
 				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
-				body, err := upload(ctx, &client, address)
+				body, err := upload(ctx, &client, address, c.uploadBytes)
 				assert.NilError(t, ctx.Err())
 				assert.Equal(t, err == nil, c.complete, "%q, %v", body, err)
 				ended <- struct{}{}
@@ -100,9 +107,9 @@
 	}
 }
 
-// upload sends a long request and returns the body of the response.
-func upload(ctx context.Context, client *http.Client, address string) ([]byte, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader(make([]byte, uploadBytes)))
+// upload sends a request with a body of the given size and returns the body of the response.
+func upload(ctx context.Context, client *http.Client, address string, size int) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader(make([]byte, size)))
 	if err != nil {
 		return nil, err
 	}
@@ -133,7 +140,7 @@
 	defer server.Close()
 	for range runs {
 		transport := server.Client().Transport.(*http.Transport).Clone()
-		body, err := upload(t.Context(), &http.Client{Transport: heads.New(transport)}, server.URL)
+		body, err := upload(t.Context(), &http.Client{Transport: heads.New(transport)}, server.URL, uploadBytes)
 		assert.Assert(t, err != nil, "%q", body)
 	}
 }
