--- a/heads/conn.go
+++ b/heads/conn.go
@@ -165,8 +165,8 @@
 	return fmt.Errorf("the connection ended before its request was received: %w", cause)
 }
 
-// hasUnreceived reports whether some of what was written hasn't reached the server. Its end of the connection acknowledges all
-// that has.
+// hasUnreceived reports whether some of what was written had not reached the server when it ended the connection, which
+// acknowledges all that had.
 func (c *conn) hasUnreceived() bool {
 	bytes, err := conns.Unacknowledged(c)
 	// Connections that the kernel knows nothing of have no such bytes.
--- a/heads/heads.go
+++ b/heads/heads.go
@@ -66,8 +66,8 @@
 }
 
 // Transport is an http.RoundTripper that fails with an error of this package if the head of a response is not valid: by
-// Check, or by its bytes, which are not seen over TLS. The body of a response without a length fails if the connection
-// ended before the whole request was written. It is safe for concurrent use.
+// Check, or by its bytes, which are not seen over TLS. Reading the body of a response without a length fails if the
+// connection ended before the server had received the whole request. It is safe for concurrent use.
 type Transport struct {
 	base *http.Transport
 }
