--- a/heads/early_test.go
+++ b/heads/early_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"crypto/tls"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -107,6 +108,39 @@
 	}
 }
 
+// An early response that came whole is complete, whatever becomes of the rest of its request.
+func TestEarlyResponseThatIsWhole(t *testing.T) {
+	const runs = 5
+	for _, c := range []struct {
+		name   string
+		finish func(conn *net.TCPConn, ended <-chan struct{})
+	}{
+		{"reset", func(conn *net.TCPConn, _ <-chan struct{}) { _ = conn.SetLinger(0) }},
+		{"closed", func(*net.TCPConn, <-chan struct{}) {}},
+		{"half closed", func(conn *net.TCPConn, ended <-chan struct{}) {
+			_ = conn.CloseWrite()
+			<-ended
+		}},
+		{"open", func(_ *net.TCPConn, ended <-chan struct{}) { <-ended }},
+	} {
+		for _, keepAlive := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, keep-alive %t", c.name, keepAlive), func(t *testing.T) {
+				ended := make(chan struct{}, runs)
+				address := startServer(t, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nbooked", func(conn *net.TCPConn, _ io.Reader) {
+					c.finish(conn, ended)
+				})
+				client := http.Client{Transport: heads.New(&http.Transport{DisableKeepAlives: !keepAlive})}
+				for range runs {
+					body, err := upload(t.Context(), &client, address, uploadBytes)
+					assert.NilError(t, err)
+					assert.Equal(t, string(body), "booked")
+					ended <- struct{}{}
+				}
+			})
+		}
+	}
+}
+
 // upload sends a request with a body of the given size and returns the body of the response.
 func upload(ctx context.Context, client *http.Client, address string, size int) ([]byte, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader(make([]byte, size)))
