refactor(soak): frequent faults are planned, and faults of replicas set, in one way

planInvalidHeads and planEarlyAnswers were planDark with other figures, and three injectors of replicas' faults the same but for the fault.

--- a/soak/disturb.go
+++ b/soak/disturb.go
@@ -66,25 +66,15 @@
 		s.log.SetDelay(slowLogDelay)
 		return func() { s.log.SetDelay(0) }
 	},
-	ReplicaFaults: func(s *testbed, e PlannedFault) func() {
-		ep := s.endpoints[e.Target%len(s.endpoints)]
-		ep.current().SetFault(e.ReplicaFault, e.Interval)
-		return ep.clearFault
-	},
+	ReplicaFaults: func(s *testbed, e PlannedFault) func() { return s.setReplicaFault(e, e.ReplicaFault, e.Interval) },
 	InvalidHeads: func(s *testbed, e PlannedFault) func() {
-		ep := s.endpoints[e.Target%len(s.endpoints)]
-		ep.current().SetFault(mimic.InvalidHead, invalidHeadInterval)
-		return ep.clearFault
-	},
-	EarlyAnswers: func(s *testbed, e PlannedFault) func() {
-		ep := s.endpoints[e.Target%len(s.endpoints)]
-		ep.current().SetFault(mimic.EarlyAnswer, 1)
-		return ep.clearFault
+		return s.setReplicaFault(e, mimic.InvalidHead, invalidHeadInterval)
 	},
-	LinkDelay:  injectLinkFault,
-	LinkReset:  injectLinkFault,
-	LinkSilent: injectLinkFault,
-	LinkSlow:   injectLinkFault,
+	EarlyAnswers: func(s *testbed, e PlannedFault) func() { return s.setReplicaFault(e, mimic.EarlyAnswer, 1) },
+	LinkDelay:    injectLinkFault,
+	LinkReset:    injectLinkFault,
+	LinkSilent:   injectLinkFault,
+	LinkSlow:     injectLinkFault,
 	RevokeKey: func(s *testbed, e PlannedFault) func() {
 		s.revokeKey(e.Target)
 		return nil
@@ -147,6 +137,14 @@
 	limitStep = 0.25
 )
 
+// setReplicaFault makes the replica at the target of a planned fault answer each interval-th request with a fault, and
+// returns the function that ends it.
+func (s *testbed) setReplicaFault(e PlannedFault, fault mimic.Fault, interval int) func() {
+	ep := s.endpoints[e.Target%len(s.endpoints)]
+	ep.current().SetFault(fault, interval)
+	return ep.clearFault
+}
+
 // limitReplicas makes a replica, or all of its service, name a limit, and returns when they no longer do.
 func (s *testbed) limitReplicas(ctx context.Context, e PlannedFault) error {
 	limited := e.Duration + limitedTime
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -116,50 +116,34 @@
 			Target: rng.IntN(1 << 16), ReplicaFault: replicaFaults[rng.IntN(len(replicaFaults))], Interval: 2 + rng.IntN(12),
 		})
 	}
-	planned = append(planned, planDark(seed, length)...)
+	planned = append(planned, planFrequent(seed, 33, LogPartDark, length, shortestDark)...)
 	planned = append(planned, planEvacuations(seed, length)...)
-	planned = append(planned, planInvalidHeads(seed, length)...)
-	planned = append(planned, planEarlyAnswers(seed, length)...)
+	planned = append(planned, planFrequent(seed, 59, InvalidHeads, length, minDuration)...)
+	planned = append(planned, planFrequent(seed, 71, EarlyAnswers, length, minDuration)...)
 	return append(planned, planCold(seed, length)...)
 }
 
 const (
-	// minLightTime and maxLightTime bound the time between the starts of two faults LogPartDark. They leave time
-	// in which changes must be in force again.
+	// minLightTime and maxLightTime bound the time between the starts of two faults of a kind that planFrequent plans.
+	// After a fault LogPartDark they leave time in which changes must be in force again.
 	minLightTime = 3 * time.Second
 	maxLightTime = 9 * time.Second
+	// shortestDark is the least duration of a fault LogPartDark.
+	shortestDark = 10 * time.Millisecond
 )
 
-// planDark returns the faults LogPartDark of a run. They have random numbers of their own, so that the other faults of
-// a seed are those that it had before this kind was added.
-func planDark(seed uint64, length time.Duration) []PlannedFault {
-	rng := rand.New(rand.NewPCG(seed, 33))
-	between := func(low, high time.Duration) time.Duration { return low + time.Duration(rng.Int64N(int64(high-low))) }
-	var planned []PlannedFault
-	for at := between(minPause, minLightTime); at < length; at += between(minLightTime, maxLightTime) {
-		planned = append(planned, PlannedFault{
-			At: at, Duration: between(10*time.Millisecond, maxDuration), Fault: LogPartDark, Target: rng.IntN(1 << 16),
-		})
-	}
-	return planned
-}
-
 // invalidHeadInterval is the number of requests from one that is answered with an invalid head to the next.
 const invalidHeadInterval = 2
 
-// planInvalidHeads returns the faults InvalidHeads of a run.
-func planInvalidHeads(seed uint64, length time.Duration) []PlannedFault {
-	return planOwn(rand.New(rand.NewPCG(seed, 59)), InvalidHeads, length, minLightTime,
-		[2]time.Duration{minLightTime, maxLightTime}, [2]time.Duration{minDuration, maxDuration})
-}
-
-// planEarlyAnswers returns the faults EarlyAnswers of a run.
-func planEarlyAnswers(seed uint64, length time.Duration) []PlannedFault {
-	return planOwn(rand.New(rand.NewPCG(seed, 71)), EarlyAnswers, length, minLightTime,
-		[2]time.Duration{minLightTime, maxLightTime}, [2]time.Duration{minDuration, maxDuration})
+// planFrequent returns the faults of a kind that comes every few seconds; each lasts for the shortest duration or longer.
+// They have random numbers of their own, of the given stream, so that the other faults of a seed are those that it had
+// before this kind was added.
+func planFrequent(seed, stream uint64, fault Fault, length, shortest time.Duration) []PlannedFault {
+	return planOwn(rand.New(rand.NewPCG(seed, stream)), fault, length, minLightTime,
+		[2]time.Duration{minLightTime, maxLightTime}, [2]time.Duration{shortest, maxDuration})
 }
 
-// planOwn returns faults of a kind that have random numbers of their own, like those of planDark. The first begins by
+// planOwn returns faults of a kind that have random numbers of their own, like those of planFrequent. The first begins by
 // firstBy; pause and duration hold the least and the greatest value.
 func planOwn(rng *rand.Rand, fault Fault, length, firstBy time.Duration, pause, duration [2]time.Duration) []PlannedFault {
 	between := func(low, high time.Duration) time.Duration { return low + time.Duration(rng.Int64N(int64(high-low))) }
