refactor(test): stand-ins accept and reset connections in one place

What the stand-ins send and the assertions are as they were; their tests pass with the race detector.

--- a/boot/faulty_test.go
+++ b/boot/faulty_test.go
@@ -18,6 +18,7 @@
 	"filberttrack.example/track"
 	"filberttrack.example/track/agent"
 	"filberttrack.example/track/ledger"
+	"filberttrack.example/track/stand/canned"
 )
 
 // agentBefore returns an agent of the plain service desk, whose backend server handles each connection with the
@@ -27,18 +28,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				handle(conn)
-			}()
-		}
-	}()
+	go canned.Serve(listener, handle)
 	return newAgentBefore(listener.Addr().String())
 }
 
--- a/boot/ports_test.go
+++ b/boot/ports_test.go
@@ -9,31 +9,24 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"filberttrack.example/track/stand/canned"
 )
 
-// serveTwice answers each request twice. The second copy follows when the next request arrives on the
-// connection, at the point where its answer is expected.
-func serveTwice(listener net.Listener) {
+// serveTwice answers each request of a connection twice. The second copy follows when the next request arrives, at the
+// point where its answer is expected.
+func serveTwice(conn net.Conn) {
+	reader, previous := bufio.NewReader(conn), ""
 	for {
-		conn, err := listener.Accept()
+		request, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
-		go func() {
-			defer conn.Close()
-			reader, previous := bufio.NewReader(conn), ""
-			for {
-				request, err := http.ReadRequest(reader)
-				if err != nil {
-					return
-				}
-				answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(request.URL.Path), request.URL.Path)
-				if _, err := io.WriteString(conn, previous+answer); err != nil {
-					return
-				}
-				previous = answer
-			}
-		}()
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(request.URL.Path), request.URL.Path)
+		if _, err := io.WriteString(conn, previous+answer); err != nil {
+			return
+		}
+		previous = answer
 	}
 }
 
@@ -42,7 +35,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer listener.Close()
-	go serveTwice(listener)
+	go canned.Serve(listener, serveTwice)
 	client := newBackendClient()
 	for i := range 20 {
 		path := fmt.Sprintf("/bookings/%d", i)
--- a/heads/early_test.go
+++ b/heads/early_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"filberttrack.example/track/heads"
+	"filberttrack.example/track/stand/canned"
 )
 
 // uploadBytes is more than the kernel takes from a writer whose peer doesn't read.
@@ -27,24 +28,15 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				request, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				if _, err := io.WriteString(conn, response); err == nil {
-					finish(conn.(*net.TCPConn), request.Body)
-				}
-			}()
+	go canned.Serve(listener, func(conn net.Conn) {
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		if _, err := io.WriteString(conn, response); err == nil {
+			finish(conn.(*net.TCPConn), request.Body)
 		}
-	}()
+	})
 	return "http://" + listener.Addr().String()
 }
 
--- a/soak/link.go
+++ b/soak/link.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"filberttrack.example/track/stand/canned"
 )
 
 const (
@@ -72,7 +74,7 @@
 // resetConnections resets all connections. The caller must hold the lock.
 func (l *Link) resetConnections() {
 	for conn := range l.conns {
-		setReset(conn)
+		canned.SetReset(conn)
 		_ = conn.Close()
 	}
 	clear(l.conns)
@@ -201,21 +203,14 @@
 		_ = upstream.SetDeadline(time.Unix(1, 0))
 	}
 	if reset {
-		setReset(conn)
-		setReset(upstream)
+		canned.SetReset(conn)
+		canned.SetReset(upstream)
 	}
 }
 
 // linkBufferBytes is how much the kernel keeps of what a client sends through a link.
 const linkBufferBytes = 64 << 10
 
-// setReset makes the close of a connection reset it. If this fails, the connection is closed gracefully.
-func setReset(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-}
-
 // waitWhileSilent waits until the fault LinkSilent ends. Bytes on a silent link arrive late and the
 // connection stays open, as with packet loss.
 func (l *Link) waitWhileSilent() {
--- a/soak/link_test.go
+++ b/soak/link_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"filberttrack.example/track/stand/canned"
 )
 
 // Guards against a link that turns the reset of an answer into its regular end: with seed 403, a client got half of an
@@ -23,7 +25,7 @@
 		_, _ = buffered.WriteString("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf")
 		_ = buffered.Flush()
 		<-received
-		setReset(conn)
+		canned.SetReset(conn)
 		_ = conn.Close()
 	}))
 	response, err := http.Get("http://" + link.Address())
--- a/stand/canned/canned.go
+++ b/stand/canned/canned.go
@@ -143,20 +143,34 @@
 		}
 		if err != nil || !response.StaysOpen {
 			if response.Reset {
-				reset(conn)
+				SetReset(conn)
 			}
 			return err
 		}
 	}
 }
 
-// reset makes the close of a connection reset it.
-func reset(conn net.Conn) {
+// SetReset makes the close of a connection reset it. If this fails, the connection is closed gracefully.
+func SetReset(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
 }
 
+// Serve handles each connection with the given function and then closes it, until the listener is closed.
+func Serve(listener net.Listener, handle func(net.Conn)) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = conn.Close() }()
+			handle(conn)
+		}()
+	}
+}
+
 // next records a request and returns its response.
 func (s *Server) next(request *http.Request) Response {
 	s.mu.Lock()
