perf(heads): the first bytes of a request are not copied to find the end of its head

The state is the number of bytes of the blank line that were written last, in place of a copy of what came before. TestUploadInPieces holds as it was.

--- a/heads/conn.go
+++ b/heads/conn.go
@@ -64,8 +64,7 @@
 // and its response.
 func (c *conn) addRequest(bodyLength int64) {
 	c.writing.Lock()
-	next := newUpload(bodyLength)
-	c.upload = &next
+	c.upload = newUpload(bodyLength)
 	c.writing.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -114,7 +113,7 @@
 func (c *conn) uploading() bool {
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	return c.upload != nil && c.upload.begun()
+	return c.upload != nil && c.upload.begun
 }
 
 // Close implements net.Conn.
